Add the design page, the core and wire modules and the build

Cause: the project needs a shared base before its parts can be built side by side.

Ruled out: a server table behind the flow identifier. The identifier holds the server's address, so a balancer with an empty or outdated server list forwards alike.

--- /dev/null
+++ b/cmake/JujubequayDependencies.cmake
@@ -0,0 +1,18 @@
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(fmt REQUIRED)
+find_package(benchmark REQUIRED)
+
+pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(nghttp2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(ngtcp2 REQUIRED IMPORTED_TARGET libngtcp2 libngtcp2_crypto_gnutls)
+pkg_check_modules(gnutls REQUIRED IMPORTED_TARGET gnutls)
+pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
+
+# Standalone Asio is a header-only library.
+add_library(asio INTERFACE)
+target_compile_definitions(asio INTERFACE ASIO_STANDALONE ASIO_NO_DEPRECATED)
+target_link_libraries(asio INTERFACE Threads::Threads OpenSSL::SSL OpenSSL::Crypto)
--- /dev/null
+++ b/cmake/JujubequayModule.cmake
@@ -0,0 +1,39 @@
+# Adds one module of the library and its test program.
+#
+#   jujubequay_module(policy
+#       SOURCES placement.cpp
+#       TESTS placement_test.cpp
+#       DEPENDS jujubequay_core)
+#
+# Sources and tests are named relative to src/jujubequay/<module>/.
+function(jujubequay_module name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;TESTS;DEPENDS" ${ARGN})
+    set(target jujubequay_${name})
+    set(directory ${PROJECT_SOURCE_DIR}/src/jujubequay/${name})
+
+    list(TRANSFORM ARG_SOURCES PREPEND ${directory}/)
+    add_library(${target} STATIC ${ARG_SOURCES})
+    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+    target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(${target} PUBLIC ${ARG_DEPENDS})
+
+    if(ARG_TESTS)
+        list(TRANSFORM ARG_TESTS PREPEND ${directory}/)
+        add_executable(${name}_test ${ARG_TESTS} ${PROJECT_SOURCE_DIR}/src/jujubequay/test_main.cpp)
+        target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR}/src)
+        target_link_libraries(${name}_test PRIVATE ${target} PkgConfig::cppunit)
+        add_test(NAME ${name} COMMAND ${name}_test)
+        set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    endif()
+endfunction()
+
+# Adds a program from the given sources, relative to the project.
+#
+#   jujubequay_program(jjq-balancer SOURCES apps/jjq_balancer.cpp DEPENDS jujubequay_daemon)
+function(jujubequay_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    list(TRANSFORM ARG_SOURCES PREPEND ${PROJECT_SOURCE_DIR}/)
+    add_executable(${name} ${ARG_SOURCES})
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+endfunction()
--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,26 @@
+jujubequay_module(core
+    SOURCES
+        clock.cpp
+        identifiers.cpp
+        invariant.cpp
+        log.cpp
+        result_code.cpp
+    TESTS
+        core_test.cpp
+    DEPENDS fmt::fmt PkgConfig::xxhash)
+
+jujubequay_module(wire
+    SOURCES
+        digest.cpp
+        flow_id.cpp
+        framing.cpp
+        relay_header.cpp
+        generated/consensus.pb.cc
+        generated/control.pb.cc
+        generated/request.pb.cc
+    TESTS
+        flow_id_test.cpp
+        framing_test.cpp
+        relay_header_test.cpp
+    DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
+target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
--- /dev/null
+++ b/include/jujubequay/wire/byte_order.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+
+namespace Jujubequay {
+
+/// Writes an unsigned integer in network byte order and returns the position after it.
+template<class Integer>
+std::uint8_t *putInteger(std::uint8_t *out, Integer value)
+{
+    for (std::size_t byte = sizeof(Integer); byte > 0; --byte) {
+        *out = static_cast<std::uint8_t>(value >> ((byte - 1) * 8));
+        ++out;
+    }
+    return out;
+}
+
+/// Reads an unsigned integer in network byte order and advances the position.
+template<class Integer>
+Integer takeInteger(const std::uint8_t *&in)
+{
+    Integer value = 0;
+    for (std::size_t byte = 0; byte < sizeof(Integer); ++byte) {
+        value = static_cast<Integer>((value << 8U) | *in);
+        ++in;
+    }
+    return value;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/core/log.cpp
@@ -0,0 +1,129 @@
+#include <jujubequay/core/log.h>
+#include <jujubequay/core/name_table.h>
+
+#include <fmt/chrono.h>
+
+#include <cstdio>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr NameTable<LogLevel, 4> levelNames{{{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}}};
+
+std::string quoted(const std::string &value)
+{
+    const bool plain = !value.empty() && value.find_first_of(" \"\n=") == std::string::npos;
+    if (plain) {
+        return value;
+    }
+    std::string text = "\"";
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            text += '\\';
+        }
+        text += character == '\n' ? ' ' : character;
+    }
+    return text + '"';
+}
+
+std::string wallClockText()
+{
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), (now - seconds).count());
+}
+
+}
+
+std::string_view logLevelName(LogLevel level)
+{
+    return levelNames.name(level);
+}
+
+std::optional<LogLevel> parseLogLevel(std::string_view name)
+{
+    return levelNames.value(name);
+}
+
+Logger::Logger(const Clock &clock, LogOrigin origin, Options options)
+    : m_clock(clock)
+    , m_origin(std::move(origin))
+    , m_options(options)
+{
+}
+
+void Logger::debug(std::string_view event, std::initializer_list<LogField> fields)
+{
+    log(LogLevel::Debug, event, fields);
+}
+
+void Logger::info(std::string_view event, std::initializer_list<LogField> fields)
+{
+    log(LogLevel::Info, event, fields);
+}
+
+void Logger::warning(std::string_view event, std::initializer_list<LogField> fields)
+{
+    log(LogLevel::Warning, event, fields);
+}
+
+void Logger::error(std::string_view event, std::initializer_list<LogField> fields)
+{
+    log(LogLevel::Error, event, fields);
+}
+
+void Logger::write(const std::string &line)
+{
+    fmt::print(stderr, "{}", line);
+}
+
+void Logger::log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < m_options.level) {
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto suppressed = admit(event);
+    if (!suppressed) {
+        return;
+    }
+    std::string line = fmt::format("time={} level={} program={} host={} zone={} event={}",
+                                   wallClockText(),
+                                   logLevelName(level),
+                                   quoted(m_origin.program),
+                                   quoted(m_origin.host),
+                                   quoted(m_origin.zone),
+                                   event);
+    for (const LogField &field : fields) {
+        line += fmt::format(" {}={}", field.key, quoted(field.value));
+    }
+    if (*suppressed > 0) {
+        line += fmt::format(" suppressed={}", *suppressed);
+    }
+    write(line + "\n");
+}
+
+std::optional<std::uint32_t> Logger::admit(std::string_view event)
+{
+    const TimePoint now = m_clock.now();
+    const auto [entry, inserted] = m_repeats.try_emplace(std::string(event), Repeats{now, 0});
+    Repeats &repeats = entry->second;
+    std::uint32_t suppressed = 0;
+    if (now - repeats.windowStart >= m_options.repeatWindow) {
+        suppressed = repeats.count > m_options.maxRepeats ? repeats.count - m_options.maxRepeats : 0;
+        repeats = Repeats{now, 0};
+    }
+    ++repeats.count;
+    if (repeats.count > m_options.maxRepeats) {
+        return std::nullopt;
+    }
+    return suppressed;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/wire/relay_header.cpp
@@ -0,0 +1,145 @@
+#include <jujubequay/core/invariant.h>
+#include <jujubequay/core/name_table.h>
+#include <jujubequay/wire/byte_order.h>
+#include <jujubequay/wire/relay_header.h>
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr std::uint8_t relayVersion = 1;
+constexpr std::size_t checkLength = crypto_shorthash_BYTES;
+constexpr std::size_t fieldsLength = relayHeaderLength - checkLength;
+
+constexpr NameTable<RelayKind, 5> kindNames{{{
+    {RelayKind::Forward, "forward"},
+    {RelayKind::Open, "open"},
+    {RelayKind::Handover, "handover"},
+    {RelayKind::Reply, "reply"},
+    {RelayKind::Stale, "stale"},
+}}};
+
+constexpr NameTable<RelayError, 5> errorNames{{{
+    {RelayError::Truncated, "truncated"},
+    {RelayError::BadVersion, "bad-version"},
+    {RelayError::BadKind, "bad-kind"},
+    {RelayError::UnknownKey, "unknown-key"},
+    {RelayError::BadCheck, "bad-check"},
+}}};
+
+using Check = std::array<std::uint8_t, checkLength>;
+
+std::uint8_t *putAddress(std::uint8_t *out, const HostAddress &address)
+{
+    out = putInteger(out, address.ip);
+    return putInteger(out, address.port);
+}
+
+HostAddress takeAddress(const std::uint8_t *&in)
+{
+    HostAddress address;
+    address.ip = takeInteger<std::uint32_t>(in);
+    address.port = takeInteger<std::uint16_t>(in);
+    return address;
+}
+
+Check checkOf(const FlowSecret &secret, const std::uint8_t *fields, std::span<const std::uint8_t> payload)
+{
+    // The leading byte separates this use of the key from flow identifiers; the payload length is covered as well.
+    std::array<std::uint8_t, 1 + fieldsLength + sizeof(std::uint16_t) + relayCheckedPayload> input{'r'};
+    std::uint8_t *out = std::copy_n(fields, fieldsLength, input.begin() + 1);
+    out = putInteger(out, static_cast<std::uint16_t>(payload.size()));
+    out = std::copy_n(payload.begin(), std::min(payload.size(), relayCheckedPayload), out);
+    Check check;
+    crypto_shorthash(check.data(), input.data(), static_cast<std::size_t>(out - input.data()), secret.data());
+    return check;
+}
+
+}
+
+std::string_view relayKindName(RelayKind kind)
+{
+    return kindNames.name(kind);
+}
+
+std::string_view relayErrorName(RelayError error)
+{
+    return errorNames.name(error);
+}
+
+void encodeRelayHeader(const FlowKeySet &keys, const RelayHeader &header, std::span<const std::uint8_t> payload, std::span<std::uint8_t> out)
+{
+    checkInvariant(out.size() >= relayHeaderLength, "a relay header fits its buffer");
+    const auto number = keys.active();
+    checkInvariant(number.has_value(), "relay headers are signed with the active key");
+
+    std::uint8_t *position = out.data();
+    position = putInteger(position, relayVersion);
+    position = putInteger(position, static_cast<std::uint8_t>(header.kind));
+    position = putInteger(position, *number);
+    position = putInteger(position, std::uint8_t{0}); // reserved
+    position = putInteger(position, header.service.value);
+    position = putInteger(position, header.incarnation.value);
+    position = putInteger(position, header.revision);
+    position = putAddress(position, header.caller);
+    position = putAddress(position, header.balancer);
+    position = putAddress(position, header.secondChoice);
+    position = putInteger(position, header.secondIncarnation.value);
+    position = putInteger(position, header.load.running);
+    position = putInteger(position, header.load.queued);
+    position = putInteger(position, header.load.flows);
+    checkInvariant(position == out.data() + fieldsLength, "relay header fields fill their fixed length");
+    const Check check = checkOf(*keys.find(*number), out.data(), payload);
+    std::copy(check.begin(), check.end(), out.data() + fieldsLength);
+}
+
+std::optional<DecodedRelay> decodeRelay(const FlowKeySet &keys, std::span<const std::uint8_t> datagram, RelayError &error)
+{
+    if (datagram.size() < relayHeaderLength) {
+        error = RelayError::Truncated;
+        return std::nullopt;
+    }
+    const std::uint8_t *in = datagram.data();
+    if (takeInteger<std::uint8_t>(in) != relayVersion) {
+        error = RelayError::BadVersion;
+        return std::nullopt;
+    }
+    const auto kind = static_cast<RelayKind>(takeInteger<std::uint8_t>(in));
+    if (kind < RelayKind::Forward || kind > RelayKind::Stale) {
+        error = RelayError::BadKind;
+        return std::nullopt;
+    }
+    const FlowSecret *secret = keys.find(takeInteger<std::uint8_t>(in));
+    if (secret == nullptr) {
+        error = RelayError::UnknownKey;
+        return std::nullopt;
+    }
+    const auto payload = datagram.subspan(relayHeaderLength);
+    const Check check = checkOf(*secret, datagram.data(), payload);
+    if (sodium_memcmp(check.data(), datagram.data() + fieldsLength, checkLength) != 0) {
+        error = RelayError::BadCheck;
+        return std::nullopt;
+    }
+    takeInteger<std::uint8_t>(in); // reserved
+    DecodedRelay relay;
+    relay.payload = payload;
+    relay.header.kind = kind;
+    relay.header.service.value = takeInteger<std::uint16_t>(in);
+    relay.header.incarnation.value = takeInteger<std::uint32_t>(in);
+    relay.header.revision = takeInteger<std::uint64_t>(in);
+    relay.header.caller = takeAddress(in);
+    relay.header.balancer = takeAddress(in);
+    relay.header.secondChoice = takeAddress(in);
+    relay.header.secondIncarnation.value = takeInteger<std::uint32_t>(in);
+    relay.header.load.running = takeInteger<std::uint16_t>(in);
+    relay.header.load.queued = takeInteger<std::uint16_t>(in);
+    relay.header.load.flows = takeInteger<std::uint16_t>(in);
+    return relay;
+}
+
+}
