Add PlacementTable: weighted rendezvous hashing with two choices

Cause: balancers must place an opening packet on the same server without traffic between them, and a join or leave must not move keys of other servers.

Change: up to 64 servers are compared for each key. A longer list is expanded into slots: each server has a Poisson point stream whose rate is its weight, and the earliest point in a slot decides. This is weighted rendezvous hashing of the slot number at a cost of slots x ln(slots) instead of slots x servers.

Ruled out: hierarchical rendezvous (a leave moves keys of other servers in the group as well), Maglev-style permutation tables (a leave moves unrelated keys).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,3 +24,10 @@
         relay_header_test.cpp
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
+
+jujubequay_module(policy
+    SOURCES
+        placement.cpp
+    TESTS
+        placement_test.cpp
+    DEPENDS jujubequay_core)
--- /dev/null
+++ b/src/jujubequay/policy/placement.cpp
@@ -0,0 +1,217 @@
+#include <jujubequay/policy/placement.h>
+
+#include <jujubequay/core/invariant.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr std::uint32_t maxWeight = 1000;
+/// At least 64 slots for each of maxSmallTableServers, which keeps the share of a server within about 12% of its weight.
+constexpr std::size_t smallTableSlots = std::size_t{1} << 17U;
+constexpr std::size_t largeTableSlots = std::size_t{1} << 21U;
+constexpr std::uint64_t addressSeed = 0x6a756a75'62657175U;
+
+std::uint64_t mix(std::uint64_t seed, std::uint64_t value)
+{
+    return XXH3_64bits_withSeed(&value, sizeof(value), seed);
+}
+
+std::uint64_t seedOf(const HostAddress &address)
+{
+    return mix(addressSeed, (std::uint64_t{address.ip} << 16U) | address.port);
+}
+
+/// Maps a hash to (0, 1].
+double toUnit(std::uint64_t hash)
+{
+    return (static_cast<double>(hash >> 11U) + 1.0) * 0x1.0p-53;
+}
+
+/// Time of the first event of a Poisson process of the given rate; the smallest value wins.
+double arrival(std::uint64_t hash, std::uint32_t weight)
+{
+    return -std::log(toUnit(hash)) / weight;
+}
+
+bool isSameAddress(const PlacementServer &left, const PlacementServer &right)
+{
+    return left.address == right.address;
+}
+
+std::vector<PlacementServer> normalise(std::vector<PlacementServer> servers)
+{
+    std::sort(servers.begin(), servers.end(), [](const PlacementServer &left, const PlacementServer &right) {
+        return left.address != right.address ? left.address < right.address : left.incarnation > right.incarnation;
+    });
+    servers.erase(std::unique(servers.begin(), servers.end(), isSameAddress), servers.end());
+    std::erase_if(servers, [](const PlacementServer &server) {
+        return !server.takesNewFlows || server.weight == 0;
+    });
+    for (PlacementServer &server : servers) {
+        server.weight = std::min(server.weight, maxWeight);
+    }
+    return servers;
+}
+
+/// The best two of a series of offers with smaller scores first.
+template<class Score>
+struct BestTwo {
+    Score firstScore = std::numeric_limits<Score>::max();
+    Score secondScore = std::numeric_limits<Score>::max();
+    const PlacementServer *first = nullptr;
+    const PlacementServer *second = nullptr;
+
+    void offer(const PlacementServer &server, Score score)
+    {
+        if (!first || score < firstScore) {
+            secondScore = firstScore;
+            second = first;
+            firstScore = score;
+            first = &server;
+        } else if (!second || score < secondScore) {
+            secondScore = score;
+            second = &server;
+        }
+    }
+};
+
+/// The series of points of one server in the plane of slots and time: a Poisson process whose rate is the weight in each
+/// slot. The earliest point in a slot decides its server, which is weighted rendezvous hashing of the slot number at a
+/// cost that does not depend on the number of servers.
+struct PointStream {
+    std::uint64_t seed = 0;
+    std::uint64_t count = 0;
+    double time = 0;
+
+    void advance(double rate)
+    {
+        ++count;
+        time -= std::log(toUnit(mix(seed, 2 * count))) / rate;
+    }
+
+    std::size_t slot(std::size_t slots) const
+    {
+        return mix(seed, 2 * count + 1) & (slots - 1);
+    }
+};
+
+/// Earliest points of two different servers in one slot.
+struct SlotOffers {
+    static constexpr std::uint32_t none = std::numeric_limits<std::uint32_t>::max();
+
+    double firstTime = 0;
+    double secondTime = 0;
+    std::uint32_t first = none;
+    std::uint32_t second = none;
+
+    void offer(std::uint32_t server, double time)
+    {
+        if (first == none || time < firstTime) {
+            if (first != server) {
+                second = first;
+                secondTime = firstTime;
+            }
+            first = server;
+            firstTime = time;
+        } else if (first != server && (second == none || time < secondTime)) {
+            second = server;
+            secondTime = time;
+        }
+    }
+};
+
+}
+
+PlacementTable::PlacementTable(std::vector<PlacementServer> servers)
+    : m_servers(normalise(std::move(servers)))
+{
+    checkInvariant(m_servers.size() <= maxServers, "a placement table holds at most 65535 servers");
+    m_seeds.reserve(m_servers.size());
+    for (const PlacementServer &server : m_servers) {
+        m_seeds.push_back(seedOf(server.address));
+        m_equalWeights = m_equalWeights && server.weight == m_servers.front().weight;
+    }
+    if (m_servers.size() > maxDirectServers) {
+        buildSlots();
+    }
+}
+
+PlacementChoice PlacementTable::choose(std::uint64_t key) const
+{
+    if (m_slots.empty()) {
+        return chooseDirectly(key);
+    }
+    const Slot slot = m_slots[mix(addressSeed, key) & (m_slots.size() - 1)];
+    return {&m_servers[slot.first], &m_servers[slot.second]};
+}
+
+PlacementChoice PlacementTable::chooseDirectly(std::uint64_t key) const
+{
+    if (m_equalWeights) {
+        // The arrival time falls as the hash rises, so for equal weights the hashes can be compared without logarithms.
+        BestTwo<std::uint64_t> best;
+        for (std::size_t index = 0; index < m_servers.size(); ++index) {
+            best.offer(m_servers[index], ~mix(m_seeds[index], key));
+        }
+        return {best.first, best.second};
+    }
+    BestTwo<double> best;
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        best.offer(m_servers[index], arrival(mix(m_seeds[index], key), m_servers[index].weight));
+    }
+    return {best.first, best.second};
+}
+
+void PlacementTable::buildSlots()
+{
+    const std::size_t slots = m_servers.size() <= maxSmallTableServers ? smallTableSlots : largeTableSlots;
+    double totalWeight = 0;
+    std::vector<PointStream> streams;
+    streams.reserve(m_servers.size());
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        totalWeight += m_servers[index].weight;
+        streams.push_back({.seed = m_seeds[index]});
+        streams.back().advance(static_cast<double>(m_servers[index].weight) * static_cast<double>(slots));
+    }
+
+    // A horizon of h / totalWeight puts h points into a slot on average. Points beyond the horizon cannot displace earlier
+    // ones, so the result does not depend on the steps of the horizon once every slot has two servers.
+    std::vector<SlotOffers> offers(slots);
+    const auto isOpen = [](const SlotOffers &offer) {
+        return offer.second == SlotOffers::none;
+    };
+    for (double horizon = 8; std::any_of(offers.begin(), offers.end(), isOpen); horizon += 4) {
+        for (std::uint32_t index = 0; index < streams.size(); ++index) {
+            const double rate = static_cast<double>(m_servers[index].weight) * static_cast<double>(slots);
+            while (streams[index].time < horizon / totalWeight) {
+                offers[streams[index].slot(slots)].offer(index, streams[index].time);
+                streams[index].advance(rate);
+            }
+        }
+    }
+
+    m_slots.reserve(slots);
+    for (const SlotOffers &offer : offers) {
+        m_slots.push_back({static_cast<std::uint16_t>(offer.first), static_cast<std::uint16_t>(offer.second)});
+    }
+}
+
+const std::vector<PlacementServer> &PlacementTable::servers() const
+{
+    return m_servers;
+}
+
+std::size_t PlacementTable::memoryBytes() const
+{
+    return m_servers.capacity() * sizeof(PlacementServer) + m_seeds.capacity() * sizeof(std::uint64_t) + m_slots.capacity() * sizeof(Slot);
+}
+
+}
