--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -29,3 +29,10 @@
     SOURCES
         config_snapshot.cpp
     DEPENDS jujubequay_wire)
+
+jujubequay_module(policy
+    SOURCES
+        placement.cpp
+    TESTS
+        placement_test.cpp
+    DEPENDS jujubequay_core)
