Add the flow module: forwarding, agent ingress, openings and requests

Cause: a datagram of a flow may reach any balancer, and a caller that lost a flow asks again.

Ruled out: a flow table on balancers, which a restart loses and other balancers miss; request records kept by caller time, which a stepped caller clock defeats.

Change: a stateless forwarding decision on the flow identifier or, for openings, on weighted rendezvous placement; an agent ingress that refuses other services, incarnations and older revisions and hands openings over once; an opening table; a request table whose records are kept by numbered windows. The relay header names the address that the datagram arrived on, so that a reply leaves from it.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -36,3 +36,17 @@
     TESTS
         placement_test.cpp
     DEPENDS jujubequay_core)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        packet.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        request_table_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
--- a/include/jujubequay/wire/relay_header.h
+++ b/include/jujubequay/wire/relay_header.h
@@ -36,13 +36,14 @@
     std::uint64_t revision = 0; ///< revision of the service's configuration at the sender
     HostAddress caller;
     HostAddress balancer; ///< relay address of the balancer that replies go through
+    HostAddress entry; ///< address at the balancer that the caller's datagram arrived on; replies leave from it
     HostAddress secondChoice; ///< Open: zero when there is none
     Incarnation secondIncarnation;
     ServerLoad load;
     auto operator<=>(const RelayHeader &) const = default;
 };
 
-constexpr std::size_t relayHeaderLength = 54;
+constexpr std::size_t relayHeaderLength = 60;
 /// The keyed check covers the header and this many bytes of the payload.
 constexpr std::size_t relayCheckedPayload = 64;
 
--- a/src/jujubequay/wire/relay_header.cpp
+++ b/src/jujubequay/wire/relay_header.cpp
@@ -88,6 +88,7 @@
     position = putInteger(position, header.revision);
     position = putAddress(position, header.caller);
     position = putAddress(position, header.balancer);
+    position = putAddress(position, header.entry);
     position = putAddress(position, header.secondChoice);
     position = putInteger(position, header.secondIncarnation.value);
     position = putInteger(position, header.load.running);
@@ -134,6 +135,7 @@
     relay.header.revision = takeInteger<std::uint64_t>(in);
     relay.header.caller = takeAddress(in);
     relay.header.balancer = takeAddress(in);
+    relay.header.entry = takeAddress(in);
     relay.header.secondChoice = takeAddress(in);
     relay.header.secondIncarnation.value = takeInteger<std::uint32_t>(in);
     relay.header.load.running = takeInteger<std::uint16_t>(in);
--- a/src/jujubequay/wire/relay_header_test.cpp
+++ b/src/jujubequay/wire/relay_header_test.cpp
@@ -28,6 +28,7 @@
     header.revision = 1234567890123;
     header.caller = HostAddress{0x7F000001, 50000};
     header.balancer = HostAddress{0x7F000002, 4400};
+    header.entry = HostAddress{0x7F000002, 7001};
     header.secondChoice = HostAddress{0x7F000003, 4500};
     header.secondIncarnation = Incarnation{78};
     header.load = ServerLoad{1, 2, 3};
