--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -50,3 +50,12 @@
         opening_table_test.cpp
         request_table_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
--- /dev/null
+++ b/include/jujubequay/datapath/udp_socket.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <jujubequay/core/error.h>
+#include <jujubequay/core/identifiers.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
+namespace Jujubequay {
+
+struct UdpSocketOptions {
+    bool sharesAddress = false; ///< several threads bind the address and the system spreads datagrams over them
+    int bufferBytes = 4 << 20; ///< of the system's receive and send buffers
+};
+
+/// Binds a non-blocking UDP socket. Port 0 picks a free port. Fails with AddressUnavailable.
+Result<asio::ip::udp::socket> bindUdpSocket(asio::io_context &context, const HostAddress &address, UdpSocketOptions options = {});
+
+/// The address that a socket is bound to.
+HostAddress localAddress(const asio::ip::udp::socket &socket);
+
+}
--- a/include/jujubequay/flow/forwarder.h
+++ b/include/jujubequay/flow/forwarder.h
@@ -22,7 +22,6 @@
 /// Everything that a forwarding decision needs. Immutable; a new one replaces it when the configuration changes.
 struct ForwardingTable {
     FlowKeySet keys;
-    HostAddress relayAddress; ///< where agents send replies for this balancer
     std::unordered_map<ServiceId, ServicePlacement> services;
 };
 
@@ -52,6 +51,7 @@
     ServiceId service;
     HostAddress entry;
     HostAddress caller;
+    HostAddress relay; ///< where agents send replies
 };
 
 /// Decides where one datagram goes. Holds no state and allocates nothing: equal tables give equal decisions on every
--- a/src/jujubequay/flow/forwarder.cpp
+++ b/src/jujubequay/flow/forwarder.cpp
@@ -23,7 +23,7 @@
     header.kind = kind;
     header.service = arrival.service;
     header.caller = arrival.caller;
-    header.balancer = table.relayAddress;
+    header.balancer = arrival.relay;
     header.entry = arrival.entry;
     const auto service = table.services.find(arrival.service);
     header.revision = service == table.services.end() ? 0 : service->second.revision;
--- a/src/jujubequay/flow/forwarder_test.cpp
+++ b/src/jujubequay/flow/forwarder_test.cpp
@@ -31,7 +31,6 @@
     ForwardingTable table;
     table.keys.set(0, secret);
     table.keys.activate(0);
-    table.relayAddress = {0x7F000201, 4400};
     std::vector<PlacementServer> servers;
     for (std::uint8_t number = 1; number <= serverCount; ++number) {
         servers.push_back(serverOf(number));
@@ -42,7 +41,7 @@
 
 Arrival arrivalAt(ServiceId service)
 {
-    return {service, {0x7F000201, 7001}, {0x7F000001, 50000}};
+    return {service, {0x7F000201, 7001}, {0x7F000001, 50000}, {0x7F000201, 4400}};
 }
 
 // A version 1 Initial packet as RFC 9000, 17.2.2, lays it out, up to the end of the identifiers.
@@ -111,8 +110,10 @@
     void balancersAgreeOnOpenings()
     {
         const ForwardingTable first = tableOf(7);
-        ForwardingTable second = tableOf(7);
-        second.relayAddress = {0x7F000202, 4400};
+        const ForwardingTable second = tableOf(7);
+        Arrival atSecond = arrivalAt(inspectDesk);
+        atSecond.entry = {0x7F000202, 7001};
+        atSecond.relay = {0x7F000202, 4400};
         std::mt19937_64 random(4);
         for (int flow = 0; flow < 200; ++flow) {
             std::vector<std::uint8_t> identifier(18);
@@ -121,7 +122,7 @@
             });
             const auto datagram = openingWith(identifier);
             const auto a = std::get<ForwardTo>(decideForward(first, arrivalAt(inspectDesk), datagram));
-            const auto b = std::get<ForwardTo>(decideForward(second, arrivalAt(inspectDesk), datagram));
+            const auto b = std::get<ForwardTo>(decideForward(second, atSecond, datagram));
             CPPUNIT_ASSERT(a.agent == b.agent);
             CPPUNIT_ASSERT(a.header.secondChoice == b.header.secondChoice);
             CPPUNIT_ASSERT(a.header.secondChoice != a.agent);
