Add AdmissionQueue, LoadEstimate, handover, flow choice and retry rules

Change: AdmissionQueue shares slot time among customers by weight (start-time fair queueing on measured slot time). A class takes precedence only for customers that are within 500 ms of slot time of the least served one, so declaring all work critical does not buy capacity. A waiting lower class is credited 10% of the slot time of the classes before it. A full queue refuses the newest work of the customer with the longest queue per weight. shouldHandOver compares flows per weight; LoadEstimate replaces reports that answer times contradict; RetryBudget and retryRule decide on retries.

Ruled out: strict class precedence (a flood of critical work would leave other customers 10%), one queue for each customer served in turn (a customer with slower requests would get more slot time).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,7 +27,14 @@
 
 jujubequay_module(policy
     SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
         placement.cpp
+        retry.cpp
     TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
         placement_test.cpp
     DEPENDS jujubequay_core)
--- /dev/null
+++ b/src/jujubequay/policy/balance_test.cpp
@@ -0,0 +1,128 @@
+#include <jujubequay/policy/flow_choice.h>
+#include <jujubequay/policy/handover.h>
+#include <jujubequay/policy/load_estimate.h>
+#include <jujubequay/policy/retry.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Jujubequay;
+using namespace std::chrono_literals;
+
+class BalanceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BalanceTest);
+    CPPUNIT_TEST(oldFiguresLoseInfluence);
+    CPPUNIT_TEST(zeroLoadWithSlowAnswersIsNotBelieved);
+    CPPUNIT_TEST(startedServerRampsUp);
+    CPPUNIT_TEST(openingsGoWhereThereIsMoreRoom);
+    CPPUNIT_TEST(retriesOnlyWhatIsSafe);
+    CPPUNIT_TEST(retryBudgetBoundsRetriesAndDelays);
+    CPPUNIT_TEST(leastLoadedUsableFlowIsChosen);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oldFiguresLoseInfluence()
+    {
+        LoadEstimate estimate;
+        estimate.reported(TimePoint{}, {.running = 3, .queued = 9, .flows = 100});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(12, estimate.work(TimePoint{}), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.1, estimate.work(TimePoint{} + 5s), 0.01);
+        estimate.sent();
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.1, estimate.work(TimePoint{} + 5s), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(101, *estimate.flows(TimePoint{} + 5s), 0.01);
+        CPPUNIT_ASSERT(!estimate.flows(TimePoint{} + 1min));
+    }
+
+    // Guards against a server that draws all work by reporting that it is idle while its answers slow down.
+    void zeroLoadWithSlowAnswersIsNotBelieved()
+    {
+        LoadEstimate estimate;
+        for (int count = 0; count < 50; ++count) {
+            estimate.answered(WorkClass::Interactive, 30ms);
+            estimate.answered(WorkClass::Bulk, 600ms);
+        }
+        CPPUNIT_ASSERT(!estimate.isContradicted());
+        for (int count = 0; count < 30; ++count) {
+            estimate.answered(WorkClass::Interactive, 90ms);
+        }
+        estimate.reported(TimePoint{}, {});
+        CPPUNIT_ASSERT(estimate.isContradicted());
+        CPPUNIT_ASSERT(estimate.work(TimePoint{}) > 6);
+    }
+
+    void startedServerRampsUp()
+    {
+        LoadEstimate estimate;
+        estimate.started(TimePoint{});
+        estimate.reported(TimePoint{}, {});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3, estimate.work(TimePoint{}), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, estimate.ramp(TimePoint{} + 5s), 0.01);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, estimate.ramp(TimePoint{} + 10s), 0.01);
+    }
+
+    void openingsGoWhereThereIsMoreRoom()
+    {
+        const HandOverOptions options;
+        const auto decide = [&](std::uint32_t ownFlows, std::optional<double> secondFlows) {
+            return shouldHandOver({.load = {.flows = ownFlows}}, {.flows = secondFlows}, options);
+        };
+        CPPUNIT_ASSERT(!decide(100, 100));
+        CPPUNIT_ASSERT(decide(103, 100));
+        CPPUNIT_ASSERT(!decide(100, std::nullopt));
+        CPPUNIT_ASSERT(decide(2000, std::nullopt));
+        CPPUNIT_ASSERT(!decide(2000, 2000));
+        CPPUNIT_ASSERT(shouldHandOver({.load = {.flows = 1}, .draining = true}, {.flows = 2000}, options));
+        CPPUNIT_ASSERT(shouldHandOver({.load = {.running = 3, .queued = 3}}, {}, options));
+        CPPUNIT_ASSERT(shouldHandOver({.load = {.flows = 100}, .weight = 50}, {.flows = 150}, options));
+        CPPUNIT_ASSERT(!shouldHandOver({.load = {.flows = 100}}, {.flows = 50, .ramp = 0.3}, options));
+        CPPUNIT_ASSERT(!shouldHandOver({.load = {.flows = 100}}, {.flows = 90, .work = 9}, options));
+    }
+
+    // Guards against a finding or bid that is executed twice because of a retry.
+    void retriesOnlyWhatIsSafe()
+    {
+        for (int number = 0; number < 500; ++number) {
+            const auto code = static_cast<ResultCode>(number);
+            if (!isNotRun(code)) {
+                CPPUNIT_ASSERT(retryRule(code, false) == RetryRule::Never);
+            }
+        }
+        CPPUNIT_ASSERT(retryRule(ResultCode::NotRunMoved, false) == RetryRule::Elsewhere);
+        CPPUNIT_ASSERT(retryRule(ResultCode::NotRunOverloaded, false) == RetryRule::AfterDelay);
+        CPPUNIT_ASSERT(retryRule(ResultCode::OutcomeUnknown, true) == RetryRule::AfterDelay);
+        CPPUNIT_ASSERT(retryRule(ResultCode::RequestExpired, true) == RetryRule::Never);
+    }
+
+    void retryBudgetBoundsRetriesAndDelays()
+    {
+        RetryBudget budget;
+        int taken = 0;
+        for (int request = 0; request < 1000; ++request) {
+            budget.requestSent();
+            taken += budget.tryTake() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(taken <= 110);
+        std::mt19937_64 random(1);
+        for (std::uint32_t attempt = 0; attempt < 100; ++attempt) {
+            const Duration delay = budget.delay(attempt, 1s, random);
+            CPPUNIT_ASSERT(delay >= 1s && delay <= 6s);
+        }
+        CPPUNIT_ASSERT(budget.delay(1, 0s, random) <= 50ms);
+    }
+
+    void leastLoadedUsableFlowIsChosen()
+    {
+        std::mt19937_64 random(1);
+        const std::array<FlowCandidate, 3> flows{{{.work = 0, .usable = false}, {.work = 3}, {.work = 2}}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, *chooseFlow(flows, random));
+        CPPUNIT_ASSERT(!chooseFlow(std::span(flows).first(1), random));
+        const std::array<FlowCandidate, 2> equal{{{.work = 2.1}, {.work = 2.1}}};
+        int first = 0;
+        for (int count = 0; count < 1000; ++count) {
+            first += *chooseFlow(equal, random) == 0 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(first > 400 && first < 600);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BalanceTest);
--- /dev/null
+++ b/src/jujubequay/policy/flow_choice.cpp
@@ -0,0 +1,42 @@
+#include <jujubequay/policy/flow_choice.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Jujubequay {
+
+namespace {
+
+/// Differences below half a request are noise of the age discount.
+constexpr double tieMargin = 0.5;
+
+double expectedWork(const FlowCandidate &flow)
+{
+    return std::max<double>(flow.work, flow.outstanding);
+}
+
+}
+
+std::optional<std::size_t> chooseFlow(std::span<const FlowCandidate> flows, std::mt19937_64 &random)
+{
+    double least = std::numeric_limits<double>::max();
+    for (const FlowCandidate &flow : flows) {
+        if (flow.usable) {
+            least = std::min(least, expectedWork(flow));
+        }
+    }
+    std::optional<std::size_t> chosen;
+    std::uint64_t ties = 0;
+    for (std::size_t index = 0; index < flows.size(); ++index) {
+        if (!flows[index].usable || expectedWork(flows[index]) > least + tieMargin) {
+            continue;
+        }
+        ++ties;
+        if (random() % ties == 0) {
+            chosen = index;
+        }
+    }
+    return chosen;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/policy/load_estimate.cpp
@@ -0,0 +1,101 @@
+#include <jujubequay/policy/load_estimate.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr double recentShare = 1.0 / 8;
+constexpr double usualShare = 1.0 / 64;
+/// The usual time keeps adapting while answers are slow, so that a lasting change of the work is accepted in the end.
+constexpr double usualShareWhileSlow = 1.0 / 1024;
+/// Answers per class before its usual time is compared.
+constexpr std::uint32_t minAnswers = 16;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+}
+
+LoadEstimate::LoadEstimate(LoadEstimateOptions options)
+    : m_options(options)
+{
+}
+
+void LoadEstimate::reported(TimePoint now, const LoadReport &report)
+{
+    m_report = report;
+    m_reportedAt = now;
+    m_sentSince = 0;
+}
+
+void LoadEstimate::sent()
+{
+    ++m_sentSince;
+}
+
+void LoadEstimate::answered(WorkClass workClass, Duration time)
+{
+    AnswerTimes &times = m_answerTimes[static_cast<std::size_t>(workClass)];
+    const double seconds = toSeconds(time);
+    ++times.count;
+    if (times.count <= minAnswers) {
+        times.usualSeconds += (seconds - times.usualSeconds) / times.count;
+        return;
+    }
+    const double ratio = times.usualSeconds > 0 ? seconds / times.usualSeconds : 1;
+    m_recentRatio += (ratio - m_recentRatio) * recentShare;
+    times.usualSeconds += (seconds - times.usualSeconds) * (isContradicted() ? usualShareWhileSlow : usualShare);
+}
+
+void LoadEstimate::started(TimePoint now)
+{
+    m_report.reset();
+    m_sentSince = 0;
+    m_answerTimes = {};
+    m_recentRatio = 1;
+    m_startedAt = now;
+}
+
+double LoadEstimate::work(TimePoint now) const
+{
+    double estimate = m_options.typicalWork;
+    if (m_report) {
+        const double age = std::max(0.0, toSeconds(now - m_reportedAt));
+        const double trust = std::exp2(-age / toSeconds(m_options.halfLife));
+        const double reported = m_report->running + m_report->queued;
+        estimate += (reported - m_options.typicalWork) * trust;
+    }
+    estimate += m_sentSince;
+    if (isContradicted()) {
+        estimate = std::max(estimate, m_recentRatio * m_options.slots);
+    }
+    return estimate + (1 - ramp(now)) * m_options.slots;
+}
+
+std::optional<double> LoadEstimate::flows(TimePoint now) const
+{
+    if (!m_report || now - m_reportedAt > m_options.flowsUsableFor) {
+        return std::nullopt;
+    }
+    return static_cast<double>(m_report->flows) + m_sentSince;
+}
+
+bool LoadEstimate::isContradicted() const
+{
+    return m_recentRatio > m_options.slowAnswerRatio;
+}
+
+double LoadEstimate::ramp(TimePoint now) const
+{
+    if (!m_startedAt) {
+        return 1;
+    }
+    return std::clamp(toSeconds(now - *m_startedAt) / toSeconds(m_options.rampTime), 0.0, 1.0);
+}
+
+}
