--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -32,8 +32,15 @@
 
 jujubequay_module(policy
     SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
         placement.cpp
+        retry.cpp
     TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
         placement_test.cpp
     DEPENDS jujubequay_core)
 
