Add the agent's request broker

Cause: requests need one place that decides whether they run, run once, or provably do not run.

Ruled out: answering attempts of one non-idempotent request separately. A second attempt joins the first or gets its stored answer, so every attempt sees the same result.

Change: the request broker, a state machine between flows, the admission queue, the request table and the backend server. A non-idempotent request survives the loss of its flow; feeds of a draining server are moved with their position; a slow caller slows the backend server.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -66,3 +66,10 @@
     TESTS
         balancer_path_test.cpp
     DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
--- /dev/null
+++ b/src/jujubequay/agent/request_broker.cpp
@@ -0,0 +1,745 @@
+#include <jujubequay/agent/request_broker.h>
+#include <jujubequay/core/invariant.h>
+
+#include <request.pb.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Jujubequay {
+
+namespace {
+
+namespace pb = jujubequay::pb;
+
+/// Application error codes of reset and stopped streams.
+constexpr std::uint64_t streamRejected = 1;
+
+constexpr std::size_t maxCustomerLength = 64;
+constexpr std::size_t maxPathLength = 1024;
+/// Bytes that may wait for the caller before the backend server is slowed down.
+constexpr std::size_t pendingLimit = 64U << 10U;
+
+bool isClientRequestStream(StreamNumber stream)
+{
+    // RFC 9000, 2.1: the two lowest bits of a bidirectional stream opened by the client are zero.
+    return (stream & 3) == 0;
+}
+
+WorkClass workClassOf(pb::RequestClass value)
+{
+    switch (value) {
+    case pb::REQUEST_CLASS_CRITICAL:
+        return WorkClass::Critical;
+    case pb::REQUEST_CLASS_BULK:
+        return WorkClass::Bulk;
+    case pb::REQUEST_CLASS_FEED:
+        return WorkClass::Feed;
+    default:
+        return WorkClass::Interactive;
+    }
+}
+
+/// What is wrong with a request header; empty if nothing is.
+std::string headerProblem(const pb::RequestHeader &header)
+{
+    if (header.caller().size() != RequestId().caller.size()) {
+        return "caller is not 16 bytes";
+    }
+    if (header.customer().empty() || header.customer().size() > maxCustomerLength) {
+        return fmt::format("customer must have 1 to {} bytes", maxCustomerLength);
+    }
+    if (header.path().empty() || header.path().front() != '/' || header.path().size() > maxPathLength) {
+        return fmt::format("path must start with '/' and have at most {} bytes", maxPathLength);
+    }
+    return {};
+}
+
+RequestId requestIdOf(const pb::RequestHeader &header)
+{
+    RequestId id;
+    std::copy(header.caller().begin(), header.caller().end(), id.caller.begin());
+    id.sequence = header.sequence();
+    return id;
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+}
+
+struct RequestBroker::Stream {
+    FrameReader reader;
+    std::size_t receivedBytes = 0;
+    std::optional<pb::RequestHeader> header;
+    Bytes body;
+    bool isSubmitted = false;
+    std::uint64_t call = 0; ///< the job that this attempt waits for; zero if none
+    Bytes pending; ///< bytes that the flow has not accepted yet
+    bool endsAfterPending = false;
+};
+
+struct RequestBroker::Job {
+    enum class State : std::uint8_t {
+        Queued,
+        Running,
+        Closing, ///< answered; the backend call has not ended yet
+    };
+
+    std::uint64_t call = 0;
+    State state = State::Queued;
+    BackendRequest request;
+    bool isIdempotent = true;
+    std::optional<TimePoint> deadline;
+    TimePoint submittedAt{};
+    TimePoint startedAt{};
+    std::set<StreamKey> attempts;
+    unsigned status = 0;
+    Digest digest;
+    std::uint64_t answerLength = 0;
+    std::uint64_t position = 0;
+    Bytes collected; ///< non-idempotent: the answer so far
+    bool isTooLong = false;
+    bool isCancelled = false;
+    std::size_t uncreditedBytes = 0;
+    std::optional<TimePoint> dueAt; ///< when a running job is ended: its deadline, or the move of a feed
+};
+
+RequestBroker::RequestBroker(Incarnation own,
+                             RequestBrokerOptions options,
+                             FlowPort &flows,
+                             BackendPort &backend,
+                             ResumeIdentifier resumeIdentifier,
+                             Reporter reporter,
+                             std::mt19937_64 &random,
+                             TimePoint now)
+    : m_own(own)
+    , m_options(std::move(options))
+    , m_flows(flows)
+    , m_backend(backend)
+    , m_resumeIdentifier(std::move(resumeIdentifier))
+    , m_reporter(std::move(reporter))
+    , m_random(random)
+    , m_table(own, m_options.requests, now)
+    , m_admission(m_options.admission)
+    , m_announcedWindow(m_table.window())
+{
+}
+
+RequestBroker::~RequestBroker() = default;
+
+void RequestBroker::handleFlowEvent(TimePoint now, const QuicEvent &event)
+{
+    struct Visitor {
+        RequestBroker &broker;
+        TimePoint now;
+
+        void operator()(const FlowEstablished &established) const
+        {
+            broker.m_openFlows.emplace(established.flow, Flow{broker.m_resumeIdentifier(), std::nullopt});
+            broker.sendGreeting(established.flow);
+        }
+        void operator()(const FlowEnded &ended) const
+        {
+            broker.abandonFlow(now, ended.flow);
+        }
+        void operator()(const StreamReceived &received) const
+        {
+            broker.receive(now, received);
+        }
+        void operator()(const StreamReset &reset) const
+        {
+            broker.abandonStream(now, {reset.flow, reset.stream});
+        }
+        void operator()(const StreamStopped &stopped) const
+        {
+            broker.abandonStream(now, {stopped.flow, stopped.stream});
+        }
+        void operator()(const StreamWritable &writable) const
+        {
+            broker.pump({writable.flow, writable.stream});
+        }
+        void operator()(const StreamEnded &ended) const
+        {
+            broker.removeStream(now, {ended.flow, ended.stream});
+        }
+    };
+    std::visit(Visitor{*this, now}, event);
+}
+
+void RequestBroker::handleBackendEvent(TimePoint now, const BackendEvent &event)
+{
+    std::visit(
+        [this, now](const auto &backendEvent) {
+            handle(now, backendEvent);
+        },
+        event);
+}
+
+void RequestBroker::tick(TimePoint now)
+{
+    m_table.tick(now);
+    apply(now, m_admission.tick(now));
+    endDueJobs(now);
+    if (m_announcedWindow != m_table.window()) {
+        m_announcedWindow = m_table.window();
+        sendGreetings();
+    }
+}
+
+void RequestBroker::beginDrain(TimePoint now)
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    apply(now, m_admission.drain(now));
+    std::uniform_int_distribution<Duration::rep> delay(0, m_options.feedMoveSpread.count());
+    for (const auto &[call, job] : m_jobs) {
+        if (job->request.workClass == WorkClass::Feed) {
+            schedule(*job, now + Duration(delay(m_random)));
+        }
+    }
+    sendGreetings();
+}
+
+std::optional<TimePoint> RequestBroker::nextTimeout() const
+{
+    const std::optional<TimePoint> admission = m_admission.nextTimeout();
+    if (m_due.empty()) {
+        return admission;
+    }
+    const TimePoint due = m_due.begin()->first;
+    return admission ? std::min(*admission, due) : due;
+}
+
+LoadReport RequestBroker::load() const
+{
+    LoadReport load = m_admission.load();
+    load.flows = static_cast<std::uint32_t>(m_openFlows.size());
+    return load;
+}
+
+bool RequestBroker::isIdle() const
+{
+    return m_jobs.empty() && std::all_of(m_streams.begin(), m_streams.end(), [](const auto &stream) {
+               return stream.second->pending.empty();
+           });
+}
+
+const RequestBrokerStatistics &RequestBroker::statistics() const
+{
+    return m_statistics;
+}
+
+// ---- Streams ----
+
+void RequestBroker::receive(TimePoint now, const StreamReceived &received)
+{
+    const StreamKey key{received.flow, received.stream};
+    m_flows.consume(received.flow, received.stream, received.data.size());
+    if (!isClientRequestStream(received.stream)) {
+        return;
+    }
+    auto &stream = m_streams[key];
+    if (!stream) {
+        stream = std::make_unique<Stream>();
+    }
+    if (stream->isSubmitted) {
+        return;
+    }
+    stream->receivedBytes += received.data.size();
+    if (stream->receivedBytes > m_options.maxRequestBytes) {
+        rejectStream(key);
+        return;
+    }
+    stream->reader.add(received.data);
+    readMessages(now, key);
+    const auto current = m_streams.find(key);
+    const bool endsEarly = received.end && current != m_streams.end() && !current->second->isSubmitted;
+    if (endsEarly) {
+        // The caller ended its side without the end message: the request may have been cut.
+        rejectStream(key);
+    }
+}
+
+void RequestBroker::readMessages(TimePoint now, const StreamKey &key)
+{
+    Stream &stream = *m_streams.at(key);
+    while (const auto frame = stream.reader.next()) {
+        pb::CallerMessage message;
+        const bool isParsed = message.ParseFromArray(frame->data(), static_cast<int>(frame->size()));
+        const bool isExpected = isParsed && message.has_header() != stream.header.has_value();
+        if (!isExpected) {
+            rejectStream(key);
+            return;
+        }
+        if (message.has_header()) {
+            stream.header = message.header();
+        } else if (message.has_body()) {
+            stream.body.insert(stream.body.end(), message.body().data().begin(), message.body().data().end());
+        } else {
+            submit(now, key);
+            return;
+        }
+    }
+    if (stream.reader.isBroken()) {
+        rejectStream(key);
+    }
+}
+
+void RequestBroker::rejectStream(const StreamKey &key)
+{
+    ++m_statistics.malformed;
+    m_streams.at(key)->isSubmitted = true;
+    m_flows.stopSending(key.first, key.second, streamRejected);
+    answer(key, ResultCode::BadRequest, "malformed request", {}, {});
+}
+
+void RequestBroker::abandonStream(TimePoint now, const StreamKey &key)
+{
+    if (!m_streams.contains(key)) {
+        return;
+    }
+    removeStream(now, key);
+    m_flows.resetStream(key.first, key.second, streamRejected);
+}
+
+void RequestBroker::removeStream(TimePoint now, const StreamKey &key)
+{
+    if (!m_streams.contains(key)) {
+        return;
+    }
+    detach(now, key, true);
+    m_streams.erase(key);
+}
+
+void RequestBroker::abandonFlow(TimePoint now, FlowHandle flow)
+{
+    m_openFlows.erase(flow);
+    auto stream = m_streams.lower_bound({flow, 0});
+    while (stream != m_streams.end() && stream->first.first == flow) {
+        detach(now, stream->first, false);
+        stream = m_streams.erase(stream);
+    }
+}
+
+void RequestBroker::detach(TimePoint now, const StreamKey &key, bool isCancelled)
+{
+    const std::uint64_t call = m_streams.at(key)->call;
+    const auto found = m_jobs.find(call);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    job.attempts.erase(key);
+    // The caller of a non-idempotent request may lose its flow and ask again on another one.
+    const bool isWanted = !job.attempts.empty() || (!job.isIdempotent && !isCancelled);
+    if (isWanted || job.state == Job::State::Closing) {
+        return;
+    }
+    job.isCancelled = true;
+    if (job.state == Job::State::Queued) {
+        apply(now, m_admission.cancelled(now, call));
+        return;
+    }
+    m_backend.cancel(call);
+}
+
+// ---- Admission ----
+
+void RequestBroker::submit(TimePoint now, const StreamKey &key)
+{
+    Stream &stream = *m_streams.at(key);
+    stream.isSubmitted = true;
+    ++m_statistics.received;
+    const pb::RequestHeader &header = *stream.header;
+    const std::string problem = headerProblem(header);
+    if (!problem.empty()) {
+        ++m_statistics.malformed;
+        answer(key, ResultCode::BadRequest, problem, {}, {});
+        return;
+    }
+
+    auto job = std::make_unique<Job>();
+    job->call = m_nextCall++;
+    job->isIdempotent = header.idempotent() || header.work_class() == pb::REQUEST_CLASS_FEED;
+    job->submittedAt = now;
+    if (header.deadline_ms() > 0) {
+        job->deadline = now + std::chrono::milliseconds(header.deadline_ms());
+    }
+    job->position = header.resume_position();
+    job->request = {job->call, requestIdOf(header), header.path(), header.customer(), workClassOf(header.work_class()), {}, header.resume_position(), {}};
+    job->request.body = std::move(stream.body);
+    if (!job->isIdempotent && !admitOnce(key, *job)) {
+        return;
+    }
+
+    stream.call = job->call;
+    job->attempts.insert(key);
+    AdmissionRequest request;
+    request.id = job->call;
+    request.customer = job->request.customer;
+    request.workClass = job->request.workClass;
+    request.deadline = job->deadline;
+    request.canMove = header.can_move();
+    m_jobs.emplace(job->call, std::move(job));
+    apply(now, m_admission.submit(now, request));
+}
+
+bool RequestBroker::admitOnce(const StreamKey &key, Job &job)
+{
+    const pb::RequestHeader &header = *m_streams.at(key)->header;
+    const FirstAttempt first{Incarnation{header.incarnation()}, header.window()};
+    const RequestAdmission admission = m_table.admit(job.request.id, first);
+    if (std::holds_alternative<RequestAdmitted>(admission)) {
+        m_callByRequest.emplace(job.request.id, job.call);
+        return true;
+    }
+    if (std::holds_alternative<RequestAttached>(admission)) {
+        ++m_statistics.attached;
+        const std::uint64_t call = m_callByRequest.at(job.request.id);
+        m_streams.at(key)->call = call;
+        m_jobs.at(call)->attempts.insert(key);
+        return false;
+    }
+    if (const RequestReplayed *replayed = std::get_if<RequestReplayed>(&admission)) {
+        ++m_statistics.replayed;
+        answer(key, replayed->answer->result, replayed->answer->detail, replayed->answer->body, {});
+        return false;
+    }
+    answer(key, std::get<RequestRejected>(admission).result, "request is not run again", {}, {});
+    return false;
+}
+
+void RequestBroker::apply(TimePoint now, const AdmissionEffects &effects)
+{
+    struct Visitor {
+        RequestBroker &broker;
+        TimePoint now;
+
+        void operator()(const StartRequest &effect) const
+        {
+            broker.start(now, effect.id);
+        }
+        void operator()(const RefuseRequest &effect) const
+        {
+            broker.refuse(now, effect.id, effect.code, effect.retryAfter);
+        }
+    };
+    for (const AdmissionEffect &effect : effects) {
+        std::visit(Visitor{*this, now}, effect);
+    }
+}
+
+void RequestBroker::start(TimePoint now, std::uint64_t call)
+{
+    Job &job = *m_jobs.at(call);
+    checkInvariant(job.state == Job::State::Queued, "a request is started once");
+    checkInvariant(!m_draining, "a draining agent starts no request");
+    if (!job.isIdempotent) {
+        m_table.markStarted(job.request.id);
+    }
+    job.state = Job::State::Running;
+    job.startedAt = now;
+    ++m_statistics.started;
+    BackendRequest request = std::move(job.request);
+    job.request = {request.call, request.id, request.path, request.customer, request.workClass, {}, request.resumePosition, {}};
+    if (job.deadline) {
+        request.timeLeft = std::max(*job.deadline - now, Duration::zero());
+        // A non-idempotent request runs to its end, so that its outcome is known.
+        if (job.isIdempotent) {
+            schedule(job, *job.deadline);
+        }
+    }
+    m_backend.start(std::move(request));
+}
+
+void RequestBroker::refuse(TimePoint now, std::uint64_t call, ResultCode code, Duration retryAfter)
+{
+    const auto found = m_jobs.find(call);
+    Job &job = *found->second;
+    checkInvariant(job.state == Job::State::Queued, "a started request is not refused as not run");
+    if (!job.isIdempotent) {
+        m_table.refuse(job.request.id, code);
+        m_callByRequest.erase(job.request.id);
+    }
+    for (const StreamKey &key : job.attempts) {
+        answer(key, code, "not run", {}, retryAfter);
+    }
+    report(now, job, code);
+    m_jobs.erase(found);
+}
+
+// ---- Backend ----
+
+void RequestBroker::handle(TimePoint, const BackendResponding &event)
+{
+    const auto found = m_jobs.find(event.call);
+    if (found == m_jobs.end() || found->second->state != Job::State::Running) {
+        return;
+    }
+    Job &job = *found->second;
+    job.status = event.status;
+    const bool streams = job.isIdempotent && isSuccess(event.status);
+    if (!streams) {
+        return;
+    }
+    for (const StreamKey &key : job.attempts) {
+        sendHeader(key, ResultCode::Ok, {}, {});
+    }
+}
+
+void RequestBroker::handle(TimePoint, const BackendData &event)
+{
+    const auto found = m_jobs.find(event.call);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    const bool isIgnored = job.state != Job::State::Running || !isSuccess(job.status);
+    if (isIgnored) {
+        m_backend.consume(event.call, event.data.size());
+        return;
+    }
+    job.position = event.position;
+    job.answerLength += event.data.size();
+    if (job.isIdempotent) {
+        relayData(job, event);
+        return;
+    }
+    m_backend.consume(event.call, event.data.size());
+    job.isTooLong = job.isTooLong || job.collected.size() + event.data.size() > m_options.maxKeptAnswerBytes;
+    if (!job.isTooLong) {
+        job.collected.insert(job.collected.end(), event.data.begin(), event.data.end());
+    }
+}
+
+void RequestBroker::relayData(Job &job, const BackendData &event)
+{
+    job.digest.add(event.data);
+    job.uncreditedBytes += event.data.size();
+    pb::AgentMessage message;
+    message.mutable_body()->set_data(event.data.data(), event.data.size());
+    message.mutable_body()->set_position(event.position);
+    for (const StreamKey &key : job.attempts) {
+        send(key, message, false);
+    }
+    returnCredit(job);
+}
+
+void RequestBroker::handle(TimePoint now, const BackendEnded &event)
+{
+    const auto found = m_jobs.find(event.call);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    if (job.state == Job::State::Running) {
+        const bool isOk = isSuccess(job.status) && !job.isTooLong;
+        const ResultCode result = job.isTooLong ? ResultCode::AnswerIncomplete : ResultCode::BackendFailed;
+        complete(now, job, isOk ? ResultCode::Ok : result, isOk ? "" : fmt::format("backend server answered with status {}", job.status));
+    }
+    m_jobs.erase(found);
+    apply(now, m_admission.finished(now, event.call));
+}
+
+void RequestBroker::handle(TimePoint now, const BackendFailed &event)
+{
+    const auto found = m_jobs.find(event.call);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Job &job = *found->second;
+    if (job.state == Job::State::Running) {
+        if (event.isNotStarted) {
+            complete(now, job, job.isCancelled ? ResultCode::NotRunCancelled : ResultCode::NotRunOverloaded, event.detail);
+        } else if (job.isCancelled) {
+            complete(now, job, ResultCode::Cancelled, event.detail);
+        } else {
+            complete(now, job, job.isIdempotent ? ResultCode::BackendFailed : ResultCode::OutcomeUnknown, event.detail);
+        }
+    }
+    m_jobs.erase(found);
+    apply(now, m_admission.finished(now, event.call));
+}
+
+void RequestBroker::complete(TimePoint now, Job &job, ResultCode result, const std::string &detail)
+{
+    checkInvariant(job.state == Job::State::Running, "a request gets one final answer");
+    job.state = Job::State::Closing;
+    unschedule(job);
+    report(now, job, result);
+    if (job.isIdempotent) {
+        const bool hasHeader = isSuccess(job.status);
+        const DigestBytes digest = job.digest.finish();
+        for (const StreamKey &key : job.attempts) {
+            if (!hasHeader) {
+                sendHeader(key, result, detail, {});
+            }
+            sendTrailer(key, result, job.answerLength, digest, job.position);
+            m_streams.at(key)->call = 0;
+        }
+        job.attempts.clear();
+        return;
+    }
+    m_callByRequest.erase(job.request.id);
+    const std::set<StreamKey> attempts = std::exchange(job.attempts, {});
+    for (const StreamKey &key : attempts) {
+        m_streams.at(key)->call = 0;
+        answer(key, result, detail, job.collected, {});
+    }
+    if (isNotRun(result)) {
+        m_table.refuse(job.request.id, result);
+        return;
+    }
+    m_table.finish(job.request.id, {result, detail, std::move(job.collected)});
+}
+
+void RequestBroker::schedule(Job &job, TimePoint time)
+{
+    unschedule(job);
+    job.dueAt = time;
+    m_due.emplace(time, job.call);
+}
+
+void RequestBroker::unschedule(Job &job)
+{
+    if (job.dueAt) {
+        m_due.erase({*job.dueAt, job.call});
+        job.dueAt.reset();
+    }
+}
+
+void RequestBroker::endDueJobs(TimePoint now)
+{
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        Job &job = *m_jobs.at(m_due.begin()->second);
+        const bool isMoved = m_draining && job.request.workClass == WorkClass::Feed;
+        if (isMoved) {
+            ++m_statistics.feedsMoved;
+            complete(now, job, ResultCode::Moved, "backend server is draining");
+        } else {
+            complete(now, job, ResultCode::DeadlineExceeded, "deadline passed while running");
+        }
+        m_backend.cancel(job.call);
+    }
+}
+
+// ---- Answers ----
+
+void RequestBroker::sendGreetings()
+{
+    for (const auto &[flow, state] : m_openFlows) {
+        sendGreeting(flow);
+    }
+}
+
+void RequestBroker::sendGreeting(FlowHandle flow)
+{
+    Flow &state = m_openFlows.at(flow);
+    if (!state.greetingStream) {
+        state.greetingStream = m_flows.openUnidirectional(flow);
+        if (!state.greetingStream) {
+            return;
+        }
+        m_streams.emplace(StreamKey{flow, *state.greetingStream}, std::make_unique<Stream>());
+    }
+    pb::AgentMessage message;
+    pb::FlowGreeting *greeting = message.mutable_greeting();
+    greeting->set_incarnation(m_own.value);
+    greeting->set_window(m_table.window());
+    greeting->set_resume_id(state.resumeIdentifier.data(), state.resumeIdentifier.size());
+    greeting->set_draining(m_draining);
+    send({flow, *state.greetingStream}, message, false);
+}
+
+void RequestBroker::sendHeader(const StreamKey &key, ResultCode result, const std::string &detail, Duration retryAfter)
+{
+    pb::AgentMessage message;
+    pb::AnswerHeader *header = message.mutable_header();
+    header->set_result(static_cast<std::uint32_t>(result));
+    header->set_detail(detail);
+    header->set_retry_after_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count()));
+    header->set_window(m_table.window());
+    send(key, message, false);
+}
+
+void RequestBroker::sendTrailer(const StreamKey &key, ResultCode result, std::uint64_t length, const DigestBytes &digest, std::uint64_t position)
+{
+    pb::AgentMessage message;
+    pb::AnswerTrailer *trailer = message.mutable_trailer();
+    trailer->set_length(length);
+    trailer->set_digest(digest.data(), digest.size());
+    trailer->set_result(static_cast<std::uint32_t>(result));
+    trailer->set_position(position);
+    send(key, message, true);
+}
+
+void RequestBroker::answer(const StreamKey &key, ResultCode result, const std::string &detail, const Bytes &body, Duration retryAfter)
+{
+    sendHeader(key, result, detail, retryAfter);
+    if (!body.empty()) {
+        pb::AgentMessage message;
+        message.mutable_body()->set_data(body.data(), body.size());
+        send(key, message, false);
+    }
+    sendTrailer(key, result, body.size(), digestOf(body), 0);
+}
+
+void RequestBroker::send(const StreamKey &key, const pb::AgentMessage &message, bool end)
+{
+    Stream &stream = *m_streams.at(key);
+    const Bytes frame = encodeFrame(message);
+    stream.pending.insert(stream.pending.end(), frame.begin(), frame.end());
+    stream.endsAfterPending = end;
+    pump(key);
+}
+
+void RequestBroker::pump(const StreamKey &key)
+{
+    const auto found = m_streams.find(key);
+    if (found == m_streams.end()) {
+        return;
+    }
+    Stream &stream = *found->second;
+    if (stream.pending.empty()) {
+        return;
+    }
+    const std::size_t accepted = m_flows.write(key.first, key.second, stream.pending, stream.endsAfterPending);
+    stream.pending.erase(stream.pending.begin(), stream.pending.begin() + static_cast<std::ptrdiff_t>(accepted));
+    const auto job = m_jobs.find(stream.call);
+    if (job != m_jobs.end()) {
+        returnCredit(*job->second);
+    }
+}
+
+void RequestBroker::returnCredit(Job &job)
+{
+    const bool isSlow = std::any_of(job.attempts.begin(), job.attempts.end(), [this](const StreamKey &key) {
+        return m_streams.at(key)->pending.size() > pendingLimit;
+    });
+    if (isSlow || job.uncreditedBytes == 0) {
+        return;
+    }
+    m_backend.consume(job.call, std::exchange(job.uncreditedBytes, 0));
+}
+
+void RequestBroker::report(TimePoint now, const Job &job, ResultCode result)
+{
+    ++m_statistics.answered[result];
+    const bool wasStarted = job.startedAt != TimePoint{};
+    RequestReport report;
+    report.customer = job.request.customer;
+    report.workClass = job.request.workClass;
+    report.result = result;
+    report.queued = (wasStarted ? job.startedAt : now) - job.submittedAt;
+    report.total = now - job.submittedAt;
+    report.answerBytes = job.answerLength;
+    m_reporter(report);
+}
+
+}
