Add the replicated log: replica state machine and disk storage

Cause: the control state needs a replicated log of the project's own.

Ruled out: a separate file for term and vote; as records in the log they cost one sync together with the entries. Truncating any bad record at the end of the log: the last record may have been acknowledged, so only a record that was never completely written is cut off.

Conclusion: a single replica recovers its committed entries after a restart. Faults and several replicas are not tested yet.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,3 +24,21 @@
         relay_header_test.cpp
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
+
+jujubequay_module(consensus
+    SOURCES
+        disk_log_storage.cpp
+        election.cpp
+        log_record.cpp
+        membership.cpp
+        posix_file_system.cpp
+        reads.cpp
+        replica.cpp
+        replica_log.cpp
+        replication.cpp
+        snapshot_transfer.cpp
+        storage_writes.cpp
+    TESTS
+        disk_log_storage_test.cpp
+        membership_test.cpp
+    DEPENDS jujubequay_wire)
--- /dev/null
+++ b/include/jujubequay/consensus/disk_log_storage.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <jujubequay/consensus/file_system.h>
+#include <jujubequay/consensus/log_storage.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Jujubequay::Consensus {
+
+/// A random identity for a disk that is about to be initialised.
+std::string randomDiskIdentity();
+/// A random cluster number, never 0.
+std::uint64_t randomClusterNumber();
+
+struct InitialiseOptions {
+    DiskIdentity identity;
+    /// The members of a new cluster; empty for a host that joins an existing one as a learner.
+    jujubequay::pb::Membership founders;
+};
+
+/// Writes the identity and an empty log into an empty data directory. Fails with DiskIdentityMismatch if the directory
+/// holds data of a replica, and with DiskFailed.
+Result<void> initialiseDisk(FileSystem &files, const InitialiseOptions &options);
+
+/// Files of one replica: `identity`, one `snapshot-N` and one `log-N`. The log holds checksummed records of entries, terms
+/// and votes and is only appended to; a snapshot replaces both files. New files are written beside the old ones, synced
+/// and renamed, and the directory is synced.
+class DiskLogStorage final : public LogStorage
+{
+public:
+    /// `host` must be the one that the disk was initialised on. `files` must outlive the storage.
+    DiskLogStorage(FileSystem &files, std::string host);
+
+    /// Fails with DiskIdentityMismatch if the disk was not initialised or belongs to another host, and with DiskDamaged
+    /// if anything that may have been acknowledged is missing or altered.
+    Result<StoredState> load() override;
+    Result<void> append(std::span<const jujubequay::pb::LogEntry> entries) override;
+    Result<void> saveHardState(const HardState &state) override;
+    Result<void> sync() override;
+    Result<void> saveSnapshot(const Snapshot &snapshot,
+                              const HardState &state,
+                              const LogBase &base,
+                              std::span<const jujubequay::pb::LogEntry> entries) override;
+
+private:
+    Result<DiskIdentity> loadIdentity();
+    Result<Snapshot> loadSnapshot(const std::vector<std::string> &names);
+    Result<void> loadLog(const std::vector<std::string> &names, StoredState &state);
+    Result<void> replaceLog(const HardState &state, const LogBase &base, std::span<const jujubequay::pb::LogEntry> entries);
+    Result<void> removeOthers();
+    Result<void> appendBytes(const Bytes &bytes);
+
+    FileSystem &m_files;
+    const std::string m_host;
+    DiskIdentity m_identity;
+    std::unique_ptr<AppendFile> m_log;
+    std::uint64_t m_logNumber = 0;
+    std::uint64_t m_snapshotIndex = 0;
+    std::size_t m_logBytes = 0;
+};
+
+}
--- /dev/null
+++ b/include/jujubequay/consensus/file_system.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <jujubequay/core/error.h>
+#include <jujubequay/wire/framing.h>
+
+#include <filesystem>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Jujubequay::Consensus {
+
+/// A file that only grows.
+class AppendFile
+{
+public:
+    virtual ~AppendFile() = default;
+    virtual Result<void> append(std::span<const std::uint8_t> bytes) = 0;
+    /// Everything appended so far survives a crash on return.
+    virtual Result<void> sync() = 0;
+};
+
+/// The files of one data directory. All functions fail with DiskFailed.
+class FileSystem
+{
+public:
+    virtual ~FileSystem() = default;
+    virtual Result<std::vector<std::string>> list() = 0;
+    virtual Result<Bytes> read(const std::string &name) = 0;
+    /// An empty file; an existing one loses its content.
+    virtual Result<std::unique_ptr<AppendFile>> create(const std::string &name) = 0;
+    /// An existing file, cut to `size` bytes and open for appending after them.
+    virtual Result<std::unique_ptr<AppendFile>> reopen(const std::string &name, std::size_t size) = 0;
+    virtual Result<void> rename(const std::string &from, const std::string &to) = 0;
+    virtual Result<void> remove(const std::string &name) = 0;
+    /// Created, renamed and removed names survive a crash on return.
+    virtual Result<void> syncDirectory() = 0;
+};
+
+/// A directory of the operating system's file system, locked against a second process. The directory must exist.
+class PosixFileSystem final : public FileSystem
+{
+public:
+    /// Fails with DiskFailed if the directory cannot be opened or another process holds it.
+    static Result<std::unique_ptr<PosixFileSystem>> open(const std::filesystem::path &directory);
+    ~PosixFileSystem() override;
+    PosixFileSystem(const PosixFileSystem &) = delete;
+    PosixFileSystem &operator=(const PosixFileSystem &) = delete;
+
+    Result<std::vector<std::string>> list() override;
+    Result<Bytes> read(const std::string &name) override;
+    Result<std::unique_ptr<AppendFile>> create(const std::string &name) override;
+    Result<std::unique_ptr<AppendFile>> reopen(const std::string &name, std::size_t size) override;
+    Result<void> rename(const std::string &from, const std::string &to) override;
+    Result<void> remove(const std::string &name) override;
+    Result<void> syncDirectory() override;
+
+private:
+    PosixFileSystem(std::filesystem::path directory, int descriptor);
+
+    const std::filesystem::path m_directory;
+    const int m_descriptor;
+};
+
+}
--- /dev/null
+++ b/include/jujubequay/consensus/storage_writes.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <jujubequay/consensus/effects.h>
+#include <jujubequay/consensus/log_storage.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace Jujubequay::Consensus {
+
+/// Carries out a Persist or SaveSnapshot effect, sync included, and returns the sequence for `Replica::stored`. Other
+/// effects return nothing. On an error the process must stop.
+///
+///     BOOST_LEAF_AUTO(sequence, writeEffect(storage, effect));
+///     if (sequence) { effects = replica.stored(clock.now(), *sequence); }
+Result<std::optional<std::uint64_t>> writeEffect(LogStorage &storage, const Effect &effect);
+
+}
--- /dev/null
+++ b/src/jujubequay/consensus/snapshot_transfer.cpp
@@ -0,0 +1,145 @@
+#include <jujubequay/consensus/replica.h>
+#include <jujubequay/consensus/replica_log.h>
+
+#include <jujubequay/core/invariant.h>
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace Jujubequay::Consensus {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+std::uint64_t stateDigest(const Bytes &state)
+{
+    return XXH3_64bits(state.data(), state.size());
+}
+
+}
+
+void Replica::sendSnapshotChunk(const std::string &id, Progress &progress)
+{
+    if (progress.snapshotIndex != m_snapshot.index) {
+        progress.snapshotIndex = m_snapshot.index;
+        progress.snapshotOffset = 0;
+    }
+    const std::size_t size = std::min(m_options.snapshotChunkBytes, m_snapshot.state.size() - progress.snapshotOffset);
+    pb::ReplicaMessage message = messageTo(id);
+    pb::SnapshotChunk *chunk = message.mutable_snapshot_chunk();
+    chunk->set_index(m_snapshot.index);
+    chunk->set_term(m_snapshot.term);
+    *chunk->mutable_membership() = m_snapshot.membership;
+    chunk->set_applied_digest(m_snapshot.digest);
+    chunk->set_size(m_snapshot.state.size());
+    chunk->set_digest(stateDigest(m_snapshot.state));
+    chunk->set_offset(progress.snapshotOffset);
+    chunk->set_data(m_snapshot.state.data() + progress.snapshotOffset, size);
+    chunk->set_round(m_round);
+    send(std::move(message));
+}
+
+void Replica::onSnapshotChunk(const pb::ReplicaMessage &message)
+{
+    const pb::SnapshotChunk &chunk = message.snapshot_chunk();
+    if (message.term() < m_hardState.term) {
+        return replySnapshot(message.from(), chunk.index(), 0, false, 0);
+    }
+    hearLeader(message);
+    const bool sameHistory = m_log->covers(chunk.index()) && m_log->termAt(chunk.index()) == chunk.term();
+    if (m_installing || chunk.index() <= m_commit || sameHistory) {
+        if (!m_installing && chunk.index() > m_commit) {
+            m_commit = chunk.index();
+            applyCommitted();
+        }
+        const bool durable = !m_installing && chunk.index() <= m_durableIndex;
+        return replySnapshot(message.from(), chunk.index(), chunk.size(), durable, chunk.round());
+    }
+    const bool same = m_incoming.index == chunk.index() && m_incoming.term == chunk.term() && m_incoming.digest == chunk.digest();
+    if (!same) {
+        m_incoming = {chunk.index(), chunk.term(), chunk.digest(), {}};
+    }
+    if (chunk.offset() == m_incoming.state.size()) {
+        m_incoming.state.insert(m_incoming.state.end(), chunk.data().begin(), chunk.data().end());
+    }
+    const bool complete = m_incoming.state.size() == chunk.size();
+    if (complete && stateDigest(m_incoming.state) == chunk.digest()) {
+        return installSnapshot(message);
+    }
+    if (complete || m_incoming.state.size() > chunk.size()) {
+        m_incoming = {};
+    }
+    replySnapshot(message.from(), chunk.index(), m_incoming.state.size(), false, chunk.round());
+}
+
+void Replica::installSnapshot(const pb::ReplicaMessage &message)
+{
+    const pb::SnapshotChunk &chunk = message.snapshot_chunk();
+    Snapshot snapshot{chunk.index(), chunk.term(), chunk.applied_digest(), chunk.membership(), std::move(m_incoming.state)};
+    m_incoming = {};
+    flushPersist();
+    m_installing = {++m_sequence, snapshot};
+    emit(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, {chunk.index(), chunk.term(), chunk.applied_digest()}, {}});
+    replySnapshot(message.from(), chunk.index(), chunk.size(), true, chunk.round());
+}
+
+void Replica::finishInstall()
+{
+    if (!m_installing || m_installing->first > m_storedSequence) {
+        return;
+    }
+    m_snapshot = std::move(m_installing->second);
+    m_installing.reset();
+    checkInvariant(m_snapshot.index > m_commit && m_snapshot.index > m_applied, "a snapshot does not take committed entries back");
+    m_log->reset({m_snapshot.index, m_snapshot.term, m_snapshot.digest});
+    m_commit = m_snapshot.index;
+    m_applied = m_snapshot.index;
+    m_durableIndex = m_snapshot.index;
+    m_snapshotWanted = false;
+    refreshMembership();
+    emit(RestoreState{m_snapshot.index, m_snapshot.state});
+    emit(MembershipCommitted{m_snapshot.index, m_snapshot.membership});
+    releaseForwardedReads();
+}
+
+void Replica::replySnapshot(const std::string &leader, std::uint64_t index, std::uint64_t offset, bool installed, std::uint64_t round)
+{
+    pb::ReplicaMessage message = messageTo(leader);
+    pb::SnapshotReply *reply = message.mutable_snapshot_reply();
+    reply->set_index(index);
+    reply->set_next_offset(offset);
+    reply->set_installed(installed);
+    reply->set_round(round);
+    send(std::move(message), installed && m_installing ? m_installing->first : 0);
+}
+
+void Replica::onSnapshotReply(const pb::ReplicaMessage &message)
+{
+    const auto found = m_progress.find(message.from());
+    if (m_role != Role::Leader || message.term() != m_hardState.term || found == m_progress.end()) {
+        return;
+    }
+    const pb::SnapshotReply &reply = message.snapshot_reply();
+    Progress &progress = found->second;
+    progress.lastContact = m_now;
+    progress.ackedRound = std::max(progress.ackedRound, reply.round());
+    confirmReads();
+    if (reply.installed()) {
+        progress.match = std::max(progress.match, reply.index());
+        progress.next = std::max(progress.next, progress.match + 1);
+        progress.snapshotIndex = 0;
+        progress.probing = true;
+        replicateTo(message.from(), progress, true);
+        advanceCommit();
+    } else if (reply.index() == progress.snapshotIndex && reply.next_offset() != progress.snapshotOffset) {
+        progress.snapshotOffset = std::min<std::uint64_t>(reply.next_offset(), m_snapshot.state.size());
+        if (progress.snapshotIndex == m_snapshot.index && progress.snapshotOffset < m_snapshot.state.size()) {
+            sendSnapshotChunk(message.from(), progress);
+        }
+    }
+    updateRedundancy();
+}
+
+}
