--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -42,3 +42,16 @@
         disk_log_storage_test.cpp
         membership_test.cpp
     DEPENDS jujubequay_wire)
+
+# Fakes for tests and soak runs; not part of the installed library.
+jujubequay_module(consensus_testing
+    SOURCES
+        fake_cluster.cpp
+        fake_disk.cpp
+        fake_network.cpp
+        ledger.cpp
+        random_run.cpp
+        run_label.cpp
+    TESTS
+        random_run_test.cpp
+    DEPENDS jujubequay_consensus)
--- a/include/jujubequay/consensus/disk_log_storage.h
+++ b/include/jujubequay/consensus/disk_log_storage.h
@@ -58,6 +58,8 @@
     std::unique_ptr<AppendFile> m_log;
     std::uint64_t m_logNumber = 0;
     std::uint64_t m_snapshotIndex = 0;
+    std::uint64_t m_baseIndex = 0;
+    std::uint64_t m_lastIndex = 0;
     std::size_t m_logBytes = 0;
 };
 
--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -254,8 +254,10 @@
     std::uint64_t m_round = 0;
     bool m_toleratesLoss = false;
 
+    // Returned in this order. Writes come first, so that a call made while an effect is carried out cannot overtake them.
+    Effects m_storageEffects;
+    Effects m_sends;
     Effects m_effects;
-    Effects m_sends; // emitted after the write that they may depend on
 };
 
 }
--- a/src/jujubequay/consensus/disk_log_storage.cpp
+++ b/src/jujubequay/consensus/disk_log_storage.cpp
@@ -236,7 +236,9 @@
 {
     Bytes bytes;
     for (const pb::LogEntry &entry : entries) {
+        checkInvariant(entry.index() > m_baseIndex && entry.index() <= m_lastIndex + 1, "the log on disk has no gaps");
         putRecord(bytes, m_logBytes + bytes.size(), RecordType::Entry, entry);
+        m_lastIndex = entry.index();
     }
     return appendBytes(bytes);
 }
@@ -316,6 +318,8 @@
     }
     BOOST_LEAF_ASSIGN(m_log, m_files.reopen(name, scan.validBytes));
     m_logBytes = scan.validBytes;
+    m_baseIndex = state.base.index;
+    m_lastIndex = state.base.index + state.entries.size();
     return m_log->sync();
 }
 
@@ -327,6 +331,8 @@
     BOOST_LEAF_ASSIGN(m_log, m_files.reopen(name, content.size()));
     ++m_logNumber;
     m_logBytes = content.size();
+    m_baseIndex = base.index;
+    m_lastIndex = base.index + entries.size();
     return {};
 }
 
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -5,6 +5,7 @@
 #include <jujubequay/core/name_table.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Jujubequay::Consensus {
 
@@ -176,7 +177,7 @@
         const std::uint64_t retained = std::min(m_options.retainedEntries, index - m_log->base().index);
         const LogBase base = m_log->positionAt(index - retained);
         m_compacting = {++m_sequence, snapshot};
-        emit(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, base, m_log->entriesAfter(base.index)});
+        m_storageEffects.emplace_back(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, base, m_log->entriesAfter(base.index)});
     }
     return finish();
 }
@@ -253,9 +254,12 @@
 Effects Replica::finish()
 {
     flushPersist();
-    m_effects.insert(m_effects.end(), std::make_move_iterator(m_sends.begin()), std::make_move_iterator(m_sends.end()));
+    Effects effects = std::exchange(m_storageEffects, {});
+    std::move(m_sends.begin(), m_sends.end(), std::back_inserter(effects));
     m_sends.clear();
-    return std::exchange(m_effects, {});
+    std::move(m_effects.begin(), m_effects.end(), std::back_inserter(effects));
+    m_effects.clear();
+    return effects;
 }
 
 void Replica::flushPersist()
@@ -272,7 +276,7 @@
     if (!persist.entries.empty()) {
         m_writes.push_back({m_sequence, persist.entries.back().index()});
     }
-    emit(std::move(persist));
+    m_storageEffects.emplace_back(std::move(persist));
 }
 
 void Replica::emit(Effect effect)
--- a/src/jujubequay/consensus/snapshot_transfer.cpp
+++ b/src/jujubequay/consensus/snapshot_transfer.cpp
@@ -81,7 +81,7 @@
     m_incoming = {};
     flushPersist();
     m_installing = {++m_sequence, snapshot};
-    emit(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, {chunk.index(), chunk.term(), chunk.applied_digest()}, {}});
+    m_storageEffects.emplace_back(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, {chunk.index(), chunk.term(), chunk.applied_digest()}, {}});
     replySnapshot(message.from(), chunk.index(), chunk.size(), true, chunk.round());
 }
 
