--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -73,3 +73,34 @@
     TESTS
         request_broker_test.cpp
     DEPENDS jujubequay_flow)
+
+jujubequay_module(consensus
+    SOURCES
+        disk_log_storage.cpp
+        election.cpp
+        log_record.cpp
+        membership.cpp
+        posix_file_system.cpp
+        reads.cpp
+        replica.cpp
+        replica_log.cpp
+        replication.cpp
+        snapshot_transfer.cpp
+        storage_writes.cpp
+    TESTS
+        disk_log_storage_test.cpp
+        membership_test.cpp
+    DEPENDS jujubequay_wire)
+
+# Fakes for tests and soak runs; not part of the installed library.
+jujubequay_module(consensus_testing
+    SOURCES
+        fake_cluster.cpp
+        fake_disk.cpp
+        fake_network.cpp
+        ledger.cpp
+        random_run.cpp
+        run_label.cpp
+    TESTS
+        random_run_test.cpp
+    DEPENDS jujubequay_consensus)
