Add the control state and the lease registry

Cause: bundles, signers and flow keys need one deterministic replicated state; backend servers need a leased list that is not logged. Ruled out: operation expiry by the time of issue, because a clock that is wrong would let an old operation run again or lock operators out. A command names the number of operations applied when it was written instead. Ruled out: ordering incarnations by their number, because an agent without a disk can only take it from a clock that may step. A control host gives each incarnation an order from a hybrid clock, and the agent repeats it.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,5 +27,12 @@
 
 jujubequay_module(control
     SOURCES
+        bundle.cpp
         config_snapshot.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+    TESTS
+        control_state_test.cpp
+        lease_registry_test.cpp
     DEPENDS jujubequay_wire)
--- /dev/null
+++ b/src/jujubequay/control/control_test_support.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <jujubequay/control/bundle.h>
+#include <jujubequay/control/control_state.h>
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace Jujubequay {
+
+/// Builds commands as operators send them, each with a new operation identity.
+class CommandBuilder
+{
+public:
+    explicit CommandBuilder(std::string operatorName)
+        : m_operatorName(std::move(operatorName))
+        , m_key(generateSignerKey())
+    {
+    }
+
+    const SignerKey &key() const
+    {
+        return m_key;
+    }
+
+    /// Operations that the next commands claim to have seen.
+    void seen(std::uint64_t operations)
+    {
+        m_seen = operations;
+    }
+
+    static std::string content(const std::string &service, std::uint64_t version, const std::string &address)
+    {
+        jujubequay::pb::BundleContent content;
+        content.set_service(service);
+        content.set_version(version);
+        content.add_addresses(address);
+        content.mutable_admission()->set_slots(3);
+        content.mutable_admission()->set_max_connections(2000);
+        content.add_server_names(service + "-*");
+        return content.SerializeAsString();
+    }
+
+    Bytes propose(const std::string &content)
+    {
+        jujubequay::pb::Command command;
+        command.mutable_propose()->set_content(content);
+        return logged(command);
+    }
+
+    Bytes sign(const std::string &service, std::uint64_t version, const std::string &content)
+    {
+        jujubequay::pb::Command command;
+        auto &sign = *command.mutable_sign();
+        sign.set_service(service);
+        sign.set_version(version);
+        sign.mutable_signature()->set_signer(m_operatorName);
+        sign.mutable_signature()->set_signature(signBundle(m_key, bundleDigest(content)));
+        return logged(command);
+    }
+
+    Bytes roll(const std::string &service, std::uint64_t version, bool rollBack = false, std::uint64_t expected = 0)
+    {
+        jujubequay::pb::Command command;
+        auto &roll = *command.mutable_roll();
+        roll.set_service(service);
+        roll.set_version(version);
+        roll.set_roll_back(rollBack);
+        roll.set_expected_version(expected);
+        return logged(command);
+    }
+
+    Bytes setSigner(const std::string &service)
+    {
+        jujubequay::pb::Command command;
+        auto &signer = *command.mutable_set_signer();
+        signer.set_service(service);
+        signer.set_signer(m_operatorName);
+        signer.set_public_key({m_key.publicKey.begin(), m_key.publicKey.end()});
+        return logged(command);
+    }
+
+    Bytes removeSigner(const std::string &service)
+    {
+        jujubequay::pb::Command command;
+        command.mutable_set_signer()->set_service(service);
+        command.mutable_set_signer()->set_signer(m_operatorName);
+        return logged(command);
+    }
+
+    Bytes addFlowKey(std::uint32_t number, bool activate)
+    {
+        jujubequay::pb::Command command;
+        command.mutable_add_flow_key()->set_number(number);
+        command.mutable_add_flow_key()->set_secret(std::string(16, static_cast<char>('a' + number)));
+        command.mutable_add_flow_key()->set_activate(activate);
+        return logged(command);
+    }
+
+    Bytes activateFlowKey(std::uint32_t number, const std::vector<std::string> &lagging)
+    {
+        jujubequay::pb::Command command;
+        command.mutable_activate_flow_key()->set_number(number);
+        return logged(command, {}, lagging);
+    }
+
+    Bytes retireFlowKey(std::uint32_t number, const std::vector<std::uint32_t> &inUse)
+    {
+        jujubequay::pb::Command command;
+        command.mutable_retire_flow_key()->set_number(number);
+        return logged(command, inUse, {});
+    }
+
+private:
+    Bytes logged(jujubequay::pb::Command &command, const std::vector<std::uint32_t> &inUse = {}, const std::vector<std::string> &lagging = {})
+    {
+        command.set_operation_id(fmt::format("{}-{}", m_operatorName, ++m_count));
+        command.set_operations_seen(m_seen);
+        jujubequay::pb::LoggedCommand logged;
+        logged.set_command(command.SerializeAsString());
+        logged.set_operator_name(m_operatorName);
+        logged.mutable_flow_keys_in_use()->Add(inUse.begin(), inUse.end());
+        logged.mutable_flow_keys_lagging()->Add(lagging.begin(), lagging.end());
+        Bytes bytes(logged.ByteSizeLong());
+        logged.SerializeWithCachedSizesToArray(bytes.data());
+        return bytes;
+    }
+
+    std::string m_operatorName;
+    SignerKey m_key;
+    std::uint64_t m_count = 0;
+    std::uint64_t m_seen = 0;
+};
+
+inline ResultCode resultOf(const jujubequay::pb::CommandAnswer &answer)
+{
+    return static_cast<ResultCode>(answer.result());
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -0,0 +1,342 @@
+#include <jujubequay/control/lease_registry.h>
+#include <jujubequay/core/result_code.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace Jujubequay;
+namespace pb = jujubequay::pb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t wallStart = 1'700'000'000'000;
+
+pb::ServerEntry server(int number, std::uint32_t incarnation = 1, pb::ServerState state = pb::SERVER_STATE_SERVING, std::uint64_t sequence = 1)
+{
+    pb::ServerEntry entry;
+    entry.set_name(fmt::format("inspect-desk-{}", number));
+    entry.set_service("inspect-desk");
+    entry.set_zone(number < 100 ? "dar-ubungo" : "dar-kurasini");
+    entry.set_host(fmt::format("host-{}", number));
+    entry.set_relay_address(fmt::format("127.0.0.{}:4500", number % 250 + 1));
+    entry.set_incarnation(incarnation);
+    entry.set_sequence(sequence);
+    entry.set_state(state);
+    entry.set_weight(100);
+    return entry;
+}
+
+std::string contents(const LeaseRegistry &registry)
+{
+    std::string text;
+    for (const auto &delta : registry.localChangesAfter(0)) {
+        std::vector<std::string> entries;
+        for (const auto &entry : delta.servers()) {
+            entries.push_back(entry.SerializeAsString());
+        }
+        std::sort(entries.begin(), entries.end());
+        for (const auto &entry : entries) {
+            text += entry + "\n";
+        }
+    }
+    return text;
+}
+
+}
+
+class LeaseRegistryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeaseRegistryTest);
+    CPPUNIT_TEST(singleSilentServerIsRemovedAndReturns);
+    CPPUNIT_TEST(silentZoneStaysSuspect);
+    CPPUNIT_TEST(zoneSilentOnSeveralControlHostsStaysSuspect);
+    CPPUNIT_TEST(serversThatDoNotReturnWithTheirZoneAreRemoved);
+    CPPUNIT_TEST(drainIsSeenAtOnceAndNeverUndone);
+    CPPUNIT_TEST(lateAnnouncementOfOldIncarnationIsRefused);
+    CPPUNIT_TEST(runningProcessReturnsAfterItsSuccessorLeft);
+    CPPUNIT_TEST(wallClockStepDoesNotReorderIncarnations);
+    CPPUNIT_TEST(reusedAddressRemovesTheOldServer);
+    CPPUNIT_TEST(pausedControlHostDoesNotExpireLeases);
+    CPPUNIT_TEST(serversOfALostControlHostAreAdopted);
+    CPPUNIT_TEST(isolatedControlHostRemovesNothing);
+    CPPUNIT_TEST(droppedTombstonesForceAFullState);
+    CPPUNIT_TEST(mergeDoesNotDependOnOrderGroupingOrRepetition);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_now = TimePoint() + seconds(100);
+        m_registry = std::make_unique<LeaseRegistry>("control-a", 1, LeaseOptions());
+    }
+
+    void singleSilentServerIsRemovedAndReturns()
+    {
+        announceServers(0, 6);
+        keepAlive(1, 6, seconds(5));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(0));
+        keepAlive(1, 6, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+        announce(server(0));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(0));
+    }
+
+    // Guards against a failed link to an availability zone that takes all of its servers out of use.
+    void silentZoneStaysSuspect()
+    {
+        announceServers(0, 4);
+        announceServers(100, 106);
+        keepAlive(100, 106, seconds(600));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(0));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(3));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(100));
+        announce(server(3));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(3));
+    }
+
+    // Guards against each control host seeing too few servers of a zone to recognise its loss.
+    void zoneSilentOnSeveralControlHostsStaysSuspect()
+    {
+        LeaseRegistry other("control-b", 2, LeaseOptions());
+        announceServers(0, 2);
+        for (int number = 2; number < 4; ++number) {
+            other.announce(m_now, wallStart, 1, server(number));
+        }
+        for (int round = 0; round < 100; ++round) {
+            m_now += milliseconds(200);
+            m_registry->tick(m_now);
+            other.tick(m_now);
+            exchange(*m_registry, other);
+        }
+        for (int number = 0; number < 4; ++number) {
+            CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(number));
+        }
+        CPPUNIT_ASSERT_EQUAL(contents(*m_registry), contents(other));
+    }
+
+    void serversThatDoNotReturnWithTheirZoneAreRemoved()
+    {
+        announceServers(0, 6);
+        keepAlive(0, 0, seconds(60));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(5));
+        announceServers(0, 5);
+        keepAlive(0, 5, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(5));
+    }
+
+    // Guards against a draining server that gets new work because its heartbeats stop or an old one arrives late.
+    void drainIsSeenAtOnceAndNeverUndone()
+    {
+        announceServers(0, 4);
+        const std::uint64_t position = m_registry->sequence();
+        announce(server(0, 1, pb::SERVER_STATE_DRAINING, 2));
+        const auto deltas = m_registry->changesAfter(position, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, deltas.size());
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_DRAINING, deltas[0].servers(0).state());
+        announce(server(0, 1, pb::SERVER_STATE_SERVING, 1));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_DRAINING, stateOf(0));
+        keepAlive(0, 0, seconds(60));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_DRAINING, stateOf(0));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(1));
+    }
+
+    void lateAnnouncementOfOldIncarnationIsRefused()
+    {
+        const auto first = announce(server(0, 7));
+        announce(server(0, 8));
+        refused(server(0, 7));
+        auto late = server(0, 7);
+        late.set_order(first.order());
+        refused(late);
+        announce(server(0, 8, pb::SERVER_STATE_LEFT, 2));
+        const auto offer = refused(late);
+        // The same bytes on another stream do not answer the offer.
+        late.set_order(offer.order());
+        CPPUNIT_ASSERT_EQUAL(ResultCode::StaleIncarnation, resultOf(m_registry->announce(m_now, wallStart, 99, late)));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+    }
+
+    void runningProcessReturnsAfterItsSuccessorLeft()
+    {
+        announce(server(0, 7));
+        announce(server(0, 8));
+        announce(server(0, 8, pb::SERVER_STATE_LEFT, 2));
+        auto running = server(0, 7);
+        running.set_order(refused(running).order());
+        announce(running);
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(0));
+    }
+
+    void wallClockStepDoesNotReorderIncarnations()
+    {
+        announce(server(0, 7));
+        m_wallMs -= 3'600'000;
+        announce(server(0, 8));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, m_registry->find("inspect-desk-0")->incarnation());
+        auto faulty = server(1);
+        faulty.set_order(~0ULL);
+        CPPUNIT_ASSERT_EQUAL(ResultCode::BadRequest, resultOf(m_registry->announce(m_now, m_wallMs, 1, faulty)));
+    }
+
+    void reusedAddressRemovesTheOldServer()
+    {
+        announce(server(0));
+        auto replacement = server(1);
+        replacement.set_relay_address(server(0).relay_address());
+        announce(replacement);
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+        refused(server(0));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(1));
+    }
+
+    // Guards against a suspended control host that removes servers whose heartbeats it could not read.
+    void pausedControlHostDoesNotExpireLeases()
+    {
+        announceServers(0, 1);
+        keepAlive(0, 1, seconds(1));
+        m_now += seconds(3600);
+        m_registry->tick(m_now);
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(0));
+    }
+
+    void serversOfALostControlHostAreAdopted()
+    {
+        LeaseRegistry other("control-b", 2, LeaseOptions());
+        other.announce(m_now, wallStart, 1, server(0));
+        other.announce(m_now, wallStart, 1, server(1));
+        exchange(*m_registry, other);
+        m_registry->peerLost(m_now, "control-b");
+        keepAlive(1, 2, seconds(20));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(1));
+    }
+
+    void isolatedControlHostRemovesNothing()
+    {
+        announceServers(0, 1);
+        m_registry->setIsolated(true);
+        keepAlive(0, 0, seconds(60));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SUSPECT, stateOf(0));
+        m_registry->setIsolated(false);
+        keepAlive(0, 0, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+    }
+
+    // Guards against a watcher that keeps a server because it missed the change in which the server left.
+    void droppedTombstonesForceAFullState()
+    {
+        announceServers(0, 2);
+        const std::uint64_t position = m_registry->sequence();
+        announce(server(0, 1, pb::SERVER_STATE_LEFT, 2));
+        CPPUNIT_ASSERT(!m_registry->changesAfter(position, {}).front().full());
+        keepAlive(1, 2, std::chrono::hours(1) + seconds(2), seconds(1));
+        const auto deltas = m_registry->changesAfter(position, {});
+        CPPUNIT_ASSERT(deltas.front().full());
+        CPPUNIT_ASSERT_EQUAL(1, deltas.front().servers_size());
+    }
+
+    // Guards against control hosts that disagree for good after deltas were repeated, reordered or regrouped.
+    void mergeDoesNotDependOnOrderGroupingOrRepetition()
+    {
+        for (unsigned seed = 1; seed <= 200; ++seed) {
+            std::mt19937_64 random(seed);
+            std::vector<pb::ServerEntry> entries;
+            for (int count = 0; count < 40; ++count) {
+                auto entry = server(static_cast<int>(random() % 4), 1 + random() % 3, static_cast<pb::ServerState>(random() % 5), random() % 3);
+                entry.set_order(random() % 4);
+                entry.set_observation(random() % 3);
+                entry.set_owner(random() % 2 == 0 ? "control-a" : "control-b");
+                entries.push_back(entry);
+            }
+            const std::string direct = mergeAll(entries);
+            std::shuffle(entries.begin(), entries.end(), random);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", seed), direct, mergeAll(entries));
+
+            // Grouping: merge two halves apart, then one result into the other, twice.
+            LeaseRegistry left("control-c", 1, LeaseOptions());
+            LeaseRegistry right("control-d", 2, LeaseOptions());
+            for (std::size_t index = 0; index < entries.size(); ++index) {
+                (index < entries.size() / 2 ? left : right).merge(m_now, entries[index]);
+            }
+            exchange(left, right);
+            exchange(left, right);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", seed), direct, contents(left));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", seed), direct, contents(right));
+        }
+    }
+
+private:
+    static ResultCode resultOf(const pb::AnnounceDown &answer)
+    {
+        return static_cast<ResultCode>(answer.result());
+    }
+
+    pb::AnnounceDown announce(const pb::ServerEntry &entry)
+    {
+        const auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
+        CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::Ok), resultName(resultOf(answer)));
+        return answer;
+    }
+
+    pb::AnnounceDown refused(const pb::ServerEntry &entry)
+    {
+        const auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
+        CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::StaleIncarnation), resultName(resultOf(answer)));
+        return answer;
+    }
+
+    void announceServers(int first, int end)
+    {
+        for (int number = first; number < end; ++number) {
+            announce(server(number));
+        }
+    }
+
+    void keepAlive(int first, int end, Duration time, Duration step = milliseconds(500))
+    {
+        for (const TimePoint until = m_now + time; m_now < until;) {
+            m_now += step;
+            announceServers(first, end);
+            m_registry->tick(m_now);
+        }
+    }
+
+    pb::ServerState stateOf(int number) const
+    {
+        return m_registry->find(server(number).name())->state();
+    }
+
+    void exchange(LeaseRegistry &left, LeaseRegistry &right) const
+    {
+        for (const auto &delta : left.localChangesAfter(0)) {
+            for (const auto &entry : delta.servers()) {
+                right.merge(m_now, entry);
+            }
+        }
+        for (const auto &delta : right.localChangesAfter(0)) {
+            for (const auto &entry : delta.servers()) {
+                left.merge(m_now, entry);
+            }
+        }
+    }
+
+    std::string mergeAll(const std::vector<pb::ServerEntry> &entries) const
+    {
+        LeaseRegistry registry("control-c", 1, LeaseOptions());
+        for (const auto &entry : entries) {
+            registry.merge(m_now, entry);
+        }
+        return contents(registry);
+    }
+
+    TimePoint m_now;
+    std::uint64_t m_wallMs = wallStart;
+    std::unique_ptr<LeaseRegistry> m_registry;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseRegistryTest);
