Add watch server, watch subscriber and the board of reports

Cause: balancers and agents need the state in force, in rising revisions, from any control host that a majority confirms. Ruled out: a queue of messages for each watcher, because a slow one would grow it; only the watcher's position is kept and the difference is computed. A restarted control host sends no registry until it is filled, and a subscriber keeps its server list until then.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -32,7 +32,11 @@
         control_state.cpp
         lease_registry.cpp
         operation_log.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
     TESTS
         control_state_test.cpp
         lease_registry_test.cpp
+        watch_test.cpp
     DEPENDS jujubequay_wire)
--- a/include/jujubequay/control/lease_registry.h
+++ b/include/jujubequay/control/lease_registry.h
@@ -114,7 +114,7 @@
     std::unordered_map<std::string, std::set<std::string>> m_namesByAddress;
     std::map<SessionId, std::uint64_t> m_offers; // orders offered to displaced servers
     std::map<std::string, TimePoint> m_lostPeers;
-    std::uint64_t m_sequence = 0;
+    std::uint64_t m_sequence = 1; // position 0 stands for a watcher that has nothing
     std::uint64_t m_droppedSequence = 0;
     std::uint64_t m_highestOrder = 0;
     std::optional<TimePoint> m_lastTick;
--- /dev/null
+++ b/src/jujubequay/control/watch_server.cpp
@@ -0,0 +1,248 @@
+#include <jujubequay/control/watch_server.h>
+#include <jujubequay/core/result_code.h>
+
+#include <algorithm>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+constexpr std::size_t frameHeader = 4;
+
+template<class Message>
+std::uint64_t framedBytes(const Message &message)
+{
+    return frameHeader + message.ByteSizeLong();
+}
+
+}
+
+WatchServer::WatchServer(const ControlState &state, const LeaseRegistry &registry, ReportBoard &reports, WatchServerOptions options)
+    : m_state(state)
+    , m_registry(registry)
+    , m_reports(reports)
+    , m_options(options)
+{
+}
+
+void WatchServer::opened(TimePoint now, WatcherId watcher)
+{
+    m_watchers[watcher].openedAt = now;
+}
+
+void WatchServer::receive(TimePoint now, WatcherId id, const pb::WatchUp &message)
+{
+    const auto found = m_watchers.find(id);
+    if (found == m_watchers.end()) {
+        return;
+    }
+    m_receivedBytes += framedBytes(message);
+    Watcher &watcher = found->second;
+    if (message.has_request() && !watcher.request) {
+        const pb::WatchRequest &request = message.request();
+        watcher.request = request;
+        // A confirmation that was asked for earlier says nothing about what was committed since.
+        watcher.confirmationNeeded = m_lastConfirmation + 1;
+        watcher.services = {request.services().begin(), request.services().end()};
+        watcher.revision = request.revision();
+        watcher.flowKeyRevision = request.flow_key_revision();
+        watcher.registrySequence = request.registry_epoch() == m_registry.epoch() ? request.registry_sequence() : 0;
+    }
+    if (message.has_report() && watcher.request) {
+        pb::HostInForce report;
+        report.set_host(watcher.request->host());
+        report.set_zone(watcher.request->zone());
+        report.set_role(watcher.request->role());
+        report.set_revision(message.report().revision_in_force());
+        report.set_flow_key_revision(message.report().flow_key_revision());
+        *report.mutable_flow_keys_in_use() = message.report().flow_keys_in_use();
+        m_reports.report(now, std::move(report));
+    }
+}
+
+void WatchServer::closed(TimePoint now, WatcherId id)
+{
+    const auto found = m_watchers.find(id);
+    if (found == m_watchers.end()) {
+        return;
+    }
+    const std::string host = found->second.request ? found->second.request->host() : std::string();
+    m_watchers.erase(found);
+    // A host that reconnected may have its new stream before the old one ends.
+    const bool isStillWatching = std::any_of(m_watchers.begin(), m_watchers.end(), [&host](const auto &entry) {
+        return entry.second.request && entry.second.request->host() == host;
+    });
+    if (!host.empty() && !isStillWatching) {
+        m_reports.disconnected(now, host);
+    }
+}
+
+void WatchServer::setQueued(WatcherId id, std::size_t bytes)
+{
+    const auto found = m_watchers.find(id);
+    if (found != m_watchers.end()) {
+        found->second.queued = bytes;
+    }
+}
+
+void WatchServer::confirmed(TimePoint now, std::uint64_t number)
+{
+    if (m_pendingConfirmation != number) {
+        return;
+    }
+    m_pendingConfirmation.reset();
+    m_confirmedAt = now;
+    for (auto &[id, watcher] : m_watchers) {
+        if (watcher.confirmationNeeded <= number) {
+            watcher.confirmationNeeded = 0;
+        }
+    }
+}
+
+void WatchServer::notConfirmed(std::uint64_t number)
+{
+    if (m_pendingConfirmation == number) {
+        m_pendingConfirmation.reset();
+    }
+}
+
+void WatchServer::setRegistryReady(bool ready)
+{
+    m_isRegistryReady = ready;
+}
+
+WatchServerEffects WatchServer::pump(TimePoint now)
+{
+    WatchServerEffects effects;
+    askConfirmation(now, effects);
+    std::vector<WatcherId> ended;
+    for (auto &[id, watcher] : m_watchers) {
+        if (isRefused(now, watcher)) {
+            pb::WatchDown message;
+            message.set_refused(static_cast<std::uint32_t>(ResultCode::NoQuorum));
+            send(id, std::move(message), effects);
+            ended.push_back(id);
+        } else if (isStalled(now, watcher)) {
+            ended.push_back(id);
+        } else if (watcher.request && watcher.confirmationNeeded == 0) {
+            serve(now, id, watcher, effects);
+        }
+    }
+    for (const WatcherId id : ended) {
+        effects.emplace_back(CloseWatcher{id});
+        closed(now, id);
+    }
+    return effects;
+}
+
+void WatchServer::askConfirmation(TimePoint now, WatchServerEffects &effects)
+{
+    const bool isAnyNew = std::any_of(m_watchers.begin(), m_watchers.end(), [](const auto &entry) {
+        return entry.second.request && entry.second.confirmationNeeded != 0;
+    });
+    const bool isDue = !m_watchers.empty() && now - m_askedAt >= m_options.confirmEvery;
+    const bool isLost = m_pendingConfirmation && now - m_askedAt >= m_options.confirmEvery;
+    if ((m_pendingConfirmation && !isLost) || !(isAnyNew || isDue)) {
+        return;
+    }
+    m_pendingConfirmation = ++m_lastConfirmation;
+    m_askedAt = now;
+    effects.emplace_back(ConfirmState{m_lastConfirmation});
+}
+
+bool WatchServer::isRefused(TimePoint now, const Watcher &watcher) const
+{
+    const TimePoint since = std::max(watcher.openedAt, m_confirmedAt.value_or(TimePoint()));
+    return now - since > m_options.confirmLimit;
+}
+
+bool WatchServer::isStalled(TimePoint now, Watcher &watcher) const
+{
+    if (watcher.queued <= m_options.queueLimit) {
+        watcher.stalledSince.reset();
+        return false;
+    }
+    if (!watcher.stalledSince) {
+        watcher.stalledSince = now;
+    }
+    return now - *watcher.stalledSince > m_options.stallLimit;
+}
+
+void WatchServer::serve(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
+{
+    if (watcher.stalledSince) {
+        return;
+    }
+    const std::size_t before = effects.size();
+    sendConfig(id, watcher, effects);
+    sendRegistry(now, id, watcher, effects);
+    if (effects.size() == before && now - watcher.lastSent >= m_options.heartbeat) {
+        pb::WatchDown message;
+        message.set_heartbeat(true);
+        send(id, std::move(message), effects);
+    }
+    if (effects.size() != before) {
+        watcher.lastSent = now;
+    }
+}
+
+void WatchServer::sendConfig(WatcherId id, Watcher &watcher, WatchServerEffects &effects)
+{
+    if (m_state.revision() <= watcher.revision && m_state.flowKeyRevision() <= watcher.flowKeyRevision) {
+        return;
+    }
+    pb::WatchDown message;
+    *message.mutable_config() = m_state.configAfter(watcher.revision, watcher.flowKeyRevision, watcher.services);
+    watcher.revision = std::max(watcher.revision, m_state.revision());
+    watcher.flowKeyRevision = std::max(watcher.flowKeyRevision, m_state.flowKeyRevision());
+    send(id, std::move(message), effects);
+}
+
+void WatchServer::sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
+{
+    const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence;
+    if (!m_isRegistryReady || isCurrent || now - watcher.lastRegistry < m_options.registryInterval) {
+        return;
+    }
+    for (pb::RegistryDelta &delta : m_registry.changesAfter(watcher.registrySequence, watcher.services)) {
+        pb::WatchDown message;
+        *message.mutable_registry() = std::move(delta);
+        send(id, std::move(message), effects);
+    }
+    watcher.registrySequence = m_registry.sequence();
+    watcher.lastRegistry = now;
+}
+
+void WatchServer::send(WatcherId id, pb::WatchDown message, WatchServerEffects &effects)
+{
+    m_sentBytes += framedBytes(message);
+    effects.emplace_back(SendToWatcher{id, std::move(message)});
+}
+
+std::uint64_t WatchServer::sentBytes() const
+{
+    return m_sentBytes;
+}
+
+std::uint64_t WatchServer::receivedBytes() const
+{
+    return m_receivedBytes;
+}
+
+std::size_t WatchServer::watcherCount() const
+{
+    return m_watchers.size();
+}
+
+std::vector<WatcherId> WatchServer::watchers() const
+{
+    std::vector<WatcherId> ids;
+    for (const auto &[id, watcher] : m_watchers) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+}
