--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -27,7 +27,18 @@
 
 jujubequay_module(control
     SOURCES
+        bundle.cpp
         config_snapshot.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_state_test.cpp
+        lease_registry_test.cpp
+        watch_test.cpp
     DEPENDS jujubequay_wire)
 
 jujubequay_module(policy
