Add QUIC server and client on ngtcp2 with GnuTLS

Both endpoints are state machines: datagrams and times go in, datagrams leave through a sink, events are returned.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,3 +24,17 @@
         relay_header_test.cpp
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
+
+jujubequay_module(quic
+    SOURCES
+        quic_client.cpp
+        quic_connection.cpp
+        quic_event.cpp
+        quic_server.cpp
+        send_buffer.cpp
+        tls_credentials.cpp
+        tls_session.cpp
+    TESTS
+        quic_test.cpp
+        send_buffer_test.cpp
+    DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
--- a/include/jujubequay/quic/quic_server.h
+++ b/include/jujubequay/quic/quic_server.h
@@ -34,6 +34,7 @@
     /// Time between two requests to a client that still uses old identifiers.
     Duration rotationInterval = std::chrono::seconds(1);
     std::size_t maxFlows = 2'000;
+    std::size_t maxHandshakes = 512; ///< connections whose handshake is not complete
     std::uint64_t maxStreamsPerFlow = 32; ///< bidirectional streams that the client may have open
     std::uint64_t streamWindow = 64U << 10U; ///< bytes received on one stream and not consumed
     std::uint64_t flowWindow = 256U << 10U; ///< bytes received on one connection and not consumed
@@ -101,6 +102,9 @@
     /// Ends a connection with an application error code. FlowEnded follows.
     void close(TimePoint now, FlowHandle flow, std::uint64_t code, std::string_view reason);
 
+    /// Ends a connection as soon as the client has acknowledged everything that was queued before.
+    void closeAfterDelivery(TimePoint now, FlowHandle flow, std::uint64_t code, std::string_view reason);
+
     /// New connections are refused from now on; live ones go on.
     void refuseNewFlows();
     /// Queued and unacknowledged bytes of a connection; zero when everything has arrived.
--- /dev/null
+++ b/src/jujubequay/quic/send_buffer.cpp
@@ -0,0 +1,70 @@
+#include "send_buffer.h"
+
+#include <algorithm>
+
+namespace Jujubequay {
+
+void SendBuffer::append(std::span<const std::uint8_t> bytes, bool end)
+{
+    if (!bytes.empty()) {
+        m_chunks.emplace_back(bytes.begin(), bytes.end());
+        m_endOffset += bytes.size();
+    }
+    m_hasEnd = m_hasEnd || end;
+}
+
+bool SendBuffer::hasUnsent() const
+{
+    return m_sentOffset < m_endOffset || (m_hasEnd && !m_endSent);
+}
+
+std::vector<ngtcp2_vec> SendBuffer::unsent(std::size_t limit) const
+{
+    std::vector<ngtcp2_vec> pieces;
+    std::uint64_t chunkOffset = m_firstOffset;
+    for (const Bytes &chunk : m_chunks) {
+        const std::uint64_t chunkEnd = chunkOffset + chunk.size();
+        if (chunkEnd > m_sentOffset && pieces.size() < limit) {
+            const std::uint64_t skip = std::max(chunkOffset, m_sentOffset) - chunkOffset;
+            pieces.push_back({const_cast<std::uint8_t *>(chunk.data()) + skip, chunk.size() - skip});
+        }
+        chunkOffset = chunkEnd;
+    }
+    return pieces;
+}
+
+bool SendBuffer::endsWithin(std::size_t limit) const
+{
+    std::size_t chunks = 0;
+    std::uint64_t chunkEnd = m_firstOffset;
+    for (const Bytes &chunk : m_chunks) {
+        chunkEnd += chunk.size();
+        chunks += chunkEnd > m_sentOffset ? 1 : 0;
+    }
+    return m_hasEnd && chunks <= limit;
+}
+
+void SendBuffer::markSent(std::size_t bytes, bool end)
+{
+    m_sentOffset += bytes;
+    m_endSent = m_endSent || (end && m_sentOffset == m_endOffset);
+}
+
+std::size_t SendBuffer::acknowledge(std::uint64_t offset)
+{
+    m_acknowledged = std::max(m_acknowledged, offset);
+    std::size_t freed = 0;
+    while (!m_chunks.empty() && m_firstOffset + m_chunks.front().size() <= m_acknowledged) {
+        freed += m_chunks.front().size();
+        m_firstOffset += m_chunks.front().size();
+        m_chunks.pop_front();
+    }
+    return freed;
+}
+
+std::size_t SendBuffer::size() const
+{
+    return m_endOffset - m_firstOffset;
+}
+
+}
