--- a/include/jujubequay/quic/quic_event.h
+++ b/include/jujubequay/quic/quic_event.h
@@ -64,7 +64,7 @@
     std::uint64_t code = 0;
 };
 
-/// The peer no longer reads; what was not sent is dropped.
+/// The peer no longer reads; what was not sent is dropped. The code is 0 if it was noticed by a failed write.
 struct StreamStopped {
     FlowHandle flow;
     StreamNumber stream = 0;
--- a/src/jujubequay/quic/quic_connection.cpp
+++ b/src/jujubequay/quic/quic_connection.cpp
@@ -168,11 +168,12 @@
               return 0;
           };
     callbacks.acked_stream_data_offset = [](ngtcp2_conn *, std::int64_t stream, std::uint64_t offset, std::uint64_t length, void *self, void *) {
-        static_cast<QuicConnection *>(self)->streamAcknowledged(stream, offset + length);
+        static_cast<QuicConnection *>(self)->streamAcknowledged(stream, offset, length);
         return 0;
     };
-    callbacks.stream_close = [](ngtcp2_conn *, std::uint32_t, std::int64_t stream, std::uint64_t, void *self, void *) {
-        static_cast<QuicConnection *>(self)->streamClosed(stream);
+    callbacks.stream_close = [](ngtcp2_conn *, std::uint32_t flags, std::int64_t stream, std::uint64_t code, void *self, void *) {
+        const bool aborted = (flags & NGTCP2_STREAM_CLOSE_FLAG_APP_ERROR_CODE_SET) != 0;
+        static_cast<QuicConnection *>(self)->streamClosed(stream, aborted ? std::optional(code) : std::nullopt);
         return 0;
     };
     callbacks.stream_reset = [](ngtcp2_conn *, std::int64_t stream, std::uint64_t, std::uint64_t code, void *self, void *) {
@@ -180,12 +181,6 @@
         connection.m_events.emplace_back(StreamReset{connection.m_flow, stream, code});
         return 0;
     };
-    callbacks.stream_stop_sending = [](ngtcp2_conn *, std::int64_t stream, std::uint64_t code, void *self, void *) {
-        auto &connection = *static_cast<QuicConnection *>(self);
-        connection.stopWriting(stream);
-        connection.m_events.emplace_back(StreamStopped{connection.m_flow, stream, code});
-        return 0;
-    };
     callbacks.recv_stateless_reset = [](ngtcp2_conn *, const ngtcp2_pkt_stateless_reset *, void *self) {
         static_cast<QuicConnection *>(self)->m_statelessReset = true;
         return 0;
@@ -265,13 +260,13 @@
     m_events.emplace_back(StreamReceived{m_flow, stream, Bytes(data.begin(), data.end()), end});
 }
 
-void QuicConnection::streamAcknowledged(StreamNumber stream, std::uint64_t offset)
+void QuicConnection::streamAcknowledged(StreamNumber stream, std::uint64_t offset, std::uint64_t length)
 {
     const auto found = m_streams.find(stream);
     if (found == m_streams.end()) {
         return;
     }
-    m_buffered -= found->second.buffer.acknowledge(offset);
+    m_buffered -= found->second.buffer.acknowledge(offset, length);
     notifyWritable();
 }
 
@@ -287,9 +282,13 @@
     }
 }
 
-void QuicConnection::streamClosed(StreamNumber stream)
+void QuicConnection::streamClosed(StreamNumber stream, std::optional<std::uint64_t> abortCode)
 {
     if (const auto found = m_streams.find(stream); found != m_streams.end()) {
+        // ngtcp2 answers STOP_SENDING by itself and does not report it until the stream closes or is written to.
+        if (abortCode && found->second.canSend && !found->second.buffer.isEndAcknowledged()) {
+            m_events.emplace_back(StreamStopped{m_flow, stream, *abortCode});
+        }
         m_buffered -= found->second.buffer.size();
         ngtcp2_conn_extend_max_offset(m_connection, found->second.unconsumed);
         m_streams.erase(found);
@@ -442,7 +441,7 @@
     }
     writePackets(now);
     const bool delivered = std::all_of(m_streams.begin(), m_streams.end(), [](const auto &entry) {
-        return !entry.second.canSend || (entry.second.buffer.size() == 0 && !entry.second.buffer.hasUnsent());
+        return !entry.second.canSend || entry.second.buffer.isAcknowledged();
     });
     if (!m_ended && m_pendingClose && delivered) {
         const PendingClose pending = *m_pendingClose;
@@ -509,6 +508,7 @@
         case NGTCP2_ERR_STREAM_SHUT_WR:
         case NGTCP2_ERR_STREAM_NOT_FOUND:
             stopWriting(number);
+            m_events.emplace_back(StreamStopped{m_flow, number, 0});
             break;
         default:
             return length;
--- a/src/jujubequay/quic/quic_connection.h
+++ b/src/jujubequay/quic/quic_connection.h
@@ -124,8 +124,8 @@
     void handshakeCompleted();
     void streamOpened(StreamNumber stream);
     void streamReceived(StreamNumber stream, std::span<const std::uint8_t> data, bool end);
-    void streamAcknowledged(StreamNumber stream, std::uint64_t offset);
-    void streamClosed(StreamNumber stream);
+    void streamAcknowledged(StreamNumber stream, std::uint64_t offset, std::uint64_t length);
+    void streamClosed(StreamNumber stream, std::optional<std::uint64_t> abortCode);
     void stopWriting(StreamNumber stream);
     void notifyWritable();
 
--- a/src/jujubequay/quic/send_buffer.cpp
+++ b/src/jujubequay/quic/send_buffer.cpp
@@ -47,12 +47,18 @@
 void SendBuffer::markSent(std::size_t bytes, bool end)
 {
     m_sentOffset += bytes;
-    m_endSent = m_endSent || (end && m_sentOffset == m_endOffset);
+    if (end && !m_endSent) {
+        m_endSent = true;
+        m_endSentAlone = bytes == 0;
+    }
 }
 
-std::size_t SendBuffer::acknowledge(std::uint64_t offset)
+std::size_t SendBuffer::acknowledge(std::uint64_t offset, std::uint64_t length)
 {
-    m_acknowledged = std::max(m_acknowledged, offset);
+    m_acknowledged = std::max(m_acknowledged, offset + length);
+    if (m_endSent && m_acknowledged == m_endOffset && (length == 0 || !m_endSentAlone)) {
+        m_endAcknowledged = true;
+    }
     std::size_t freed = 0;
     while (!m_chunks.empty() && m_firstOffset + m_chunks.front().size() <= m_acknowledged) {
         freed += m_chunks.front().size();
@@ -62,6 +68,16 @@
     return freed;
 }
 
+bool SendBuffer::isEndAcknowledged() const
+{
+    return m_endAcknowledged;
+}
+
+bool SendBuffer::isAcknowledged() const
+{
+    return m_acknowledged == m_endOffset && (!m_hasEnd || m_endAcknowledged);
+}
+
 std::size_t SendBuffer::size() const
 {
     return m_endOffset - m_firstOffset;
--- a/src/jujubequay/quic/send_buffer.h
+++ b/src/jujubequay/quic/send_buffer.h
@@ -26,9 +26,14 @@
     bool endsWithin(std::size_t limit) const;
     /// `bytes` were handed over; `end` if the end of the stream was as well.
     void markSent(std::size_t bytes, bool end);
-    /// Everything before this stream offset has arrived. Returns the number of bytes freed.
-    std::size_t acknowledge(std::uint64_t offset);
-
+    /// Everything up to `offset + length` has arrived; a length of 0 acknowledges an end that was sent alone. Returns
+    /// the number of bytes freed.
+    std::size_t acknowledge(std::uint64_t offset, std::uint64_t length);
+
+    /// True if the end of the stream and all bytes before it have arrived.
+    bool isEndAcknowledged() const;
+    /// True if everything appended so far has arrived.
+    bool isAcknowledged() const;
     /// Bytes held: queued or not acknowledged.
     std::size_t size() const;
 
@@ -40,6 +45,8 @@
     std::uint64_t m_acknowledged = 0;
     bool m_hasEnd = false;
     bool m_endSent = false;
+    bool m_endSentAlone = false; ///< in a frame without bytes
+    bool m_endAcknowledged = false;
 };
 
 }
--- a/src/jujubequay/quic/send_buffer_test.cpp
+++ b/src/jujubequay/quic/send_buffer_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(SendBufferTest);
     CPPUNIT_TEST(sendsInOrderAndFreesOnAcknowledgement);
     CPPUNIT_TEST(endIsSentOnceAndOnlyAfterAllBytes);
+    CPPUNIT_TEST(endSentAloneNeedsItsOwnAcknowledgement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -21,8 +22,8 @@
         buffer.markSent(4, false);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, buffer.unsent(8).size());
         CPPUNIT_ASSERT_EQUAL(std::uint8_t{5}, *buffer.unsent(8).front().base);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, buffer.acknowledge(2));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, buffer.acknowledge(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, buffer.acknowledge(0, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, buffer.acknowledge(2, 2));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, buffer.size());
     }
 
@@ -37,6 +38,20 @@
         buffer.markSent(2, true);
         CPPUNIT_ASSERT(!buffer.hasUnsent());
     }
+
+    // Guards against a connection that is closed before the end of an answer has arrived.
+    void endSentAloneNeedsItsOwnAcknowledgement()
+    {
+        SendBuffer buffer;
+        buffer.append(Bytes{1}, false);
+        buffer.markSent(1, false);
+        buffer.append({}, true);
+        buffer.markSent(0, true);
+        buffer.acknowledge(0, 1);
+        CPPUNIT_ASSERT(!buffer.isAcknowledged());
+        buffer.acknowledge(1, 0);
+        CPPUNIT_ASSERT(buffer.isAcknowledged());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SendBufferTest);
