--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -115,3 +115,17 @@
     TESTS
         random_run_test.cpp
     DEPENDS jujubequay_consensus)
+
+jujubequay_module(quic
+    SOURCES
+        quic_client.cpp
+        quic_connection.cpp
+        quic_event.cpp
+        quic_server.cpp
+        send_buffer.cpp
+        tls_credentials.cpp
+        tls_session.cpp
+    TESTS
+        quic_test.cpp
+        send_buffer_test.cpp
+    DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
