Add the public headers of the net module

The control plane and the agent need HTTP/2 sessions and control streams before their implementations exist.

--- /dev/null
+++ b/include/jujubequay/net/message_server.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <jujubequay/core/error.h>
+#include <jujubequay/core/log.h>
+#include <jujubequay/net/http2_session.h>
+#include <jujubequay/net/message_stream.h>
+#include <jujubequay/net/tls_context.h>
+#include <jujubequay/net/traffic.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <set>
+
+namespace Jujubequay {
+
+struct MessageServerOptions {
+    Http2Options http2{.maxQueuedBytes = 8U << 20U, .readBufferBytes = 4U << 10U};
+    std::size_t maxMessageBytes = maxFrameLength;
+    std::size_t maxConnections = 8192; ///< further connections are closed at once
+    Duration handshakeTimeout = std::chrono::seconds(5);
+};
+
+/// Accepts control streams over HTTP/2 with mutual TLS. A peer without a certificate of the authority is refused.
+///
+///     auto server = MessageServer::listen(context, clock, logger, tls, address, accept);
+class MessageServer : public std::enable_shared_from_this<MessageServer>
+{
+public:
+    /// Fails with AddressUnavailable. Port 0 picks a free port.
+    static Result<std::shared_ptr<MessageServer>> listen(asio::io_context &context,
+                                                         const Clock &clock,
+                                                         Logger &logger,
+                                                         std::shared_ptr<TlsContext> tls,
+                                                         const HostAddress &address,
+                                                         MessageStreamAcceptor accept,
+                                                         MessageServerOptions options = {});
+
+    HostAddress address() const;
+    std::size_t connectionCount() const;
+    TrafficCounters &traffic();
+    /// Stops accepting and closes all connections; their streams end with ConnectionLost.
+    void stop();
+
+private:
+    struct Handshake;
+
+    MessageServer(asio::io_context &context,
+                  const Clock &clock,
+                  Logger &logger,
+                  std::shared_ptr<TlsContext> tls,
+                  MessageStreamAcceptor accept,
+                  MessageServerOptions options);
+    void acceptNext();
+    void startHandshake(asio::ip::tcp::socket socket);
+    void startSession(const std::shared_ptr<Handshake> &handshake);
+    Http2StreamHandlers acceptStream(const PeerIdentity &peer, const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream);
+
+    asio::io_context &m_context;
+    const Clock &m_clock;
+    Logger &m_logger;
+    std::shared_ptr<TlsContext> m_tls;
+    MessageStreamAcceptor m_accept;
+    MessageServerOptions m_options;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptRetry;
+    std::set<std::shared_ptr<Handshake>> m_handshakes;
+    std::set<std::shared_ptr<Http2Session>> m_sessions;
+    TrafficCounters m_traffic;
+    bool m_isStopped = false;
+};
+
+}
