Add Http2Session and control streams over mutual TLS

The control plane needs framed messages between verified hosts, and the agent needs HTTP/2 to its backend server.

Http2Session drives nghttp2 over a ByteTransport in either role. Received bytes return credit only when they are consumed; sent bytes that wait are bounded for each stream. MessageServer and Http2MessageClient put one framed message stream on each HTTP/2 stream, require certificates of one authority (TLS 1.3, no session resumption, so that a reload of certificates applies to every new connection) and check that the server has the role that serves the path.

Found while testing: closing a socket with unread WINDOW_UPDATE frames resets the TCP connection, and the peer lost the last 21 KB of a 200 KB download during a drain. Sessions now end their own direction and wait for the peer's. drainFinishesOpenStreams covers it.

KeepAlive probes again instead of declaring a peer dead when its own tick comes late by the whole timeout, because then this process was stalled.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -24,3 +24,23 @@
         relay_header_test.cpp
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
+
+jujubequay_module(net
+    SOURCES
+        certificate.cpp
+        http2_callbacks.cpp
+        http2_message_client.cpp
+        http2_message_stream.cpp
+        http2_session.cpp
+        http2_stream.cpp
+        keep_alive.cpp
+        key_file.cpp
+        message_server.cpp
+        peer_identity.cpp
+        tls_context.cpp
+        traffic.cpp
+    TESTS
+        http2_session_test.cpp
+        keep_alive_test.cpp
+        message_stream_test.cpp
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
--- a/include/jujubequay/net/byte_transport.h
+++ b/include/jujubequay/net/byte_transport.h
@@ -19,6 +19,8 @@
     virtual void readSome(asio::mutable_buffer buffer, Handler handler) = 0;
     /// Writes the whole buffer, which stays valid until the handler is called. One write may be outstanding.
     virtual void write(asio::const_buffer buffer, Handler handler) = 0;
+    /// Ends the own direction; the peer reads end of file after all that was written.
+    virtual void shutdownSend() = 0;
     /// Closes the socket at once; outstanding operations end with an error.
     virtual void close() = 0;
 };
--- a/include/jujubequay/net/http2_message_client.h
+++ b/include/jujubequay/net/http2_message_client.h
@@ -23,7 +23,8 @@
 };
 
 /// Opens control streams over HTTP/2 with mutual TLS. A stream ends with Timeout, ConnectionLost, ProtocolError,
-/// MessageTooLarge, NotAuthorized (either certificate or the path was refused), or Ok when the server has ended it.
+/// MessageTooLarge, NotAuthorized (either certificate or the path was refused), or Ok when the server has ended it. The
+/// streams of a client that is destroyed end with ConnectionLost.
 class Http2MessageClient final
     : public MessageClient
     , public std::enable_shared_from_this<Http2MessageClient>
@@ -32,6 +33,10 @@
     static std::shared_ptr<Http2MessageClient> create(
         asio::io_context &context, const Clock &clock, Logger &logger, std::shared_ptr<TlsContext> tls, MessageClientOptions options = {});
 
+    ~Http2MessageClient() override;
+    Http2MessageClient(const Http2MessageClient &) = delete;
+    Http2MessageClient &operator=(const Http2MessageClient &) = delete;
+
     std::shared_ptr<MessageStream> open(const HostAddress &address, const std::string &path, MessageStreamHandlers handlers) override;
 
     TrafficCounters &traffic();
--- a/include/jujubequay/net/http2_session.h
+++ b/include/jujubequay/net/http2_session.h
@@ -91,19 +91,19 @@
     Http2StreamHandlers m_handlers;
     HttpHeaders m_received;
     std::size_t m_receivedHeaderBytes = 0;
+    std::size_t m_unconsumedBytes = 0;
     std::deque<std::vector<std::uint8_t>> m_queue;
     std::size_t m_queueOffset = 0;
     std::size_t m_queuedBytes = 0;
     HttpHeaders m_trailers;
     std::optional<Http2Error> m_peerReset;
-    bool m_isServerSide = false;
     bool m_isLocalEnd = false;
     bool m_isLocalReset = false;
     bool m_isDeferred = false;
     bool m_isRequestSent = false;
     bool m_hasResponded = false;
     bool m_hasResponse = false;
-    bool m_isAccepted = false;
+    bool m_hasRequest = false;
     bool m_isFull = false;
     bool m_isClosed = false;
 };
@@ -115,6 +115,8 @@
     std::size_t readBufferBytes = 16U << 10U;
     std::size_t maxHeaderBytes = 16U << 10U; ///< names and values of one header block
     std::uint32_t maxStreams = 1000; ///< concurrent streams that the peer may open
+    std::uint32_t resetBurst = 1000; ///< streams that a client may reset at once before it is disconnected
+    std::uint32_t resetsPerSecond = 100; ///< streams that a client may reset in the long run
     KeepAliveOptions keepAlive;
 };
 
@@ -165,10 +167,23 @@
     void receive(std::size_t bytes);
     void scheduleFlush();
     void flush();
+    void collectOutput();
+    void written(const asio::error_code &error);
     void armTimer();
     void onTimer();
     void finish();
-    void closeIfIdle();
+    bool finishIfDone();
+    void linger();
+    bool isDone() const;
+    void readFailed(const asio::error_code &error);
+    void beginStream(std::int32_t id);
+    void acceptRequest(const std::shared_ptr<Http2Stream> &stream, const HttpHeaders &request);
+    void receiveHeaders(const std::shared_ptr<Http2Stream> &stream, bool isEnd);
+    void receiveGoaway(std::int32_t lastStream);
+    void receiveData(std::int32_t id, std::span<const std::uint8_t> data);
+    void resume(Http2Stream &stream);
+    void nativeStreamClosed(std::int32_t id, std::uint32_t error);
+    std::ptrdiff_t takeQueued(Http2Stream &stream, std::span<std::uint8_t> out, std::uint32_t &flags);
     void closeStream(const std::shared_ptr<Http2Stream> &stream, const Http2StreamEnd &end);
     std::shared_ptr<Http2Stream> find(std::int32_t id) const;
 
@@ -191,6 +206,7 @@
     bool m_isWriting = false;
     bool m_isFlushScheduled = false;
     bool m_isDraining = false;
+    bool m_isLingering = false;
     bool m_isAborted = false;
     bool m_isFinished = false;
 };
--- /dev/null
+++ b/src/jujubequay/net/http2_message_client.cpp
@@ -0,0 +1,165 @@
+#include "jujubequay/net/endpoint.h"
+#include "jujubequay/net/http2_message_stream.h"
+#include "jujubequay/net/peer_identity.h"
+#include "jujubequay/net/socket_transport.h"
+
+#include <jujubequay/net/http2_message_client.h>
+
+#include <asio/post.hpp>
+
+namespace Jujubequay {
+
+struct Http2MessageClient::Connection {
+    Connection(asio::io_context &context, const HostAddress &address, const TlsContext &tls)
+        : address(address)
+        , generation(tls.generation())
+        , stream(std::make_shared<TlsStream>(context, *tls.client()))
+        , timer(context)
+        , peer(std::make_shared<PeerIdentity>())
+    {
+    }
+
+    HostAddress address;
+    std::uint64_t generation;
+    std::shared_ptr<TlsStream> stream;
+    asio::steady_timer timer;
+    std::shared_ptr<PeerIdentity> peer; ///< empty until the handshake has ended
+    std::shared_ptr<Http2Session> session;
+    std::vector<std::string> earlyPaths; ///< paths of streams opened before the peer is known
+    bool isReady = false;
+};
+
+bool isExpectedServer(const PeerIdentity &server, const std::string &path)
+{
+    if (path == "/metrics") {
+        return true;
+    }
+    return server.role == (path == "/peer" ? "balancer" : "control");
+}
+
+std::shared_ptr<Http2MessageClient> Http2MessageClient::create(
+    asio::io_context &context, const Clock &clock, Logger &logger, std::shared_ptr<TlsContext> tls, MessageClientOptions options)
+{
+    return std::shared_ptr<Http2MessageClient>(new Http2MessageClient(context, clock, logger, std::move(tls), std::move(options)));
+}
+
+Http2MessageClient::Http2MessageClient(
+    asio::io_context &context, const Clock &clock, Logger &logger, std::shared_ptr<TlsContext> tls, MessageClientOptions options)
+    : m_context(context)
+    , m_clock(clock)
+    , m_logger(logger)
+    , m_tls(std::move(tls))
+    , m_options(std::move(options))
+{
+}
+
+Http2MessageClient::~Http2MessageClient()
+{
+    stop();
+}
+
+TrafficCounters &Http2MessageClient::traffic()
+{
+    return m_traffic;
+}
+
+void Http2MessageClient::stop()
+{
+    const auto connections = m_connections;
+    for (const auto &[key, connection] : connections) {
+        connection->session->abort(ResultCode::ConnectionLost);
+    }
+}
+
+std::shared_ptr<MessageStream> Http2MessageClient::open(const HostAddress &address, const std::string &path, MessageStreamHandlers handlers)
+{
+    const auto connection = connectionTo(address);
+    auto messages = std::make_shared<Http2MessageStream>(Http2MessageStream::Context{path, m_options.maxMessageBytes, connection->peer, m_traffic, m_logger});
+    messages->setHandlers(std::move(handlers));
+    const auto session = connection->session;
+    Http2StreamHandlers http2 = messages->http2Handlers();
+    http2.closed = [finish = std::move(http2.closed), weak = std::weak_ptr(connection)](const Http2StreamEnd &end) {
+        finish(end);
+        const auto open = weak.lock();
+        if (open && open->session->streamCount() == 0) {
+            open->isReady ? open->session->drain() : open->session->abort(ResultCode::Ok);
+        }
+    };
+    messages->attach(session->request({{":method", "POST"}, {":scheme", "https"}, {":authority", toString(address)}, {":path", path}}, std::move(http2)));
+    m_traffic.addStream(path);
+    if (!connection->isReady) {
+        connection->earlyPaths.push_back(path);
+    } else if (!m_options.isExpected(*connection->peer, path)) {
+        messages->fail(ResultCode::NotAuthorized);
+    }
+    return messages;
+}
+
+std::shared_ptr<Http2MessageClient::Connection> Http2MessageClient::connectionTo(const HostAddress &address)
+{
+    if (m_options.sharesConnections) {
+        const std::uint64_t generation = m_tls->generation();
+        for (const auto &[key, connection] : m_connections) {
+            if (connection->address == address && connection->generation == generation && connection->session->acceptsRequests()) {
+                return connection;
+            }
+        }
+    }
+    auto connection = std::make_shared<Connection>(m_context, address, *m_tls);
+    Http2SessionHandlers handlers;
+    handlers.closed = [weak = weak_from_this(), key = connection.get()](ResultCode) {
+        if (const auto self = weak.lock()) {
+            key->timer.cancel();
+            asio::error_code ignored;
+            key->stream->lowest_layer().close(ignored);
+            self->m_connections.erase(key);
+        }
+    };
+    connection->session = Http2Session::create(m_context, m_clock, Http2Session::Role::Client, m_options.http2, std::move(handlers));
+    m_connections.emplace(connection.get(), connection);
+    connect(connection);
+    return connection;
+}
+
+void Http2MessageClient::connect(const std::shared_ptr<Connection> &connection)
+{
+    connection->timer.expires_after(m_options.connectTimeout);
+    connection->timer.async_wait([connection](const asio::error_code &error) {
+        if (!error && !connection->isReady) {
+            connection->session->abort(ResultCode::Timeout);
+        }
+    });
+    const auto handshaken = [weak = weak_from_this(), connection](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+            connection->session->abort(error.category() == asio::error::get_ssl_category() ? ResultCode::NotAuthorized : ResultCode::ConnectionLost);
+            return;
+        }
+        SSL *tls = connection->stream->native_handle();
+        *connection->peer = peerIdentity(tls);
+        bool isExpected = hasNegotiatedHttp2(tls);
+        for (const std::string &path : connection->earlyPaths) {
+            isExpected = isExpected && self->m_options.isExpected(*connection->peer, path);
+        }
+        connection->earlyPaths.clear();
+        if (!isExpected) {
+            self->m_logger.warning("server-refused", {{"address", toString(connection->address)}, {"role", connection->peer->role}});
+            connection->session->abort(ResultCode::NotAuthorized);
+            return;
+        }
+        connection->isReady = true;
+        connection->timer.cancel();
+        connection->session->start(std::make_unique<SocketTransport<TlsStream>>(connection->stream));
+    };
+    connection->stream->lowest_layer().async_connect(tcpEndpoint(connection->address), [connection, handshaken](const asio::error_code &error) {
+        if (error) {
+            connection->session->abort(ResultCode::ConnectionLost);
+            return;
+        }
+        asio::error_code ignored;
+        connection->stream->lowest_layer().set_option(asio::ip::tcp::no_delay(true), ignored);
+        connection->stream->async_handshake(asio::ssl::stream_base::client, handshaken);
+    });
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/net/keep_alive_test.cpp
@@ -0,0 +1,54 @@
+#include <jujubequay/net/keep_alive.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Jujubequay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr KeepAliveOptions options{.interval = 10s, .timeout = 5s};
+
+}
+
+class KeepAliveTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(KeepAliveTest);
+    CPPUNIT_TEST(silentPeerIsProbedAndThenDead);
+    CPPUNIT_TEST(anyByteIsASignOfLife);
+    CPPUNIT_TEST(stalledProcessProbesAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void silentPeerIsProbedAndThenDead()
+    {
+        const TimePoint start{};
+        KeepAlive keepAlive(options, start);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 9s) == KeepAlive::Action::None);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 10s) == KeepAlive::Action::Probe);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 14s) == KeepAlive::Action::None);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 15s) == KeepAlive::Action::Dead);
+    }
+
+    void anyByteIsASignOfLife()
+    {
+        const TimePoint start{};
+        KeepAlive keepAlive(options, start);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 10s) == KeepAlive::Action::Probe);
+        keepAlive.received(start + 14s);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 15s) == KeepAlive::Action::None);
+        CPPUNIT_ASSERT(keepAlive.nextTick() == start + 24s);
+    }
+
+    // Guards against a process that was suspended and then drops all its peers before it reads their answers.
+    void stalledProcessProbesAgain()
+    {
+        const TimePoint start{};
+        KeepAlive keepAlive(options, start);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 10s) == KeepAlive::Action::Probe);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 60s) == KeepAlive::Action::Probe);
+        CPPUNIT_ASSERT(keepAlive.tick(start + 65s) == KeepAlive::Action::Dead);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeepAliveTest);
--- /dev/null
+++ b/src/jujubequay/net/message_server.cpp
@@ -0,0 +1,181 @@
+#include "jujubequay/net/endpoint.h"
+#include "jujubequay/net/http2_message_stream.h"
+#include "jujubequay/net/peer_identity.h"
+#include "jujubequay/net/socket_transport.h"
+
+#include <jujubequay/net/message_server.h>
+
+namespace Jujubequay {
+
+namespace {
+
+// A wait after a failed accept, mostly for want of file descriptors; trying again at once would use a whole core.
+constexpr auto acceptRetryWait = std::chrono::milliseconds(100);
+
+}
+
+struct MessageServer::Handshake {
+    std::shared_ptr<TlsStream> stream;
+    asio::steady_timer timer;
+};
+
+Result<std::shared_ptr<MessageServer>> MessageServer::listen(asio::io_context &context,
+                                                             const Clock &clock,
+                                                             Logger &logger,
+                                                             std::shared_ptr<TlsContext> tls,
+                                                             const HostAddress &address,
+                                                             MessageStreamAcceptor accept,
+                                                             MessageServerOptions options)
+{
+    std::shared_ptr<MessageServer> server(new MessageServer(context, clock, logger, std::move(tls), std::move(accept), std::move(options)));
+    if (const auto error = listenOn(server->m_acceptor, address)) {
+        return fail(ResultCode::AddressUnavailable, fmt::format("{}: {}", toString(address), error.message()));
+    }
+    server->acceptNext();
+    return server;
+}
+
+MessageServer::MessageServer(
+    asio::io_context &context, const Clock &clock, Logger &logger, std::shared_ptr<TlsContext> tls, MessageStreamAcceptor accept, MessageServerOptions options)
+    : m_context(context)
+    , m_clock(clock)
+    , m_logger(logger)
+    , m_tls(std::move(tls))
+    , m_accept(std::move(accept))
+    , m_options(std::move(options))
+    , m_acceptor(context)
+    , m_acceptRetry(context)
+{
+}
+
+HostAddress MessageServer::address() const
+{
+    return hostAddress(m_acceptor.local_endpoint());
+}
+
+std::size_t MessageServer::connectionCount() const
+{
+    return m_sessions.size();
+}
+
+TrafficCounters &MessageServer::traffic()
+{
+    return m_traffic;
+}
+
+void MessageServer::stop()
+{
+    m_isStopped = true;
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    m_acceptRetry.cancel();
+    for (const auto &handshake : m_handshakes) {
+        handshake->timer.cancel();
+        handshake->stream->lowest_layer().close(ignored);
+    }
+    for (const auto &session : m_sessions) {
+        session->abort(ResultCode::ConnectionLost);
+    }
+}
+
+void MessageServer::acceptNext()
+{
+    m_acceptor.async_accept([weak = weak_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || self->m_isStopped) {
+            return;
+        }
+        if (!error) {
+            self->startHandshake(std::move(socket));
+            self->acceptNext();
+            return;
+        }
+        self->m_logger.error("accept-failed", {{"error", error.message()}});
+        self->m_acceptRetry.expires_after(acceptRetryWait);
+        self->m_acceptRetry.async_wait([weak](const asio::error_code &timerError) {
+            const auto server = weak.lock();
+            if (!timerError && server && !server->m_isStopped) {
+                server->acceptNext();
+            }
+        });
+    });
+}
+
+void MessageServer::startHandshake(asio::ip::tcp::socket socket)
+{
+    if (m_sessions.size() + m_handshakes.size() >= m_options.maxConnections) {
+        m_logger.warning("connection-limit-reached", {{"limit", m_options.maxConnections}});
+        return;
+    }
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto tls = m_tls->server();
+    auto handshake = std::make_shared<Handshake>(Handshake{std::make_shared<TlsStream>(std::move(socket), *tls), asio::steady_timer(m_context)});
+    m_handshakes.insert(handshake);
+    handshake->timer.expires_after(m_options.handshakeTimeout);
+    handshake->timer.async_wait([handshake](const asio::error_code &error) {
+        if (!error) {
+            asio::error_code closeError;
+            handshake->stream->lowest_layer().close(closeError);
+        }
+    });
+    handshake->stream->async_handshake(asio::ssl::stream_base::server, [weak = weak_from_this(), handshake](const asio::error_code &error) {
+        handshake->timer.cancel();
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->m_handshakes.erase(handshake);
+        if (error) {
+            self->m_logger.warning("handshake-failed", {{"error", error.message()}});
+        } else if (!self->m_isStopped) {
+            self->startSession(handshake);
+        }
+    });
+}
+
+void MessageServer::startSession(const std::shared_ptr<Handshake> &handshake)
+{
+    const PeerIdentity peer = peerIdentity(handshake->stream->native_handle());
+    if (peer.role.empty() || !hasNegotiatedHttp2(handshake->stream->native_handle())) {
+        m_logger.warning("peer-refused", {{"name", peer.name}, {"role", peer.role}});
+        return;
+    }
+    auto shared = std::make_shared<std::weak_ptr<Http2Session>>();
+    Http2SessionHandlers handlers;
+    handlers.accept = [weak = weak_from_this(), peer](const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream) {
+        const auto self = weak.lock();
+        return self ? self->acceptStream(peer, request, stream) : Http2StreamHandlers{};
+    };
+    handlers.closed = [weak = weak_from_this(), shared](ResultCode) {
+        const auto self = weak.lock();
+        if (self) {
+            self->m_sessions.erase(shared->lock());
+        }
+    };
+    const auto session = Http2Session::create(m_context, m_clock, Http2Session::Role::Server, m_options.http2, std::move(handlers));
+    *shared = session;
+    m_sessions.insert(session);
+    session->start(std::make_unique<SocketTransport<TlsStream>>(handshake->stream));
+}
+
+Http2StreamHandlers MessageServer::acceptStream(const PeerIdentity &peer, const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream)
+{
+    const std::string path(headerValue(request, ":path"));
+    auto messages = std::make_shared<Http2MessageStream>(
+        Http2MessageStream::Context{path, m_options.maxMessageBytes, std::make_shared<PeerIdentity>(peer), m_traffic, m_logger});
+    messages->attach(stream);
+    MessageStreamHandlers handlers = m_accept(path, messages);
+    if (!handlers.message) {
+        m_logger.warning("stream-refused", {{"path", path}, {"peer", peer.name}, {"role", peer.role}});
+        stream->respond({{":status", "403"}});
+        messages->close();
+        return messages->http2Handlers();
+    }
+    m_traffic.addStream(path);
+    messages->setHandlers(std::move(handlers));
+    stream->respond({{":status", "200"}});
+    return messages->http2Handlers();
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/net/message_stream_test.cpp
@@ -0,0 +1,339 @@
+#include "jujubequay/net/net_test_support.h"
+
+#include <jujubequay/net/http2_message_client.h>
+#include <jujubequay/net/message_server.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <request.pb.h>
+
+using namespace Jujubequay;
+using namespace Jujubequay::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+jujubequay::pb::BodyChunk chunkOf(const std::string &text)
+{
+    jujubequay::pb::BodyChunk chunk;
+    chunk.set_data(text);
+    return chunk;
+}
+
+std::string textOf(const Bytes &bytes)
+{
+    jujubequay::pb::BodyChunk chunk;
+    CPPUNIT_ASSERT(chunk.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())));
+    return chunk.data();
+}
+
+/// What one end of a stream has seen.
+struct Record {
+    std::vector<std::string> messages;
+    std::optional<ResultCode> closed;
+
+    MessageStreamHandlers handlers()
+    {
+        MessageStreamHandlers handlers;
+        handlers.message = [this](const Bytes &message) {
+            CPPUNIT_ASSERT(!closed);
+            messages.push_back(textOf(message));
+        };
+        handlers.closed = [this](ResultCode code) {
+            CPPUNIT_ASSERT(!closed);
+            closed = code;
+        };
+        return handlers;
+    }
+};
+
+/// A control host that keeps the streams to all paths but "/refused".
+struct Server {
+    explicit Server(asio::io_context &context, std::shared_ptr<TlsContext> tls, MessageServerOptions options = {})
+        : logger(clock)
+    {
+        const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &accepted) {
+            stream = accepted;
+            peer = accepted->peer();
+            return path == "/refused" ? MessageStreamHandlers{} : record.handlers();
+        };
+        server = valueOf([&] {
+            return MessageServer::listen(context, clock, logger, std::move(tls), {0x7F000001, 0}, accept, options);
+        });
+    }
+
+    SteadyClock clock;
+    QuietLogger logger;
+    Record record;
+    std::shared_ptr<MessageStream> stream;
+    PeerIdentity peer;
+    std::shared_ptr<MessageServer> server;
+};
+
+}
+
+class MessageStreamTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MessageStreamTest);
+    CPPUNIT_TEST(messagesPassBothWaysUnderVerifiedNames);
+    CPPUNIT_TEST(streamsShareAConnection);
+    CPPUNIT_TEST(refusedPathIsReported);
+    CPPUNIT_TEST(strangersAreRefused);
+    CPPUNIT_TEST(serverOfAnotherRoleIsRefused);
+    CPPUNIT_TEST(reloadAppliesToNewConnections);
+    CPPUNIT_TEST(failedReloadKeepsCertificates);
+    CPPUNIT_TEST(slowPeerIsDisconnected);
+    CPPUNIT_TEST(oversizedMessageEndsTheStream);
+    CPPUNIT_TEST(connectionAttemptsTimeOut);
+    CPPUNIT_TEST(stopEndsStreamsAtBothEnds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void messagesPassBothWaysUnderVerifiedNames()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        const auto client = clientAs({"host-b", "agent"});
+        Record record;
+        const auto stream = client->open(server.server->address(), "/announce", record.handlers());
+        stream->send(chunkOf("first"));
+        stream->send(chunkOf(std::string(1U << 20U, 'x')));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 2;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("host-b"), server.peer.name);
+        CPPUNIT_ASSERT_EQUAL(std::string("agent"), server.peer.role);
+        CPPUNIT_ASSERT_EQUAL(std::string("host-a"), stream->peer().name);
+        server.stream->send(chunkOf("answer"));
+        server.stream->close();
+        runUntil(m_context, [&] {
+            return record.closed && server.record.closed;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("answer"), record.messages.at(0));
+        CPPUNIT_ASSERT(record.closed == ResultCode::Ok);
+        CPPUNIT_ASSERT(server.record.closed == ResultCode::Ok);
+        const auto sent = client->traffic().snapshot().at("/announce");
+        const auto received = server.server->traffic().snapshot().at("/announce");
+        CPPUNIT_ASSERT_EQUAL(sent.sentBytes, received.receivedBytes);
+        CPPUNIT_ASSERT_EQUAL(sent.receivedBytes, received.sentBytes);
+        CPPUNIT_ASSERT(sent.sentBytes > 1U << 20U);
+    }
+
+    void streamsShareAConnection()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        const auto client = clientAs({"host-b", "agent"});
+        Record first;
+        Record second;
+        client->open(server.server->address(), "/watch", first.handlers())->send(chunkOf("1"));
+        client->open(server.server->address(), "/announce", second.handlers())->send(chunkOf("2"));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 2;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.server->connectionCount());
+    }
+
+    void refusedPathIsReported()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        Record record;
+        const auto client = clientAs({"host-b", "agent"});
+        client->open(server.server->address(), "/refused", record.handlers());
+        runUntil(m_context, [&] {
+            return record.closed.has_value();
+        });
+        CPPUNIT_ASSERT(record.closed == ResultCode::NotAuthorized);
+        CPPUNIT_ASSERT(server.server->traffic().snapshot().empty());
+    }
+
+    // Guards against access without a certificate, and with one of another authority.
+    void strangersAreRefused()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        const TestAuthority other;
+        Record record;
+        // Trusts the right authority, so that the refusal is the server's.
+        TlsFiles files = other.issue({"host-b", "agent"});
+        files.authority = m_authority.files().certificate;
+        const auto client = clientWith(valueOf([&] {
+            return TlsContext::load(files);
+        }));
+        client->open(server.server->address(), "/watch", record.handlers());
+        runUntil(m_context, [&] {
+            return record.closed.has_value();
+        });
+        CPPUNIT_ASSERT(record.closed == ResultCode::NotAuthorized);
+
+        asio::ssl::context bare(asio::ssl::context::tls_client);
+        TlsStream stream(m_context, bare);
+        stream.next_layer().connect(tcpEndpoint(server.server->address()));
+        std::optional<asio::error_code> readError;
+        std::array<char, 1> byte{};
+        stream.async_handshake(asio::ssl::stream_base::client, [&](const asio::error_code &) {
+            stream.async_read_some(asio::buffer(byte), [&](const asio::error_code &error, std::size_t) {
+                readError = error;
+            });
+        });
+        runUntil(m_context, [&] {
+            return readError.has_value();
+        });
+        CPPUNIT_ASSERT(*readError);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.server->connectionCount());
+        CPPUNIT_ASSERT(!server.stream);
+    }
+
+    // Guards against an agent's certificate that is used to pose as a control host.
+    void serverOfAnotherRoleIsRefused()
+    {
+        Server server(m_context, m_authority.context({"host-a", "agent"}));
+        Record record;
+        const auto client = clientAs({"host-b", "agent"});
+        client->open(server.server->address(), "/watch", record.handlers())->send(chunkOf("secret"));
+        runUntil(m_context, [&] {
+            return record.closed.has_value();
+        });
+        CPPUNIT_ASSERT(record.closed == ResultCode::NotAuthorized);
+        CPPUNIT_ASSERT(!server.stream);
+    }
+
+    void reloadAppliesToNewConnections()
+    {
+        const TlsFiles files = m_authority.issue({"host-a", "control"});
+        const auto tls = valueOf([&] {
+            return TlsContext::load(files);
+        });
+        Server server(m_context, tls);
+        const auto client = clientAs({"host-b", "agent"});
+        Record before;
+        const auto first = client->open(server.server->address(), "/watch", before.handlers());
+        first->send(chunkOf("1"));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 1;
+        });
+        const TlsFiles renewed = m_authority.issue({"host-renewed", "control"});
+        std::filesystem::rename(renewed.certificate, files.certificate);
+        std::filesystem::rename(renewed.key, files.key);
+        CPPUNIT_ASSERT(codeOf([&] {
+                           return tls->reload();
+                       })
+                       == ResultCode::Ok);
+        Record after;
+        const auto otherClient = clientAs({"host-c", "agent"});
+        const auto second = otherClient->open(server.server->address(), "/watch", after.handlers());
+        second->send(chunkOf("2"));
+        first->send(chunkOf("3"));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 3;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("host-a"), first->peer().name);
+        CPPUNIT_ASSERT_EQUAL(std::string("host-renewed"), second->peer().name);
+        CPPUNIT_ASSERT(!before.closed);
+    }
+
+    void failedReloadKeepsCertificates()
+    {
+        const TlsFiles files = m_authority.issue({"host-a", "control"});
+        const auto tls = valueOf([&] {
+            return TlsContext::load(files);
+        });
+        const auto before = tls->server();
+        std::filesystem::permissions(files.key, std::filesystem::perms::owner_read | std::filesystem::perms::group_read);
+        CPPUNIT_ASSERT(codeOf([&] {
+                           return tls->reload();
+                       })
+                       == ResultCode::BadKeyFile);
+        CPPUNIT_ASSERT(tls->server() == before);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, tls->generation());
+    }
+
+    // Guards against a peer that stops reading and makes the sender keep everything.
+    void slowPeerIsDisconnected()
+    {
+        MessageServerOptions options;
+        options.http2.maxQueuedBytes = 1U << 20U;
+        Server server(m_context, m_authority.context({"host-a", "control"}), options);
+        asio::io_context clientContext;
+        SteadyClock clock;
+        const auto client = Http2MessageClient::create(clientContext, clock, m_logger, m_authority.context({"host-b", "agent"}));
+        Record record;
+        client->open(server.server->address(), "/watch", record.handlers())->send(chunkOf("hello"));
+        while (server.record.messages.empty()) {
+            clientContext.restart();
+            clientContext.poll();
+            m_context.restart();
+            m_context.poll();
+        }
+        const auto message = chunkOf(std::string(100000, 'x'));
+        while (!server.record.closed) {
+            server.stream->send(message);
+            CPPUNIT_ASSERT(server.stream->queuedBytes() <= options.http2.maxQueuedBytes);
+            m_context.restart();
+            m_context.poll();
+        }
+        CPPUNIT_ASSERT(server.record.closed == ResultCode::ConnectionLost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.server->connectionCount());
+    }
+
+    void oversizedMessageEndsTheStream()
+    {
+        MessageServerOptions options;
+        options.maxMessageBytes = 1000;
+        Server server(m_context, m_authority.context({"host-a", "control"}), options);
+        Record record;
+        const auto client = clientAs({"host-b", "agent"});
+        const auto stream = client->open(server.server->address(), "/watch", record.handlers());
+        stream->send(chunkOf(std::string(2000, 'x')));
+        runUntil(m_context, [&] {
+            return record.closed && server.record.closed;
+        });
+        CPPUNIT_ASSERT(server.record.closed == ResultCode::MessageTooLarge);
+        CPPUNIT_ASSERT(record.closed == ResultCode::ConnectionLost);
+    }
+
+    // Guards against a host that accepts TCP connections and never answers.
+    void connectionAttemptsTimeOut()
+    {
+        asio::ip::tcp::acceptor silent(m_context, tcpEndpoint({0x7F000001, 0}));
+        const auto client = Http2MessageClient::create(m_context, m_clock, m_logger, m_authority.context({"host-b", "agent"}), {.connectTimeout = 1ms});
+        Record record;
+        client->open(hostAddress(silent.local_endpoint()), "/watch", record.handlers());
+        runUntil(m_context, [&] {
+            return record.closed.has_value();
+        });
+        CPPUNIT_ASSERT(record.closed == ResultCode::Timeout);
+    }
+
+    void stopEndsStreamsAtBothEnds()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        Record record;
+        const auto client = clientAs({"host-b", "agent"});
+        client->open(server.server->address(), "/watch", record.handlers())->send(chunkOf("1"));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 1;
+        });
+        server.server->stop();
+        runUntil(m_context, [&] {
+            return record.closed && server.record.closed;
+        });
+        CPPUNIT_ASSERT(record.closed == ResultCode::ConnectionLost);
+        CPPUNIT_ASSERT(server.record.closed == ResultCode::ConnectionLost);
+    }
+
+private:
+    std::shared_ptr<Http2MessageClient> clientWith(std::shared_ptr<TlsContext> tls)
+    {
+        return Http2MessageClient::create(m_context, m_clock, m_logger, std::move(tls));
+    }
+
+    std::shared_ptr<Http2MessageClient> clientAs(const PeerIdentity &identity)
+    {
+        return clientWith(m_authority.context(identity));
+    }
+
+    SteadyClock m_clock;
+    QuietLogger m_logger{m_clock};
+    asio::io_context m_context;
+    TestAuthority m_authority;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageStreamTest);
