--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -129,3 +129,23 @@
         quic_test.cpp
         send_buffer_test.cpp
     DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
+
+jujubequay_module(net
+    SOURCES
+        certificate.cpp
+        http2_callbacks.cpp
+        http2_message_client.cpp
+        http2_message_stream.cpp
+        http2_session.cpp
+        http2_stream.cpp
+        keep_alive.cpp
+        key_file.cpp
+        message_server.cpp
+        peer_identity.cpp
+        tls_context.cpp
+        traffic.cpp
+    TESTS
+        http2_session_test.cpp
+        keep_alive_test.cpp
+        message_stream_test.cpp
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
