Add the policy bench: ./dev bench

Cause: the choice of placement and admission rules has to rest on broken flows and imbalance at the users' sizes, not on argument.

Change: a discrete event queue drives the state machines of the policy module with fakes for callers, balancers, agents and links; nine scenarios, both deployments, four baselines and the variants of the own policy. Balancers repeat the last load they saw of the second choice in openings.

Ruled out: one flow for each caller with corrected openings.

Conclusion: requests are placed per request among two flows; only feeds and flow counts are placed per flow.

--- /dev/null
+++ b/bench/network.cpp
@@ -0,0 +1,65 @@
+#include "network.h"
+
+namespace Jujubequay::Bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration withinZone = 200us;
+constexpr double callerLoss = 0.002;
+/// QUIC retransmits after about three one-way delays and the acknowledgement delay of 25 ms.
+constexpr Duration acknowledgementDelay = 25ms;
+
+double uniform(std::mt19937_64 &random, double low, double high)
+{
+    return std::uniform_real_distribution<double>(low, high)(random);
+}
+
+}
+
+Network::Network(const Deployment &deployment, std::mt19937_64 &random)
+    : m_deployment(deployment)
+    , m_random(random)
+{
+    for (int from = 0; from < zoneCount; ++from) {
+        for (int to = 0; to < zoneCount; ++to) {
+            m_stretch[from][to] = uniform(random, 0.75, 1.25);
+            m_loss[from][to] = from == to ? 0 : uniform(random, 0.0005, 0.01);
+        }
+    }
+}
+
+Duration Network::betweenZones(int from, int to, std::uint32_t bytes)
+{
+    const Duration delay = from == to ? withinZone : std::chrono::duration_cast<Duration>(m_deployment.zoneDelay * m_stretch[from][to]);
+    int copies = 1;
+    const Duration time = transfer(delay, m_loss[from][to], copies);
+    if (from != to) {
+        m_bytes += std::uint64_t{bytes} * static_cast<std::uint64_t>(copies);
+    }
+    return time;
+}
+
+Duration Network::toCaller(std::uint32_t)
+{
+    int copies = 1;
+    return transfer(m_deployment.callerDelay, callerLoss, copies);
+}
+
+std::uint64_t Network::bytesBetweenZones() const
+{
+    return m_bytes;
+}
+
+Duration Network::transfer(Duration delay, double loss, int &copies)
+{
+    Duration time = std::chrono::duration_cast<Duration>(delay * uniform(m_random, 1.0, 1.2));
+    while (uniform(m_random, 0, 1) < loss) {
+        time += 3 * delay + acknowledgementDelay;
+        ++copies;
+    }
+    return time;
+}
+
+}
--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,85 @@
+#include "policy_run.h"
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace Jujubequay::Bench;
+
+void printHeader()
+{
+    fmt::print("| policy | broken planned | broken unplanned | wrong service | run twice | false not run | late on draining | work imbalance | worst window "
+               "| flow imbalance | Jain | worst small | p50 ms | p99 ms | small p99 ms | refused % | unknown | attempts/request | MB between zones |\n");
+    fmt::print("|{}\n", "---|" + std::string([] {
+                            std::string columns;
+                            for (int column = 0; column < 18; ++column) {
+                                columns += "---:|";
+                            }
+                            return columns;
+                        }()));
+}
+
+void printRow(std::string_view name, const CellResult &cell)
+{
+    const double requests = static_cast<double>(std::max<std::uint64_t>(cell.requests, 1));
+    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.4f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {:.2f} | {:.0f} |\n",
+               name,
+               cell.brokenPlanned,
+               cell.brokenUnplanned,
+               cell.wrongService,
+               cell.runTwice,
+               cell.falseNotRun,
+               cell.lateOnDraining,
+               cell.workImbalance,
+               cell.worstWindow,
+               cell.flowImbalance,
+               cell.jain,
+               cell.worstSmall,
+               cell.p50Ms,
+               cell.p99Ms,
+               cell.smallP99Ms,
+               100 * static_cast<double>(cell.refused) / requests,
+               cell.unknown,
+               static_cast<double>(cell.attempts) / requests,
+               cell.megabytesBetweenZones);
+}
+
+bool isSelected(const std::vector<std::string> &selection, std::string_view name)
+{
+    return selection.empty() || std::find(selection.begin(), selection.end(), name) != selection.end();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    try {
+        TCLAP::CmdLine command("Compares placement and admission policies in simulated time");
+        TCLAP::MultiArg<std::string> policyNames("p", "policy", "policy to run; all by default", false, "name", command);
+        TCLAP::MultiArg<std::string> scenarioNames("s", "scenario", "scenario to run; all by default", false, "name", command);
+        TCLAP::MultiArg<std::string> deploymentNames("d", "deployment", "deployment to run; both by default", false, "name", command);
+        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the random numbers", false, 1, "number", command);
+        command.parse(argc, argv);
+        for (const Deployment &deployment : deployments()) {
+            for (const Scenario &scenario : scenarios()) {
+                if (!isSelected(deploymentNames.getValue(), deployment.name) || !isSelected(scenarioNames.getValue(), scenario.name)) {
+                    continue;
+                }
+                fmt::print("\n{}, {}, seed {}\n\n", deployment.name, scenario.name, seed.getValue());
+                printHeader();
+                for (const Policy &policy : policies()) {
+                    if (isSelected(policyNames.getValue(), policy.name)) {
+                        printRow(policy.name, PolicyRun(deployment, policy, scenario, seed.getValue()).run());
+                    }
+                }
+            }
+        }
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << error.error() << " for " << error.argId() << '\n';
+        return 2;
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/policy_run_requests.cpp
@@ -0,0 +1,298 @@
+#include "policy_run.h"
+
+#include <algorithm>
+
+namespace Jujubequay::Bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t requestBytes = 700;
+constexpr std::uint32_t maxAttempts = 6;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+}
+
+void PolicyRun::scheduleArrival(int service, double rate, bool flood)
+{
+    const Duration gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exponential_distribution<double>(rate)(m_random)));
+    m_events.after(gap, [this, service, rate, flood] {
+        int customer = 0;
+        if (!flood) {
+            customer = std::discrete_distribution<int>(m_customerShare.begin(), m_customerShare.end())(m_random);
+        }
+        const bool active = flood ? isFairnessWindow() : m_events.now() > TimePoint{} + 30s;
+        if (active) {
+            submitRequest(service, customer);
+        }
+        scheduleArrival(service, rate, flood);
+    });
+}
+
+void PolicyRun::submitRequest(int service, int customer)
+{
+    const std::vector<RequestKind> &kinds = m_deployment.services[service].kinds;
+    double pick = uniform(0, 1);
+    std::size_t kind = 0;
+    while (kind + 1 < kinds.size() && pick >= kinds[kind].share) {
+        pick -= kinds[kind].share;
+        ++kind;
+    }
+    const std::vector<int> &callers = m_callersOf[service][customer];
+    Request request;
+    request.caller = callers[m_random() % callers.size()];
+    request.service = service;
+    request.kind = &kinds[kind];
+    const double seconds = std::gamma_distribution<double>(2, toSeconds(kinds[kind].slotTime) / 2)(m_random);
+    request.slotTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    request.submittedAt = m_events.now();
+    request.deadline = m_events.now() + kinds[kind].deadline;
+    request.fairnessCounted = isFairnessWindow();
+    if (request.fairnessCounted) {
+        m_demand[service][customer] += seconds;
+    }
+    const int index = static_cast<int>(m_requests.size());
+    m_requests.push_back(request);
+    m_callers[request.caller].budget.requestSent();
+    ++m_result.requests;
+    dispatch(index);
+}
+
+std::vector<int> PolicyRun::usableFlows(int caller, int exceptFlow) const
+{
+    std::vector<int> usable;
+    for (const int flow : m_callers[caller].flows) {
+        if (flow != exceptFlow && m_flows[flow].open && !m_flows[flow].draining) {
+            usable.push_back(flow);
+        }
+    }
+    return usable;
+}
+
+void PolicyRun::dispatch(int request)
+{
+    const Request &work = m_requests[request];
+    const std::vector<int> flows = usableFlows(work.caller, -1);
+    if (flows.empty()) {
+        if (m_events.now() >= work.deadline) {
+            endRequest(request, ResultCode::NotRunUnavailable);
+            return;
+        }
+        m_events.after(100ms, [this, request] {
+            dispatch(request);
+        });
+        return;
+    }
+    std::size_t chosen = m_random() % flows.size();
+    if (m_policy.useLoad) {
+        std::vector<FlowCandidate> candidates;
+        candidates.reserve(flows.size());
+        for (const int flow : flows) {
+            candidates.push_back({.work = m_flows[flow].estimate.work(m_events.now()), .outstanding = m_flows[flow].outstanding});
+        }
+        chosen = *chooseFlow(candidates, m_random);
+    }
+    send(request, flows[chosen], m_policy.move && !work.moved && flows.size() > 1);
+}
+
+void PolicyRun::send(int request, int flow, bool canMove)
+{
+    ++m_requests[request].attempts;
+    ++m_result.attempts;
+    const int attempt = static_cast<int>(m_attempts.size());
+    int server = m_flows[flow].server;
+    if (m_policy.placement == Placement::Central) {
+        server = leastAssigned(m_requests[request].service);
+        ++m_servers[server].assigned;
+    }
+    m_attempts.push_back({.request = request, .flow = flow, .server = server, .incarnation = m_servers[server].incarnation, .canMove = canMove});
+    ++m_flows[flow].outstanding;
+    m_flows[flow].estimate.sent();
+
+    const int balancer = anyBalancer();
+    const Duration toBalancer = m_network.toCaller(requestBytes);
+    if (!packetReachesFlow(flow, balancer)) {
+        m_attempts[attempt].ended = true;
+        breakFlow(flow, m_lastChangePlanned);
+        m_events.after(2 * toBalancer, [this, attempt] {
+            answered(attempt, ResultCode::OutcomeUnknown, {}, {});
+        });
+        return;
+    }
+    m_events.after(toBalancer + m_network.betweenZones(m_balancers[balancer].zone, m_servers[server].zone, requestBytes), [this, attempt] {
+        arrive(attempt);
+    });
+}
+
+void PolicyRun::arrive(int attempt)
+{
+    Attempt &arrived = m_attempts[attempt];
+    const Server &server = m_servers[arrived.server];
+    if (arrived.ended) {
+        return;
+    }
+    if (!server.alive || server.incarnation != arrived.incarnation) {
+        arrived.ended = true;
+        m_events.after(1s, [this, attempt] {
+            answered(attempt, ResultCode::OutcomeUnknown, {}, {});
+        });
+        return;
+    }
+    const Request &request = m_requests[arrived.request];
+    AdmissionRequest admission{.id = static_cast<std::uint64_t>(attempt),
+                               .customer = std::to_string(m_callers[request.caller].customer),
+                               .workClass = request.kind->workClass,
+                               .deadline = request.deadline,
+                               .canMove = arrived.canMove};
+    countBusy(m_servers[arrived.server]);
+    apply(arrived.server, server.queue->submit(m_events.now(), admission));
+}
+
+void PolicyRun::apply(int server, const AdmissionEffects &effects)
+{
+    countBusy(m_servers[server]);
+    for (const AdmissionEffect &effect : effects) {
+        if (const auto *start = std::get_if<StartRequest>(&effect)) {
+            startAttempt(static_cast<int>(start->id));
+        } else {
+            const auto &refuse = std::get<RefuseRequest>(effect);
+            answer(static_cast<int>(refuse.id), refuse.code, refuse.retryAfter);
+        }
+    }
+}
+
+void PolicyRun::startAttempt(int attempt)
+{
+    Attempt &started = m_attempts[attempt];
+    Request &request = m_requests[started.request];
+    const Server &server = m_servers[started.server];
+    started.started = true;
+    ++request.executions;
+    if (!request.kind->idempotent && request.executions == 2) {
+        ++m_result.runTwice;
+    }
+    if (server.drainedAt && m_events.now() - *server.drainedAt > 5s) {
+        ++m_result.lateOnDraining;
+    }
+    const Duration time = std::chrono::duration_cast<Duration>(request.slotTime * slowness(server));
+    m_events.after(time, [this, attempt] {
+        Attempt &done = m_attempts[attempt];
+        Server &own = m_servers[done.server];
+        if (done.ended || own.incarnation != done.incarnation) {
+            return;
+        }
+        countBusy(own);
+        const AdmissionEffects effects = own.queue->finished(m_events.now(), static_cast<std::uint64_t>(attempt));
+        answer(attempt, ResultCode::Ok, {});
+        apply(done.server, effects);
+    });
+}
+
+void PolicyRun::answer(int attempt, ResultCode code, Duration retryAfter)
+{
+    Attempt &ended = m_attempts[attempt];
+    Server &server = m_servers[ended.server];
+    ended.ended = true;
+    if (m_policy.placement == Placement::Central) {
+        --server.assigned;
+    }
+    const LoadReport load = reportedLoad(server);
+    const int balancer = anyBalancer();
+    const std::uint32_t bytes = code == ResultCode::Ok ? m_requests[ended.request].kind->answerBytes : 150;
+    const Duration delay = m_network.betweenZones(server.zone, m_balancers[balancer].zone, bytes) + m_network.toCaller(bytes);
+    m_balancers[balancer].loads[server.index] = load;
+    m_events.after(delay, [this, attempt, code, retryAfter, load] {
+        answered(attempt, code, retryAfter, load);
+    });
+}
+
+void PolicyRun::answered(int attempt, ResultCode code, Duration retryAfter, const LoadReport &load)
+{
+    const Attempt &ended = m_attempts[attempt];
+    const Request &request = m_requests[ended.request];
+    Flow &flow = m_flows[ended.flow];
+    --flow.outstanding;
+    if (code != ResultCode::OutcomeUnknown) {
+        flow.estimate.reported(m_events.now(), load);
+    }
+    if (isNotRun(code) && ended.started) {
+        ++m_result.falseNotRun;
+    }
+    if (code == ResultCode::Ok) {
+        flow.estimate.answered(request.kind->workClass, m_events.now() - request.submittedAt);
+        endRequest(ended.request, code);
+        return;
+    }
+    retry(ended.request, code, retryAfter, ended.flow);
+}
+
+void PolicyRun::retry(int request, ResultCode code, Duration retryAfter, int exceptFlow)
+{
+    Request &work = m_requests[request];
+    const RetryRule rule = retryRule(code, work.kind->idempotent);
+    if (rule == RetryRule::Never || work.attempts >= maxAttempts || m_events.now() + retryAfter >= work.deadline) {
+        endRequest(request, code);
+        return;
+    }
+    const std::vector<int> others = usableFlows(work.caller, exceptFlow);
+    if (rule == RetryRule::Elsewhere && !work.moved && !others.empty()) {
+        work.moved = true;
+        send(request, others[m_random() % others.size()], false);
+        return;
+    }
+    RetryBudget &budget = m_callers[work.caller].budget;
+    if (!budget.tryTake()) {
+        endRequest(request, code);
+        return;
+    }
+    m_events.after(budget.delay(work.attempts, retryAfter, m_random), [this, request] {
+        dispatch(request);
+    });
+}
+
+void PolicyRun::endRequest(int request, ResultCode code)
+{
+    const Request &work = m_requests[request];
+    const int customer = m_callers[work.caller].customer;
+    if (code != ResultCode::Ok) {
+        ++(isNotRun(code) ? m_result.refused : m_result.unknown);
+        return;
+    }
+    if (m_events.now() > work.deadline) {
+        return;
+    }
+    if (work.fairnessCounted) {
+        m_served[work.service][customer] += toSeconds(work.slotTime);
+    }
+    if (work.submittedAt >= TimePoint{} + 40s) {
+        const double milliseconds = toSeconds(m_events.now() - work.submittedAt) * 1000;
+        m_times.push_back(milliseconds);
+        if (customer >= customerCount / 2) {
+            m_smallTimes.push_back(milliseconds);
+        }
+    }
+}
+
+int PolicyRun::leastAssigned(int service)
+{
+    std::vector<int> best;
+    for (const Server &server : m_servers) {
+        if (!isServing(server) || server.service != service) {
+            continue;
+        }
+        if (!best.empty() && server.assigned < m_servers[best.front()].assigned) {
+            best.clear();
+        }
+        if (best.empty() || server.assigned == m_servers[best.front()].assigned) {
+            best.push_back(server.index);
+        }
+    }
+    return best[m_random() % best.size()];
+}
+
+}
--- a/include/jujubequay/policy/load_estimate.h
+++ b/include/jujubequay/policy/load_estimate.h
@@ -38,7 +38,8 @@
 class LoadEstimate
 {
 public:
-    explicit LoadEstimate(LoadEstimateOptions options = {});
+    LoadEstimate();
+    explicit LoadEstimate(LoadEstimateOptions options);
 
     /// Figures arrived on an answer or a handover.
     void reported(TimePoint now, const LoadReport &report);
--- a/include/jujubequay/policy/retry.h
+++ b/include/jujubequay/policy/retry.h
@@ -35,7 +35,8 @@
 class RetryBudget
 {
 public:
-    explicit RetryBudget(RetryBudgetOptions options = {});
+    RetryBudget();
+    explicit RetryBudget(RetryBudgetOptions options);
 
     /// A first attempt was sent.
     void requestSent();
--- a/src/jujubequay/policy/load_estimate.cpp
+++ b/src/jujubequay/policy/load_estimate.cpp
@@ -21,6 +21,11 @@
 
 }
 
+LoadEstimate::LoadEstimate()
+    : LoadEstimate(LoadEstimateOptions{})
+{
+}
+
 LoadEstimate::LoadEstimate(LoadEstimateOptions options)
     : m_options(options)
 {
--- a/src/jujubequay/policy/retry.cpp
+++ b/src/jujubequay/policy/retry.cpp
@@ -25,6 +25,11 @@
     }
 }
 
+RetryBudget::RetryBudget()
+    : RetryBudget(RetryBudgetOptions{})
+{
+}
+
 RetryBudget::RetryBudget(RetryBudgetOptions options)
     : m_options(options)
     , m_tokens(options.maxTokens)
