Spread replies over live balancers and keep the loads of peer agents

Cause: while a caller waits for a reply through a dead balancer, none of its datagrams names another one, so each retransmission would be lost as well. The handover decision needs figures of the second choice.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -60,13 +60,17 @@
         agent_ingress.cpp
         forwarder.cpp
         opening_table.cpp
+        peer_loads.cpp
         packet.cpp
+        return_paths.cpp
         request_table.cpp
     TESTS
         agent_ingress_test.cpp
         forwarder_test.cpp
         opening_table_test.cpp
+        peer_loads_test.cpp
         request_table_test.cpp
+        return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
 jujubequay_module(datapath
--- a/include/jujubequay/agent/request_broker.h
+++ b/include/jujubequay/agent/request_broker.h
@@ -80,6 +80,9 @@
     /// are moved with their position.
     void beginDrain(TimePoint now);
 
+    /// Gives every flow a new resume identifier, after a flow key was replaced.
+    void renewResumeIdentifiers();
+
     std::optional<TimePoint> nextTimeout() const;
     LoadReport load() const;
     /// True when no request is waiting or running and no feed is open.
--- a/include/jujubequay/wire/relay_header.h
+++ b/include/jujubequay/wire/relay_header.h
@@ -16,6 +16,7 @@
     Handover = 3, ///< agent to agent: opening passed to the second choice, which must answer it
     Reply = 4, ///< agent to balancer: datagram for the caller
     Stale = 5, ///< agent to balancer: opening refused, the balancer's configuration is older; no payload
+    Load = 6, ///< agent to agent of the same service: the sender's load; no payload
 };
 
 std::string_view relayKindName(RelayKind kind);
--- a/src/jujubequay/agent/request_broker.cpp
+++ b/src/jujubequay/agent/request_broker.cpp
@@ -206,6 +206,14 @@
     sendGreetings();
 }
 
+void RequestBroker::renewResumeIdentifiers()
+{
+    for (auto &[flow, state] : m_openFlows) {
+        state.resumeIdentifier = m_resumeIdentifier();
+    }
+    sendGreetings();
+}
+
 std::optional<TimePoint> RequestBroker::nextTimeout() const
 {
     const std::optional<TimePoint> admission = m_admission.nextTimeout();
--- a/src/jujubequay/wire/relay_header.cpp
+++ b/src/jujubequay/wire/relay_header.cpp
@@ -16,12 +16,13 @@
 constexpr std::size_t checkLength = crypto_shorthash_BYTES;
 constexpr std::size_t fieldsLength = relayHeaderLength - checkLength;
 
-constexpr NameTable<RelayKind, 5> kindNames{{{
+constexpr NameTable<RelayKind, 6> kindNames{{{
     {RelayKind::Forward, "forward"},
     {RelayKind::Open, "open"},
     {RelayKind::Handover, "handover"},
     {RelayKind::Reply, "reply"},
     {RelayKind::Stale, "stale"},
+    {RelayKind::Load, "load"},
 }}};
 
 constexpr NameTable<RelayError, 5> errorNames{{{
@@ -111,7 +112,7 @@
         return std::nullopt;
     }
     const auto kind = static_cast<RelayKind>(takeInteger<std::uint8_t>(in));
-    if (kind < RelayKind::Forward || kind > RelayKind::Stale) {
+    if (kind < RelayKind::Forward || kind > RelayKind::Load) {
         error = RelayError::BadKind;
         return std::nullopt;
     }
