Add the agent's data path, the announcer and the config watcher

Cause: the state machines of the agent need sockets, and a backend server has to keep its lease.

Ruled out: random nonces in flow identifiers. 24 random bits collide within a few thousand identifiers of one agent; a counter does not repeat within 16 million.

Change: AgentPath joins ingress, QUIC server, request broker, return paths and load reports on one traffic thread; Announcer keeps a lease with one control host and changes to another when it is silent; ConfigWatcher drives the watch subscriber and the exchange between peers.

Measured: service_test runs a caller, two balancers and an agent over loopback sockets: flows survive the loss of both balancers, a key rotation (the old key is unused afterwards) and a drain; a stale balancer is refused and recovers; a resume identifier reaches the agent that has the record, with 1 execution for 2 attempts.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -153,3 +153,14 @@
         keep_alive_test.cpp
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
--- /dev/null
+++ b/src/jujubequay/service/agent_path.cpp
@@ -0,0 +1,413 @@
+#include <jujubequay/service/agent_path.h>
+
+#include <algorithm>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr int maxBatchesPerTurn = 8;
+/// Upper bound of the time between two ticks of the request windows.
+constexpr auto tickInterval = std::chrono::milliseconds(200);
+constexpr std::uint64_t drainedCode = 0;
+
+constexpr std::uint16_t limited(std::uint32_t value)
+{
+    return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, UINT16_MAX));
+}
+
+std::vector<PeerServer> peersOf(const ConfigSnapshot &config, const std::string &service, const HostAddress &own)
+{
+    std::vector<PeerServer> peers;
+    for (const ServerSnapshot &server : config.servers) {
+        const bool isPeer = server.service == service && server.relayAddress != own && server.takesNewWork();
+        if (isPeer) {
+            peers.push_back({server.relayAddress, server.incarnation, server.weight});
+        }
+    }
+    return peers;
+}
+
+}
+
+Result<std::unique_ptr<AgentPath>> AgentPath::create(asio::io_context &context,
+                                                     const Clock &clock,
+                                                     AgentPathOptions options,
+                                                     std::shared_ptr<const TlsCredentials> credentials,
+                                                     ConfigSnapshotPointer config,
+                                                     BackendPort &backend,
+                                                     RequestBroker::Reporter reporter,
+                                                     std::uint64_t seed)
+{
+    BOOST_LEAF_AUTO(socket, bindUdpSocket(context, options.relayAddress));
+    std::unique_ptr<AgentPath> path(
+        new AgentPath(context, clock, std::move(options), std::move(credentials), config, backend, std::move(reporter), seed, std::move(socket)));
+    path->apply(std::move(config));
+    path->waitForDatagrams();
+    path->scheduleTimeout();
+    path->scheduleLoadReport();
+    return path;
+}
+
+AgentPath::AgentPath(asio::io_context &context,
+                     const Clock &clock,
+                     AgentPathOptions options,
+                     std::shared_ptr<const TlsCredentials> credentials,
+                     ConfigSnapshotPointer config,
+                     BackendPort &backend,
+                     RequestBroker::Reporter reporter,
+                     std::uint64_t seed,
+                     asio::ip::udp::socket socket)
+    : m_clock(clock)
+    , m_options(std::move(options))
+    , m_random(seed)
+    , m_socket(std::move(socket))
+    , m_address(localAddress(m_socket))
+    , m_config(std::move(config))
+    , m_nextNonce(static_cast<std::uint32_t>(m_random()))
+    , m_peerLoads(m_options.handOver)
+    , m_ingress(m_options.service,
+                m_address,
+                m_options.incarnation,
+                [this](TimePoint now, const RelayHeader &header) {
+                    return m_peerLoads.decideHandover(now, {m_broker.load(), m_options.weight, 1, m_draining}, header.secondChoice);
+                },
+                {})
+    , m_returnPaths({})
+    , m_quic(
+          m_options.quic,
+          std::move(credentials),
+          [this] {
+              return nextFlowId();
+          },
+          *this,
+          m_random)
+    , m_broker(
+          m_options.incarnation,
+          m_options.broker,
+          *this,
+          backend,
+          [this] {
+              return nextFlowId();
+          },
+          std::move(reporter),
+          m_random,
+          clock.now())
+    , m_reader(relayHeaderLength)
+    , m_sendBuffer(relayHeaderLength + maxDatagramLength)
+    , m_timer(context)
+    , m_loadTimer(context)
+{
+}
+
+void AgentPath::apply(ConfigSnapshotPointer config)
+{
+    const auto before = m_config->flowKeys.active();
+    m_config = std::move(config);
+    if (const ServiceSnapshot *service = m_config->findService(m_options.service)) {
+        m_revision = std::max(m_revision, service->revision);
+        m_ingress.setRevision(m_revision);
+    }
+    m_peerLoads.setPeers(m_clock.now(), peersOf(*m_config, m_options.serviceName, m_address));
+    const auto active = m_config->flowKeys.active();
+    if (active && before != active) {
+        m_quic.rotateIdentifiers(m_clock.now(), *active);
+        m_broker.renewResumeIdentifiers();
+        processEvents();
+    }
+}
+
+void AgentPath::handleBackendEvent(const BackendEvent &event)
+{
+    m_broker.handleBackendEvent(m_clock.now(), event);
+    processEvents();
+}
+
+void AgentPath::beginDrain()
+{
+    m_draining = true;
+    m_ingress.setDraining(true);
+    m_quic.refuseNewFlows();
+    m_broker.beginDrain(m_clock.now());
+    processEvents();
+}
+
+void AgentPath::closeFlows()
+{
+    const std::vector<FlowHandle> flows(m_openFlows.begin(), m_openFlows.end());
+    for (const FlowHandle flow : flows) {
+        m_quic.close(m_clock.now(), flow, drainedCode, "server has drained");
+    }
+    processEvents();
+}
+
+bool AgentPath::isIdle() const
+{
+    return m_broker.isIdle() && std::all_of(m_openFlows.begin(), m_openFlows.end(), [this](FlowHandle flow) {
+               return m_quic.unacknowledgedBytes(flow) == 0;
+           });
+}
+
+HostAddress AgentPath::address() const
+{
+    return m_address;
+}
+
+std::size_t AgentPath::flowCount() const
+{
+    return m_quic.flowCount();
+}
+
+LoadReport AgentPath::load() const
+{
+    return m_broker.load();
+}
+
+std::vector<std::uint32_t> AgentPath::flowKeysInUse() const
+{
+    const auto flowsByKey = m_quic.flowsUsingKey();
+    std::vector<std::uint32_t> numbers;
+    for (std::uint32_t number = 0; number < flowsByKey.size(); ++number) {
+        if (flowsByKey[number] > 0) {
+            numbers.push_back(number);
+        }
+    }
+    return numbers;
+}
+
+const AgentPathCounters &AgentPath::counters() const
+{
+    return m_counters;
+}
+
+const RequestBrokerStatistics &AgentPath::requestStatistics() const
+{
+    return m_broker.statistics();
+}
+
+std::size_t AgentPath::write(FlowHandle flow, StreamNumber stream, std::span<const std::uint8_t> bytes, bool end)
+{
+    return m_quic.write(flow, stream, bytes, end);
+}
+
+std::optional<StreamNumber> AgentPath::openUnidirectional(FlowHandle flow)
+{
+    return m_quic.openUnidirectional(flow);
+}
+
+void AgentPath::consume(FlowHandle flow, StreamNumber stream, std::size_t bytes)
+{
+    m_quic.consume(flow, stream, bytes);
+}
+
+void AgentPath::resetStream(FlowHandle flow, StreamNumber stream, std::uint64_t code)
+{
+    m_quic.resetStream(flow, stream, code);
+}
+
+void AgentPath::stopSending(FlowHandle flow, StreamNumber stream, std::uint64_t code)
+{
+    m_quic.stopSending(flow, stream, code);
+}
+
+void AgentPath::sendDatagram(FlowHandle flow, const HostAddress &caller, std::span<const std::uint8_t> datagram)
+{
+    auto path = m_returnPaths.choose(flow.value, m_random);
+    if (!path) {
+        path = m_currentPath;
+    }
+    if (!path) {
+        count(m_counters.noReturnPath);
+        return;
+    }
+    RelayHeader header;
+    header.kind = RelayKind::Reply;
+    header.service = m_options.service;
+    header.incarnation = m_options.incarnation;
+    header.revision = m_revision;
+    header.caller = caller;
+    header.balancer = path->balancer;
+    header.entry = path->entry;
+    header.load = ownLoad();
+    count(m_counters.replies);
+    relay(path->balancer, header, datagram);
+}
+
+FlowIdBytes AgentPath::nextFlowId()
+{
+    const FlowTarget target{m_options.service, m_address, m_options.incarnation};
+    // A counter never repeats within 16 million identifiers; random nonces of 24 bits would collide.
+    return encodeFlowId(m_config->flowKeys, m_config->flowKeys.active().value(), target, m_nextNonce++);
+}
+
+void AgentPath::waitForDatagrams()
+{
+    m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        for (int batch = 0; batch < maxBatchesPerTurn; ++batch) {
+            const std::size_t count = m_reader.read(m_socket.native_handle());
+            for (std::size_t index = 0; index < count; ++index) {
+                receive(m_reader.source(index), m_reader.datagram(index));
+            }
+            if (count < datagramBatchSize) {
+                break;
+            }
+        }
+        processEvents();
+        waitForDatagrams();
+    });
+}
+
+void AgentPath::receive(const HostAddress &sender, std::span<const std::uint8_t> datagram)
+{
+    RelayError error{};
+    const auto relayed = decodeRelay(m_config->flowKeys, datagram, error);
+    if (!relayed) {
+        count(m_counters.badRelays[static_cast<std::size_t>(error)]);
+        return;
+    }
+    const RelayHeader &header = relayed->header;
+    const TimePoint now = m_clock.now();
+    const bool carriesPeerLoad = header.service == m_options.service && (header.kind == RelayKind::Load || header.kind == RelayKind::Handover);
+    if (carriesPeerLoad) {
+        m_peerLoads.reported(now, sender, header.load);
+    }
+    if (header.kind == RelayKind::Load) {
+        return;
+    }
+
+    struct Visitor {
+        AgentPath &path;
+        const DecodedRelay &relayed;
+
+        void operator()(const Accept &) const
+        {
+            count(path.m_counters.accepted);
+            path.passToQuic(relayed.header, relayed.payload);
+        }
+        void operator()(const HandOver &handOver) const
+        {
+            count(path.m_counters.handedOver);
+            path.relay(handOver.agent, handOver.header, relayed.payload);
+        }
+        void operator()(const RefuseStale &refusal) const
+        {
+            count(path.m_counters.refusedStale);
+            path.relay(refusal.balancer, refusal.header, {});
+        }
+        void operator()(const IngressDrop &drop) const
+        {
+            count(path.m_counters.dropped[static_cast<std::size_t>(drop.cause)]);
+        }
+    };
+    std::visit(Visitor{*this, *relayed}, m_ingress.receive(now, header, relayed->payload, ownLoad()));
+}
+
+void AgentPath::passToQuic(const RelayHeader &header, std::span<const std::uint8_t> payload)
+{
+    const TimePoint now = m_clock.now();
+    const ReturnPath path{header.balancer, header.entry};
+    m_currentPath = path;
+    if (const auto flow = m_quic.receive(now, header.caller, payload)) {
+        m_returnPaths.heard(now, flow->value, path);
+    }
+    m_currentPath.reset();
+}
+
+void AgentPath::relay(const HostAddress &destination, const RelayHeader &header, std::span<const std::uint8_t> payload)
+{
+    std::copy(payload.begin(), payload.end(), m_sendBuffer.begin() + relayHeaderLength);
+    encodeRelayHeader(m_config->flowKeys, header, payload, m_sendBuffer);
+    asio::error_code error;
+    const auto bytes = asio::buffer(m_sendBuffer.data(), relayHeaderLength + payload.size());
+    m_socket.send_to(bytes, {asio::ip::address_v4(destination.ip), destination.port}, 0, error);
+    if (error) {
+        count(m_counters.notSent);
+    }
+}
+
+void AgentPath::processEvents()
+{
+    const TimePoint now = m_clock.now();
+    QuicEvents events = m_quic.takeEvents();
+    while (!events.empty()) {
+        for (const QuicEvent &event : events) {
+            if (const FlowEstablished *established = std::get_if<FlowEstablished>(&event)) {
+                m_openFlows.insert(established->flow);
+            }
+            m_broker.handleFlowEvent(now, event);
+            if (const FlowEnded *ended = std::get_if<FlowEnded>(&event)) {
+                m_openFlows.erase(ended->flow);
+                m_endedFlows.push_back(ended->flow);
+            }
+        }
+        events = m_quic.takeEvents();
+    }
+    m_quic.flush(now);
+    // The last datagrams of an ended flow are sent by the flush.
+    for (const FlowHandle flow : m_endedFlows) {
+        m_returnPaths.forget(flow.value);
+    }
+    m_endedFlows.clear();
+    scheduleTimeout();
+}
+
+void AgentPath::scheduleTimeout()
+{
+    const TimePoint now = m_clock.now();
+    TimePoint next = now + tickInterval;
+    for (const auto &due : {m_quic.nextTimeout(), m_broker.nextTimeout()}) {
+        next = due ? std::min(next, *due) : next;
+    }
+    m_timer.expires_at(std::max(next, now));
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_quic.handleTimeout(m_clock.now());
+        m_broker.tick(m_clock.now());
+        processEvents();
+    });
+}
+
+void AgentPath::scheduleLoadReport()
+{
+    m_loadTimer.expires_after(m_options.loadInterval);
+    m_loadTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        sendLoadReports();
+        scheduleLoadReport();
+    });
+}
+
+void AgentPath::sendLoadReports()
+{
+    RelayHeader header;
+    header.kind = RelayKind::Load;
+    header.service = m_options.service;
+    header.incarnation = m_options.incarnation;
+    header.load = ownLoad();
+    std::vector<PeerServer> chosen;
+    const auto &peers = m_peerLoads.peers();
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), m_options.maxLoadPeers, m_random);
+    for (const PeerServer &peer : chosen) {
+        relay(peer.address, header, {});
+    }
+}
+
+ServerLoad AgentPath::ownLoad() const
+{
+    const LoadReport load = m_broker.load();
+    return {limited(load.running), limited(load.queued), limited(load.flows)};
+}
+
+void AgentPath::count(std::atomic<std::uint64_t> &counter)
+{
+    counter.fetch_add(1, std::memory_order_relaxed);
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -0,0 +1,411 @@
+#include <jujubequay/datapath/balancer_path.h>
+#include <jujubequay/quic/quic_client.h>
+#include <jujubequay/service/agent_path.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <request.pb.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace Jujubequay;
+namespace pb = jujubequay::pb;
+
+namespace {
+
+constexpr ServiceId service{1};
+constexpr std::uint32_t loopback = 0x7F000001;
+const std::string serviceName = "inspect-desk";
+
+FlowSecret secretOf(std::uint8_t seed)
+{
+    FlowSecret secret;
+    secret.fill(seed);
+    return secret;
+}
+
+FlowKeySet keysUpTo(std::uint8_t newest)
+{
+    FlowKeySet keys;
+    for (std::uint8_t number = 0; number <= newest; ++number) {
+        keys.set(number, secretOf(static_cast<std::uint8_t>(number + 1)));
+    }
+    keys.activate(newest);
+    return keys;
+}
+
+ConfigSnapshotPointer configWith(const FlowKeySet &keys, std::uint64_t revision)
+{
+    auto config = std::make_shared<ConfigSnapshot>();
+    config->revision = revision;
+    config->flowKeys = keys;
+    ServiceSnapshot snapshot;
+    snapshot.id = service;
+    snapshot.name = serviceName;
+    snapshot.revision = revision;
+    config->services.push_back(snapshot);
+    return config;
+}
+
+/// Answers each request with its own body.
+class EchoBackend final : public BackendPort
+{
+public:
+    void start(BackendRequest request) override
+    {
+        ++executions;
+        pending.push_back(std::move(request));
+    }
+    void cancel(std::uint64_t) override { }
+    void consume(std::uint64_t, std::size_t) override { }
+    void answerAll(AgentPath &path)
+    {
+        while (!pending.empty()) {
+            const BackendRequest request = std::move(pending.front());
+            pending.pop_front();
+            path.handleBackendEvent(BackendResponding{request.call, 200});
+            path.handleBackendEvent(BackendData{request.call, request.body, 0});
+            path.handleBackendEvent(BackendEnded{request.call});
+        }
+    }
+
+    int executions = 0;
+    std::deque<BackendRequest> pending;
+};
+
+/// One caller flow over the first live of the given entry points in turn.
+class TestCaller final : public QuicClientSink
+{
+public:
+    TestCaller(const TestCaller &) = delete;
+    TestCaller &operator=(const TestCaller &) = delete;
+    TestCaller(asio::io_context &context,
+               std::shared_ptr<const TlsCredentials> credentials,
+               std::span<const std::uint8_t> destination,
+               std::vector<HostAddress> entryPoints)
+        : entries(std::move(entryPoints))
+        , m_socket(std::move(*bindUdpSocket(context, {loopback, 0})))
+        , m_random(7)
+        , m_client({.serviceName = serviceName}, std::move(credentials), destination, *this, m_random, SteadyClock().now())
+    {
+    }
+
+    void sendDatagram(std::span<const std::uint8_t> datagram) override
+    {
+        const HostAddress &entry = entries[m_next++ % entries.size()];
+        asio::error_code ignored;
+        m_socket.send_to(asio::buffer(datagram.data(), datagram.size()), {asio::ip::address_v4(entry.ip), entry.port}, 0, ignored);
+    }
+
+    void step()
+    {
+        const TimePoint now = SteadyClock().now();
+        const std::size_t count = m_reader.read(m_socket.native_handle());
+        for (std::size_t index = 0; index < count; ++index) {
+            m_client.receive(now, m_reader.datagram(index));
+        }
+        if (const auto due = m_client.nextTimeout(); due && *due <= now) {
+            m_client.handleTimeout(now);
+        }
+        for (const QuicEvent &event : m_client.takeEvents()) {
+            if (const StreamReceived *received = std::get_if<StreamReceived>(&event)) {
+                m_client.consume(received->stream, received->data.size());
+                readers[received->stream].add(received->data);
+            }
+            if (std::holds_alternative<FlowEnded>(event)) {
+                isEnded = true;
+            }
+        }
+        m_client.flush(now);
+    }
+
+    StreamNumber request(std::uint64_t sequence, const std::string &body, std::uint32_t incarnation)
+    {
+        const StreamNumber stream = m_client.openBidirectional().value();
+        pb::CallerMessage header;
+        header.mutable_header()->set_caller(std::string(16, 'c'));
+        header.mutable_header()->set_sequence(sequence);
+        header.mutable_header()->set_customer("mill");
+        header.mutable_header()->set_path("/findings");
+        header.mutable_header()->set_incarnation(incarnation);
+        header.mutable_header()->set_window(1);
+        pb::CallerMessage content;
+        content.mutable_body()->set_data(body);
+        pb::CallerMessage end;
+        end.set_end(true);
+        for (const pb::CallerMessage &message : {header, content, end}) {
+            m_client.write(stream, encodeFrame(message), message.has_end());
+        }
+        return stream;
+    }
+
+    std::vector<pb::AgentMessage> messages(StreamNumber stream)
+    {
+        std::vector<pb::AgentMessage> result;
+        while (const auto frame = readers[stream].next()) {
+            pb::AgentMessage message;
+            CPPUNIT_ASSERT(message.ParseFromArray(frame->data(), static_cast<int>(frame->size())));
+            result.push_back(message);
+        }
+        return result;
+    }
+
+    bool isEstablished() const
+    {
+        return m_client.isEstablished();
+    }
+
+    std::vector<HostAddress> entries;
+    std::map<StreamNumber, FrameReader> readers;
+    bool isEnded = false;
+
+private:
+    asio::ip::udp::socket m_socket;
+    std::mt19937_64 m_random;
+    QuicClient m_client;
+    DatagramReader m_reader{0};
+    std::size_t m_next = 0;
+};
+
+struct TestBalancer {
+    std::unique_ptr<BalancerPath> path;
+    HostAddress entry;
+    std::uint64_t staleRevision = 0;
+};
+
+}
+
+/// A caller, two balancers and an agent over loopback sockets in one thread.
+class AgentPathTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AgentPathTest);
+    CPPUNIT_TEST(flowSurvivesItsBalancers);
+    CPPUNIT_TEST(flowSurvivesKeyRotation);
+    CPPUNIT_TEST(staleBalancerIsRefusedAndRecovers);
+    CPPUNIT_TEST(resumeIdentifierReachesTheSameAgent);
+    CPPUNIT_TEST(drainAnswersThenCloses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_context = std::make_unique<asio::io_context>();
+        m_backend = std::make_unique<EchoBackend>();
+        const auto certificate = makeSelfSignedCertificate(serviceName);
+        CPPUNIT_ASSERT(certificate);
+        m_callerCredentials = *TlsCredentials::client(certificate->certificatePem);
+        AgentPathOptions options;
+        options.service = service;
+        options.serviceName = serviceName;
+        options.relayAddress = {loopback, 0};
+        options.incarnation = incarnation;
+        auto agent = AgentPath::create(
+            *m_context,
+            m_clock,
+            options,
+            *TlsCredentials::server(certificate->certificatePem, certificate->keyPem),
+            configWith(keysUpTo(0), 5),
+            *m_backend,
+            [](const RequestReport &) {},
+            11);
+        CPPUNIT_ASSERT(agent);
+        m_agent = std::move(*agent);
+        m_balancers.clear();
+        for (int number = 0; number < 2; ++number) {
+            addBalancer(5);
+        }
+    }
+
+    void tearDown() override
+    {
+        m_balancers.clear();
+        m_agent.reset();
+        m_context.reset();
+    }
+
+    // Guards against flows that depend on the balancer that opened them.
+    void flowSurvivesItsBalancers()
+    {
+        TestCaller caller = makeCaller({m_balancers[0]->entry});
+        expectEcho(caller, 1, "reading 1");
+        m_balancers[0]->path.reset();
+        caller.entries = {m_balancers[1]->entry};
+        expectEcho(caller, 2, "reading 2");
+        addBalancer(0);
+        m_balancers[1]->path.reset();
+        caller.entries = {m_balancers[2]->entry};
+        expectEcho(caller, 3, "reading 3");
+        CPPUNIT_ASSERT(!caller.isEnded);
+    }
+
+    // Guards against a key rotation that breaks live flows, and against an old key that stays in use for ever.
+    void flowSurvivesKeyRotation()
+    {
+        TestCaller caller = makeCaller({m_balancers[0]->entry, m_balancers[1]->entry});
+        expectEcho(caller, 1, "before");
+        m_agent->apply(configWith(keysUpTo(1), 5));
+        for (const auto &balancer : m_balancers) {
+            balancer->path->apply({tableWith(keysUpTo(1), 5), {{service, balancer->entry}}});
+        }
+        expectEcho(caller, 2, "after");
+        runUntil(caller, [this] {
+            return m_agent->flowKeysInUse() == std::vector<std::uint32_t>{1};
+        });
+        expectEcho(caller, 3, "old key unused");
+        CPPUNIT_ASSERT(!caller.isEnded);
+    }
+
+    // Guards against openings that are placed under a replaced bundle.
+    void staleBalancerIsRefusedAndRecovers()
+    {
+        m_agent->apply(configWith(keysUpTo(0), 6));
+        TestCaller caller = makeCaller({m_balancers[0]->entry});
+        runUntil(caller, [this] {
+            return m_balancers[0]->staleRevision == 6;
+        });
+        CPPUNIT_ASSERT(!caller.isEstablished());
+        m_balancers[0]->path->apply({tableWith(keysUpTo(0), 6), {{service, m_balancers[0]->entry}}});
+        expectEcho(caller, 1, "after the update");
+    }
+
+    // Guards against a caller that cannot ask the agent that may have run its request.
+    void resumeIdentifierReachesTheSameAgent()
+    {
+        std::string resumeId;
+        {
+            TestCaller first = makeCaller({m_balancers[0]->entry});
+            expectEcho(first, 1, "amendment");
+            const auto greetings = first.messages(3);
+            CPPUNIT_ASSERT(!greetings.empty());
+            resumeId = greetings.back().greeting().resume_id();
+        }
+        const std::vector<std::uint8_t> destination(resumeId.begin(), resumeId.end());
+        TestCaller second = makeCaller({m_balancers[1]->entry}, destination);
+        expectEcho(second, 1, "amendment");
+        CPPUNIT_ASSERT_EQUAL(1, m_backend->executions);
+    }
+
+    // Guards against a shutdown that cuts an answer in progress or takes new work.
+    void drainAnswersThenCloses()
+    {
+        TestCaller caller = makeCaller({m_balancers[0]->entry});
+        runUntil(caller, [&caller] {
+            return caller.isEstablished();
+        });
+        const StreamNumber running = caller.request(1, "bid", incarnation.value);
+        runUntil(
+            caller,
+            [this] {
+                return !m_backend->pending.empty();
+            },
+            false);
+        m_agent->beginDrain();
+        const StreamNumber late = caller.request(2, "late bid", incarnation.value);
+        runUntil(
+            caller,
+            [&] {
+                return resultOn(caller, late) == ResultCode::NotRunMoved;
+            },
+            false);
+        CPPUNIT_ASSERT(!m_agent->isIdle());
+        runUntil(caller, [&] {
+            return resultOn(caller, running) == ResultCode::Ok && m_agent->isIdle();
+        });
+        m_agent->closeFlows();
+        runUntil(caller, [&caller] {
+            return caller.isEnded;
+        });
+        CPPUNIT_ASSERT_EQUAL(1, m_backend->executions);
+    }
+
+private:
+    static constexpr Incarnation incarnation{77};
+
+    std::shared_ptr<ForwardingTable> tableWith(const FlowKeySet &keys, std::uint64_t revision) const
+    {
+        auto table = std::make_shared<ForwardingTable>();
+        table->keys = keys;
+        if (revision > 0) {
+            PlacementServer server;
+            server.address = m_agent->address();
+            server.incarnation = incarnation;
+            table->services.emplace(service, ServicePlacement{revision, PlacementTable({server})});
+        }
+        return table;
+    }
+
+    /// A revision of 0 makes a balancer that has just started and knows no service.
+    void addBalancer(std::uint64_t revision)
+    {
+        auto balancer = std::make_unique<TestBalancer>();
+        TestBalancer *raw = balancer.get();
+        auto path = BalancerPath::create(*m_context, {loopback, 0}, [raw](ServiceId, std::uint64_t staleRevision) {
+            raw->staleRevision = staleRevision;
+        });
+        CPPUNIT_ASSERT(path);
+        balancer->path = std::move(*path);
+        auto probe = bindUdpSocket(*m_context, {loopback, 0});
+        CPPUNIT_ASSERT(probe);
+        balancer->entry = localAddress(*probe);
+        probe->close();
+        CPPUNIT_ASSERT(balancer->path->apply({tableWith(keysUpTo(0), revision), {{service, balancer->entry}}}).empty());
+        m_balancers.push_back(std::move(balancer));
+    }
+
+    TestCaller makeCaller(std::vector<HostAddress> entries, std::span<const std::uint8_t> destination = {})
+    {
+        return TestCaller(*m_context, m_callerCredentials, destination, std::move(entries));
+    }
+
+    template<class Condition>
+    void runUntil(TestCaller &caller, Condition condition, bool answers = true)
+    {
+        while (!condition()) {
+            caller.step();
+            m_context->run_one_for(std::chrono::milliseconds(1));
+            if (answers) {
+                m_backend->answerAll(*m_agent);
+            }
+        }
+    }
+
+    ResultCode resultOn(TestCaller &caller, StreamNumber stream)
+    {
+        for (const pb::AgentMessage &message : caller.messages(stream)) {
+            if (message.has_trailer()) {
+                m_results[stream] = static_cast<ResultCode>(message.trailer().result());
+            }
+        }
+        const auto found = m_results.find(stream);
+        return found == m_results.end() ? ResultCode::Timeout : found->second;
+    }
+
+    void expectEcho(TestCaller &caller, std::uint64_t sequence, const std::string &body)
+    {
+        runUntil(caller, [&caller] {
+            return caller.isEstablished();
+        });
+        const StreamNumber stream = caller.request(sequence, body, incarnation.value);
+        std::string received;
+        bool isComplete = false;
+        runUntil(caller, [&] {
+            for (const pb::AgentMessage &message : caller.messages(stream)) {
+                received += message.body().data();
+                isComplete = isComplete || message.has_trailer();
+            }
+            return isComplete;
+        });
+        CPPUNIT_ASSERT_EQUAL(body, received);
+    }
+
+    SteadyClock m_clock;
+    std::unique_ptr<asio::io_context> m_context;
+    std::unique_ptr<EchoBackend> m_backend;
+    std::unique_ptr<AgentPath> m_agent;
+    std::vector<std::unique_ptr<TestBalancer>> m_balancers;
+    std::shared_ptr<const TlsCredentials> m_callerCredentials;
+    std::map<StreamNumber, ResultCode> m_results;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentPathTest);
--- /dev/null
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -0,0 +1,174 @@
+#include <jujubequay/service/config_watcher.h>
+
+namespace Jujubequay {
+
+namespace {
+
+namespace pb = jujubequay::pb;
+
+constexpr auto tickInterval = std::chrono::milliseconds(100);
+
+}
+
+ConfigWatcher::ConfigWatcher(asio::io_context &context,
+                             const Clock &clock,
+                             Logger &logger,
+                             MessageClient &client,
+                             WatchSubscriberOptions options,
+                             std::vector<HostAddress> peers,
+                             std::mt19937_64 &random,
+                             ConfigSnapshotHandler onConfig)
+    : m_context(context)
+    , m_clock(clock)
+    , m_logger(logger)
+    , m_client(client)
+    , m_peers(std::move(peers))
+    , m_onConfig(std::move(onConfig))
+    , m_subscriber(std::move(options), random)
+    , m_timer(context)
+{
+}
+
+void ConfigWatcher::start()
+{
+    apply(m_subscriber.tick(m_clock.now()));
+    scheduleTick();
+}
+
+void ConfigWatcher::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+    if (m_stream) {
+        m_stream->close();
+    }
+    m_peerStreams.clear();
+}
+
+void ConfigWatcher::refresh(std::uint64_t revision)
+{
+    if (revision > m_subscriber.snapshot()->revision && !m_peers.empty()) {
+        pb::PeerStateRequest request;
+        request.set_revision(m_subscriber.snapshot()->revision);
+        askPeers(request);
+    }
+}
+
+void ConfigWatcher::setFlowKeysInUse(std::vector<std::uint32_t> numbers)
+{
+    apply(m_subscriber.setFlowKeysInUse(std::move(numbers)));
+}
+
+MessageStreamHandlers ConfigWatcher::acceptPeer(const std::shared_ptr<MessageStream> &stream)
+{
+    const auto handleMessage = [weak = weak_from_this(), weakStream = std::weak_ptr(stream)](const Bytes &) {
+        const auto self = weak.lock();
+        const auto open = weakStream.lock();
+        if (self && open) {
+            open->send(self->m_subscriber.peerState());
+            open->close();
+        }
+    };
+    return {handleMessage, [](ResultCode) {}};
+}
+
+const WatchSubscriber &ConfigWatcher::subscriber() const
+{
+    return m_subscriber;
+}
+
+void ConfigWatcher::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (error || self->m_isStopped) {
+            return;
+        }
+        self->apply(self->m_subscriber.tick(self->m_clock.now()));
+        self->scheduleTick();
+    });
+}
+
+void ConfigWatcher::apply(WatchSubscriberEffects effects)
+{
+    struct Visitor {
+        ConfigWatcher &watcher;
+
+        void operator()(const OpenWatchStream &effect) const
+        {
+            watcher.open(effect);
+        }
+        void operator()(const SendToControl &effect) const
+        {
+            if (watcher.m_stream) {
+                watcher.m_stream->send(effect.message);
+            }
+        }
+        void operator()(const CloseWatchStream &) const
+        {
+            if (watcher.m_stream) {
+                std::exchange(watcher.m_stream, nullptr)->close();
+            }
+        }
+        void operator()(const AskPeers &effect) const
+        {
+            watcher.askPeers(effect.request);
+        }
+        void operator()(const PublishConfig &effect) const
+        {
+            const ConfigSnapshot &snapshot = *effect.snapshot;
+            watcher.m_logger.info("config-in-force",
+                                  {{"revision", snapshot.revision}, {"services", snapshot.services.size()}, {"servers", snapshot.servers.size()}});
+            watcher.m_onConfig(effect.snapshot);
+        }
+    };
+    for (const WatchSubscriberEffect &effect : effects) {
+        std::visit(Visitor{*this}, effect);
+    }
+}
+
+void ConfigWatcher::open(const OpenWatchStream &effect)
+{
+    MessageStreamHandlers handlers;
+    handlers.message = [weak = weak_from_this(), number = effect.stream](const Bytes &bytes) {
+        const auto self = weak.lock();
+        pb::WatchDown message;
+        if (self && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            self->apply(self->m_subscriber.receive(self->m_clock.now(), number, message));
+        }
+    };
+    handlers.closed = [weak = weak_from_this(), number = effect.stream](ResultCode cause) {
+        const auto self = weak.lock();
+        if (!self || self->m_isStopped) {
+            return;
+        }
+        self->m_logger.warning("watch-stream-ended", {{"cause", resultName(cause)}});
+        if (self->m_streamNumber == number) {
+            self->m_stream.reset();
+        }
+        self->apply(self->m_subscriber.closed(self->m_clock.now(), number));
+    };
+    m_streamNumber = effect.stream;
+    m_stream = m_client.open(effect.address, "/watch", std::move(handlers));
+}
+
+void ConfigWatcher::askPeers(const pb::PeerStateRequest &request)
+{
+    m_peerStreams.clear();
+    for (const HostAddress &peer : m_peers) {
+        MessageStreamHandlers handlers;
+        handlers.message = [weak = weak_from_this()](const Bytes &bytes) {
+            const auto self = weak.lock();
+            pb::PeerState state;
+            if (self && state.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+                self->apply(self->m_subscriber.takePeerState(state));
+            }
+        };
+        handlers.closed = [](ResultCode) {};
+        const auto stream = m_client.open(peer, "/peer", std::move(handlers));
+        stream->send(request);
+        m_peerStreams.push_back(stream);
+    }
+}
+
+}
