Refuse removals that leave too few working voters; find damage behind zero bytes

A removal is now refused unless a majority of the remaining voters has caught up, and one more when the removed voter works.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -53,5 +53,7 @@
         random_run.cpp
         run_label.cpp
     TESTS
+        disk_faults_test.cpp
+        fault_matrix_test.cpp
         random_run_test.cpp
     DEPENDS jujubequay_consensus)
--- a/include/jujubequay/consensus/effects.h
+++ b/include/jujubequay/consensus/effects.h
@@ -67,7 +67,7 @@
     std::uint64_t index = 0;
 };
 
-/// NotLeader, MembershipBusy, NotRunOverloaded, MessageTooLarge and BadRequest: the entry was not written. OutcomeUnknown:
+/// NotLeader, MembershipBusy, NoQuorum, NotRunOverloaded, MessageTooLarge and BadRequest: the entry was not written. OutcomeUnknown:
 /// leadership was lost; the entry may still commit.
 struct ProposalFailed {
     ProposalId id;
--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -64,7 +64,8 @@
     Effects tick(TimePoint now);
     Effects propose(TimePoint now, ProposalId id, const Bytes &command);
     /// One change at a time; refused with MembershipBusy while another one has not committed, or while a learner to be
-    /// promoted lags.
+    /// promoted lags. A removal is refused with NoQuorum if it leaves too few voters that have caught up; a working voter
+    /// of three can therefore be removed only after its replacement has been promoted.
     Effects changeMembership(TimePoint now, ProposalId id, const MembershipChange &change);
     /// On a follower the read is forwarded to the leader.
     Effects confirmRead(TimePoint now, ReadId id);
@@ -140,6 +141,7 @@
     };
 
     // replica.cpp: effects, terms, storage
+    Result<void> checkRemoval(const MembershipChange &change, const jujubequay::pb::Membership &after) const;
     Effects finish();
     void flushPersist();
     void emit(Effect effect);
@@ -183,6 +185,7 @@
     void checkAppliedDigest(const jujubequay::pb::AppendRequest &request);
     void advanceCommit();
     void updateRedundancy();
+    std::size_t caughtUpVoters(const jujubequay::pb::Membership &membership) const;
 
     // snapshot_transfer.cpp
     void sendSnapshotChunk(const std::string &id, Progress &progress);
--- a/src/jujubequay/consensus/log_record.cpp
+++ b/src/jujubequay/consensus/log_record.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t checkedHeaderBytes = 4 + 1 + 8;
 constexpr std::size_t headerBytes = checkedHeaderBytes + 8;
+constexpr std::uint8_t endMark = 0xe5; // not zero, so that a written record never ends like an unwritten sector
 constexpr std::size_t sectorBytes = 512; // the smallest unit that a disk writes
 
 /// The offset is the seed, so that a record found at another place does not pass.
@@ -24,18 +25,15 @@
     return XXH3_64bits_withSeed(header, checkedHeaderBytes, offset);
 }
 
-bool isZero(std::span<const std::uint8_t> bytes)
+/// True if the file was extended, but the sectors from one that begins before `end` were never written.
+bool isUnwrittenFrom(std::span<const std::uint8_t> content, std::size_t end)
 {
-    return std::all_of(bytes.begin(), bytes.end(), [](std::uint8_t byte) {
-        return byte == 0;
+    const auto lastWritten = std::find_if(content.rbegin(), content.rend(), [](std::uint8_t byte) {
+        return byte != 0;
     });
-}
-
-/// True if the last sectors of the file were allocated but never written.
-bool endsUnwritten(std::span<const std::uint8_t> content, std::size_t recordStart)
-{
-    const std::size_t lastSector = (content.size() - 1) / sectorBytes * sectorBytes;
-    return lastSector >= recordStart && isZero(content.subspan(lastSector));
+    const auto written = static_cast<std::size_t>(content.rend() - lastWritten);
+    const std::size_t firstUnwritten = (written + sectorBytes - 1) / sectorBytes * sectorBytes;
+    return firstUnwritten < end && firstUnwritten < content.size();
 }
 
 }
@@ -50,6 +48,7 @@
     putInteger(at, headerChecksum(header.data(), offset));
     out.insert(out.end(), header.begin(), header.end());
     out.insert(out.end(), payload.begin(), payload.end());
+    out.push_back(endMark);
 }
 
 Result<RecordScan> scanRecords(std::span<const std::uint8_t> content, const std::string &name)
@@ -66,23 +65,24 @@
         const auto type = takeInteger<std::uint8_t>(at);
         const auto payloadChecksum = takeInteger<std::uint64_t>(at);
         if (takeInteger<std::uint64_t>(at) != headerChecksum(header, start)) {
-            if (endsUnwritten(content, start) || isZero(content.subspan(start))) {
+            if (isUnwrittenFrom(content, start + headerBytes)) {
                 return scan;
             }
             return fail(ResultCode::DiskDamaged, fmt::format("{}: bad record header at byte {}", name, start));
         }
-        if (content.size() - start - headerBytes < length) {
+        const std::size_t end = start + headerBytes + length + 1;
+        if (content.size() < end) {
             return scan;
         }
         const auto payload = content.subspan(start + headerBytes, length);
-        if (XXH3_64bits(payload.data(), payload.size()) != payloadChecksum) {
-            if (start + headerBytes + length == content.size() && endsUnwritten(content, start)) {
+        if (XXH3_64bits(payload.data(), payload.size()) != payloadChecksum || content[end - 1] != endMark) {
+            if (isUnwrittenFrom(content, end)) {
                 return scan;
             }
             return fail(ResultCode::DiskDamaged, fmt::format("{}: bad record at byte {}", name, start));
         }
         scan.records.push_back({static_cast<RecordType>(type), payload});
-        scan.validBytes = start + headerBytes + length;
+        scan.validBytes = end;
     }
     return scan;
 }
--- a/src/jujubequay/consensus/log_record.h
+++ b/src/jujubequay/consensus/log_record.h
@@ -29,7 +29,7 @@
 };
 
 /// Appends a record to `out`, which will be written at `offset` of a file: a header of 4 bytes length, 1 byte type, 8
-/// bytes xxHash of the payload and 8 bytes xxHash of the header and its offset, then the payload.
+/// bytes xxHash of the payload and 8 bytes xxHash of the header and its offset, then the payload and an end mark.
 void putRecord(Bytes &out, std::size_t offset, RecordType type, const google::protobuf::MessageLite &message);
 
 /// Checks all records. A torn tail ends the scan: the file ends within a record, or everything from a 512-byte boundary
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -4,6 +4,8 @@
 #include <jujubequay/core/invariant.h>
 #include <jujubequay/core/name_table.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <iterator>
 
@@ -122,6 +124,7 @@
         handleFailure(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(membership, Consensus::changeMembership(m_membership, change));
+                BOOST_LEAF_CHECK(checkRemoval(change, membership));
                 pb::LogEntry entry;
                 *entry.mutable_membership() = std::move(membership);
                 m_proposals[m_log->lastIndex() + 1] = {id, m_hardState.term};
@@ -136,6 +139,21 @@
     return finish();
 }
 
+Result<void> Replica::checkRemoval(const MembershipChange &change, const pb::Membership &after) const
+{
+    const auto *removal = std::get_if<RemoveMember>(&change);
+    if (removal == nullptr || !isVoter(m_membership, removal->id)) {
+        return {};
+    }
+    // A voter that was lost within the last election timeout still counts as caught up. Unless one more than a majority is
+    // left, the removal of a working voter could turn that loss into a permanent standstill.
+    const std::size_t needed = majorityOf(after) + (isCaughtUp(m_now, removal->id) ? 1 : 0);
+    if (caughtUpVoters(after) < needed) {
+        return fail(ResultCode::NoQuorum, fmt::format("fewer than {} of the remaining voters have caught up", needed));
+    }
+    return {};
+}
+
 Effects Replica::stored(TimePoint now, std::uint64_t sequence)
 {
     m_now = now;
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -248,11 +248,16 @@
     if (m_role != Role::Leader || m_membershipIndex > m_commit || m_termStartIndex > m_commit) {
         return false;
     }
+    return caughtUpVoters(m_membership) > majorityOf(m_membership);
+}
+
+std::size_t Replica::caughtUpVoters(const pb::Membership &membership) const
+{
     std::size_t caughtUp = 0;
-    for (const pb::Member &member : m_membership.members()) {
+    for (const pb::Member &member : membership.members()) {
         caughtUp += member.voter() && isCaughtUp(m_now, member.id()) ? 1 : 0;
     }
-    return caughtUp > majorityOf(m_membership);
+    return caughtUp;
 }
 
 void Replica::updateRedundancy()
