Test the replica's rules message by message

Change: 13 tests of one replica whose messages and writes the test carries out: votes and acknowledgements wait for the disk, one vote per term after a restart, no commit by count of earlier terms, stepping down, pre-vote, read rounds, empty disks, membership rules.

A host that thawed ran the rest of its waiting actions after one of them had crashed it; the replica itself was not at fault.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -41,6 +41,7 @@
     TESTS
         disk_log_storage_test.cpp
         membership_test.cpp
+        replica_test.cpp
     DEPENDS jujubequay_wire)
 
 # Fakes for tests and soak runs; not part of the installed library.
--- a/src/jujubequay/consensus_testing/fake_cluster.cpp
+++ b/src/jujubequay/consensus_testing/fake_cluster.cpp
@@ -366,7 +366,7 @@
 {
     m_hosts[host]->frozen = false;
     for (auto &action : std::exchange(m_hosts[host]->whenThawed, {})) {
-        action();
+        onHost(host, std::move(action)); // an earlier one may have crashed the host
     }
 }
 
