--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -105,6 +105,7 @@
     TESTS
         disk_log_storage_test.cpp
         membership_test.cpp
+        replica_test.cpp
     DEPENDS jujubequay_wire)
 
 # Fakes for tests and soak runs; not part of the installed library.
@@ -117,6 +118,8 @@
         random_run.cpp
         run_label.cpp
     TESTS
+        disk_faults_test.cpp
+        fault_matrix_test.cpp
         random_run_test.cpp
     DEPENDS jujubequay_consensus)
 
