Add the control-host service

Cause: the state machines of the control module need streams, storage and time. Ruled out: one class for all paths; each path has its own small adapter. Ruled out: a second connection from a new learner to the leader, because it does not know the leader's address; it answers on the stream that the leader opened. Change: ReplicaDriver carries out the effects of the replica, PeerLinks keeps the outgoing streams, ControlHost joins them to the services of /raft, /registry, /watch, /announce and /operator. Learners that caught up are promoted by the leader. An in-memory FakeNetwork carries the tests. Found by a test: a destroyed host was called by its accepted streams; the precondition is now stated and the test ends the streams first.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -47,13 +47,18 @@
     SOURCES
         bundle.cpp
         config_snapshot.cpp
+        control_host.cpp
+        control_services.cpp
         control_state.cpp
         lease_registry.cpp
         operation_log.cpp
+        peer_links.cpp
+        replica_driver.cpp
         report_board.cpp
         watch_server.cpp
         watch_subscriber.cpp
     TESTS
+        control_host_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
         watch_test.cpp
--- /dev/null
+++ b/include/jujubequay/control/replica_driver.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <jujubequay/consensus/replica.h>
+#include <jujubequay/control/control_state.h>
+#include <jujubequay/core/clock.h>
+#include <jujubequay/core/error.h>
+
+#include <control.pb.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace Jujubequay {
+
+/// Carries out the effects of a Replica: writes to storage, applies committed commands to the ControlState and answers
+/// those who proposed them. Used on the control thread only.
+class ReplicaDriver
+{
+public:
+    struct Handlers {
+        std::function<void(const jujubequay::pb::ReplicaMessage &)> send;
+        std::function<void()> membershipChanged;
+        std::function<void(bool toleratesLoss)> redundancyChanged;
+        /// Storage failed or is damaged; the process must stop. The driver does nothing afterwards.
+        std::function<void(const Failure &)> failed;
+    };
+    using AnswerHandler = std::function<void(const jujubequay::pb::CommandAnswer &)>;
+    using ReadHandler = std::function<void(ResultCode)>;
+
+    ReplicaDriver(const Clock &clock,
+                  Consensus::LogStorage &storage,
+                  Consensus::StoredState stored,
+                  const Consensus::ReplicaOptions &options,
+                  std::mt19937_64 &random,
+                  Handlers handlers);
+
+    /// Call once, before anything else.
+    void start();
+    void step(const jujubequay::pb::ReplicaMessage &message);
+    void tick();
+    /// Answers once the command is applied, or with the reason why it was not written. OutcomeUnknown: it may still be.
+    void propose(const jujubequay::pb::LoggedCommand &command, AnswerHandler handler);
+    void changeMembership(const Consensus::MembershipChange &change, AnswerHandler handler);
+    /// Calls the handler with Ok when a majority has confirmed that the applied state is current.
+    void confirm(ReadHandler handler);
+
+    const ControlState &state() const;
+    const Consensus::Replica &replica() const;
+
+private:
+    void run(Consensus::Effects effects);
+    void carryOut(const Consensus::Effect &effect);
+    void write(const Consensus::Effect &effect);
+    void apply(const Consensus::Apply &effect);
+    void restore(const Consensus::RestoreState &effect);
+    void finishProposal(const Consensus::ProposalCommitted &effect);
+    void finishProposal(const Consensus::ProposalFailed &effect);
+    void finishRead(Consensus::ReadId id, ResultCode code);
+    AnswerHandler takeProposal(Consensus::ProposalId id);
+
+    const Clock &m_clock;
+    Consensus::LogStorage &m_storage;
+    Consensus::Replica m_replica;
+    Handlers m_handlers;
+    ControlState m_state;
+    std::deque<Consensus::Effect> m_queue;
+    bool m_isRunning = false;
+    bool m_hasFailed = false;
+    std::uint64_t m_lastId = 0;
+    std::map<Consensus::ProposalId, AnswerHandler> m_proposals;
+    std::map<Consensus::ReadId, ReadHandler> m_reads;
+    std::map<std::uint64_t, jujubequay::pb::CommandAnswer> m_answers; // last applied entries, by index
+};
+
+}
--- /dev/null
+++ b/src/jujubequay/control/control_host_test.cpp
@@ -0,0 +1,432 @@
+#include <jujubequay/control/control_host.h>
+#include <jujubequay/control/watch_subscriber.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "control_test_support.h"
+#include "fake_network.h"
+
+using namespace Jujubequay;
+namespace pb = jujubequay::pb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Keeps what a disk would keep.
+class MemoryStorage final : public Consensus::LogStorage
+{
+public:
+    Result<Consensus::StoredState> load() override
+    {
+        return stored;
+    }
+    Result<void> append(std::span<const pb::LogEntry> entries) override
+    {
+        for (const pb::LogEntry &entry : entries) {
+            stored.entries.resize(entry.index() - stored.base.index - 1);
+            stored.entries.push_back(entry);
+        }
+        return {};
+    }
+    Result<void> saveHardState(const Consensus::HardState &state) override
+    {
+        stored.hardState = state;
+        return {};
+    }
+    Result<void> sync() override
+    {
+        return {};
+    }
+    Result<void> saveSnapshot(const Consensus::Snapshot &snapshot,
+                              const Consensus::HardState &state,
+                              const Consensus::LogBase &base,
+                              std::span<const pb::LogEntry> entries) override
+    {
+        stored.snapshot = snapshot;
+        stored.hardState = state;
+        stored.base = base;
+        stored.entries.assign(entries.begin(), entries.end());
+        return {};
+    }
+
+    Consensus::StoredState stored;
+};
+
+class SilentLogger final : public Logger
+{
+public:
+    using Logger::Logger;
+
+protected:
+    void write(const std::string & /*line*/) override { }
+};
+
+struct Host {
+    std::string name;
+    HostAddress address;
+    std::unique_ptr<MessageClient> client;
+    MemoryStorage storage;
+    std::unique_ptr<ControlHost> control;
+};
+
+/// Sends to the operator path of one host and keeps the answers.
+struct OperatorStream {
+    std::shared_ptr<MessageStream> stream;
+    std::vector<pb::OperatorDown> answers;
+};
+
+}
+
+class ControlHostTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlHostTest);
+    CPPUNIT_TEST(commandsReachWatchersOfEveryHost);
+    CPPUNIT_TEST(resendAfterLostLeaderGetsTheFirstAnswer);
+    CPPUNIT_TEST(restartedHostKeepsTheState);
+    CPPUNIT_TEST(cutOffHostServesNoNewWatcher);
+    CPPUNIT_TEST(agentOnOneHostIsSeenByWatchersOfAnother);
+    CPPUNIT_TEST(rolesUseOnlyTheirPaths);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_network = std::make_unique<FakeNetwork>();
+        m_random.seed(11);
+        m_logger = std::make_unique<SilentLogger>(m_clock, LogOrigin{"test", "test", "test"}, Logger::Options());
+        m_hosts.clear();
+        for (int number = 0; number < 3; ++number) {
+            auto host = std::make_unique<Host>();
+            host->name = std::string("control-") + static_cast<char>('a' + number);
+            host->address = HostAddress{0x7F000001, static_cast<std::uint16_t>(7000 + number)};
+            host->client = m_network->client({host->name, "control"});
+            host->storage.stored.identity = {host->name + "-disk", host->name};
+            m_hosts.push_back(std::move(host));
+        }
+        // The first host founds the cluster; the others join it through the operators' command.
+        auto &founders = m_hosts[0]->storage.stored.snapshot.membership;
+        pb::Member &founder = *founders.add_members();
+        founder.set_id("control-a-disk");
+        founder.set_host("control-a");
+        founder.set_address(toString(m_hosts[0]->address));
+        founder.set_voter(true);
+        founders.set_cluster(77);
+        for (auto &host : m_hosts) {
+            startHost(*host);
+        }
+        run(seconds(3));
+        for (int number = 1; number < 3; ++number) {
+            pb::Command command;
+            command.set_operation_id(fmt::format("join-{}", number));
+            pb::ChangeMembership &change = *command.mutable_membership();
+            change.set_host(m_hosts[number]->name);
+            change.set_address(toString(m_hosts[number]->address));
+            change.set_disk_id(m_hosts[number]->storage.stored.identity.id);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("join", 0U, send(0, command.SerializeAsString()).result());
+            run(seconds(4));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Consensus::voterCount(m_hosts[2]->control->driver().replica().membership()));
+        accepted(m_anna.setSigner("*"));
+    }
+
+    // Guards against an accepted bundle that takes effect only where it was rolled.
+    void commandsReachWatchersOfEveryHost()
+    {
+        rollOut(1);
+        WatchSubscriber subscriber(subscriberOptions(otherThanLeader()), m_random);
+        watch(subscriber, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subscriber.snapshot()->revision);
+        rollOut(2);
+        watch(subscriber, seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, subscriber.snapshot()->revision);
+
+        const auto status = statusOf(leader());
+        CPPUNIT_ASSERT_EQUAL(0U, status.result());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, status.hosts(0).revision());
+        CPPUNIT_ASSERT(std::all_of(status.control_hosts().begin(), status.control_hosts().end(), [](const auto &host) {
+            return host.repair() == "none";
+        }));
+        const auto refused = send(otherThanLeader(), commandOf(m_anna.roll("inspect-desk", 1, true)));
+        CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::NotLeader), resultName(resultOf(refused)));
+        CPPUNIT_ASSERT_EQUAL(toString(m_hosts[leader()]->address), refused.leader_address());
+    }
+
+    // Guards against an operation that runs twice when the leader is lost before it answers.
+    void resendAfterLostLeaderGetsTheFirstAnswer()
+    {
+        const std::string command = commandOf(m_anna.propose(content(1)));
+        const std::size_t lost = leader();
+        const auto stream = openOperator(lost, "anna");
+        sendOn(*stream, command);
+        run(milliseconds(150));
+        stopHost(*m_hosts[lost]);
+        run(seconds(5));
+        const auto first = send(leader(), command);
+        CPPUNIT_ASSERT_EQUAL(0U, first.result());
+        CPPUNIT_ASSERT_EQUAL(first.SerializeAsString(), send(leader(), command).SerializeAsString());
+    }
+
+    void restartedHostKeepsTheState()
+    {
+        rollOut(1);
+        for (auto &host : m_hosts) {
+            stopHost(*host);
+        }
+        for (auto &host : m_hosts) {
+            startHost(*host);
+        }
+        run(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, statusOf(leader()).revision());
+        rollOut(2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, statusOf(otherThanLeader()).revision());
+    }
+
+    // Guards against a partitioned control host that hands out an old state.
+    void cutOffHostServesNoNewWatcher()
+    {
+        rollOut(1);
+        const std::size_t cutOff = otherThanLeader();
+        m_network->partition({m_hosts[cutOff]->name, "balancer-a"});
+        run(seconds(2));
+        rollOut(2);
+        WatchSubscriber subscriber(subscriberOptions(cutOff), m_random);
+        watch(subscriber, seconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subscriber.snapshot()->revision);
+        CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::NoQuorum), resultName(static_cast<ResultCode>(statusOf(cutOff, "balancer-a").result())));
+        m_network->partition({});
+        watch(subscriber, seconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, subscriber.snapshot()->revision);
+    }
+
+    void agentOnOneHostIsSeenByWatchersOfAnother()
+    {
+        rollOut(1);
+        const auto client = m_network->client({"host-1", "agent"});
+        std::vector<std::uint32_t> results;
+        MessageStreamHandlers handlers;
+        handlers.message = [&results](const Bytes &bytes) {
+            pb::AnnounceDown answer;
+            answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+            results.push_back(answer.result());
+        };
+        const auto stream = client->open(m_hosts[0]->address, "/announce", handlers);
+        pb::AnnounceUp message;
+        pb::ServerEntry &server = *message.mutable_server();
+        server.set_name("inspect-desk-1");
+        server.set_service("inspect-desk");
+        server.set_host("host-1/inspect-desk-1");
+        server.set_relay_address("127.0.0.1:4500");
+        server.set_incarnation(1);
+        server.set_state(pb::SERVER_STATE_SERVING);
+        stream->send(message);
+        run(seconds(1));
+        server.set_host("host-2");
+        stream->send(message);
+        server.set_host("host-1");
+        server.set_name("cert-vault-1");
+        stream->send(message);
+        run(seconds(1));
+        const auto notAuthorized = static_cast<std::uint32_t>(ResultCode::NotAuthorized);
+        CPPUNIT_ASSERT((std::vector<std::uint32_t>{0, notAuthorized, notAuthorized}) == results);
+        for (const auto &host : m_hosts) {
+            CPPUNIT_ASSERT(host->control->registry().find("inspect-desk-1") != nullptr);
+        }
+    }
+
+    // Guards against an agent or balancer that acts as an operator or as a control host.
+    void rolesUseOnlyTheirPaths()
+    {
+        for (const auto &[role, path] : std::map<std::string, std::string>{{"agent", "/operator"}, {"balancer", "/raft"}, {"operator", "/registry"}}) {
+            ResultCode ended = ResultCode::Ok;
+            MessageStreamHandlers handlers;
+            handlers.message = [](const Bytes &) {};
+            handlers.closed = [&ended](ResultCode code) {
+                ended = code;
+            };
+            const auto stream = m_network->client({"somebody", role})->open(m_hosts[0]->address, path, handlers);
+            m_network->deliver();
+            CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::NotAuthorized), resultName(ended));
+        }
+    }
+
+private:
+    void startHost(Host &host)
+    {
+        ControlHostOptions options;
+        options.host = host.name;
+        options.epoch = m_random() | 1U;
+        ControlHost::Environment environment{
+            .clock = m_clock,
+            .wallClock =
+                [] {
+                    return std::uint64_t{1'700'000'000'000};
+                },
+            .logger = *m_logger,
+            .client = *host.client,
+            .storage = host.storage,
+            .random = m_random,
+            .failed =
+                [](const Failure &failure) {
+                    CPPUNIT_FAIL(failure.detail);
+                },
+        };
+        host.control = std::make_unique<ControlHost>(options, environment, host.storage.stored);
+        host.control->start();
+        m_network->listen(host.address, host.name, [control = host.control.get()](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
+            return control->accept(path, stream);
+        });
+    }
+
+    void stopHost(Host &host)
+    {
+        m_network->stop(host.name);
+        m_network->deliver();
+        host.control.reset();
+    }
+
+    void run(Duration time)
+    {
+        for (Duration passed{}; passed < time; passed += milliseconds(50)) {
+            m_clock.advance(milliseconds(50));
+            for (auto &host : m_hosts) {
+                if (host->control) {
+                    host->control->tick();
+                }
+            }
+            m_network->deliver();
+        }
+    }
+
+    std::size_t leader() const
+    {
+        for (std::size_t number = 0; number < m_hosts.size(); ++number) {
+            const auto &control = m_hosts[number]->control;
+            if (control && control->driver().replica().role() == Consensus::Role::Leader) {
+                return number;
+            }
+        }
+        CPPUNIT_FAIL("no control host leads");
+        return 0;
+    }
+
+    std::size_t otherThanLeader() const
+    {
+        return (leader() + 1) % m_hosts.size();
+    }
+
+    std::shared_ptr<OperatorStream> openOperator(std::size_t host, const std::string &name)
+    {
+        auto opened = std::make_shared<OperatorStream>();
+        MessageStreamHandlers handlers;
+        handlers.message = [opened](const Bytes &bytes) {
+            opened->answers.emplace_back().ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+        };
+        opened->stream = m_network->client({name, "operator"})->open(m_hosts[host]->address, "/operator", handlers);
+        return opened;
+    }
+
+    static void sendOn(OperatorStream &opened, const std::string &command)
+    {
+        pb::OperatorUp message;
+        message.set_command(command);
+        opened.stream->send(message);
+    }
+
+    pb::CommandAnswer send(std::size_t host, const std::string &command)
+    {
+        const auto opened = openOperator(host, "anna");
+        sendOn(*opened, command);
+        run(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, opened->answers.size());
+        return opened->answers[0].answer();
+    }
+
+    pb::StatusAnswer statusOf(std::size_t host, const std::string &name = "anna")
+    {
+        const auto opened = openOperator(host, name);
+        pb::OperatorUp message;
+        message.mutable_status();
+        opened->stream->send(message);
+        run(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, opened->answers.size());
+        return opened->answers[0].status();
+    }
+
+    static std::string commandOf(const Bytes &loggedCommand)
+    {
+        pb::LoggedCommand logged;
+        logged.ParseFromArray(loggedCommand.data(), static_cast<int>(loggedCommand.size()));
+        return logged.command();
+    }
+
+    void accepted(const Bytes &loggedCommand)
+    {
+        const auto answer = send(leader(), commandOf(loggedCommand));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.detail(), resultName(ResultCode::Ok), resultName(resultOf(answer)));
+    }
+
+    static std::string content(std::uint64_t version)
+    {
+        return CommandBuilder::content("inspect-desk", version, "127.0.0.1:4433");
+    }
+
+    void rollOut(std::uint64_t version)
+    {
+        accepted(m_anna.propose(content(version)));
+        accepted(m_anna.sign("inspect-desk", version, content(version)));
+        accepted(m_anna.roll("inspect-desk", version));
+    }
+
+    WatchSubscriberOptions subscriberOptions(std::size_t host) const
+    {
+        WatchSubscriberOptions options;
+        options.host = "balancer-a";
+        options.zone = "dar-ubungo";
+        options.role = "balancer";
+        options.controlHosts = {m_hosts[host]->address};
+        return options;
+    }
+
+    void carryOut(WatchSubscriber &subscriber, const WatchSubscriberEffects &effects)
+    {
+        for (const auto &effect : effects) {
+            if (const auto *opened = std::get_if<OpenWatchStream>(&effect)) {
+                MessageStreamHandlers handlers;
+                handlers.message = [this, &subscriber, number = opened->stream](const Bytes &bytes) {
+                    pb::WatchDown message;
+                    message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+                    carryOut(subscriber, subscriber.receive(m_clock.now(), number, message));
+                };
+                handlers.closed = [this, &subscriber, number = opened->stream](ResultCode) {
+                    carryOut(subscriber, subscriber.closed(m_clock.now(), number));
+                };
+                m_watchStream = m_network->client({"balancer-a", "balancer"})->open(opened->address, "/watch", handlers);
+            } else if (const auto *sent = std::get_if<SendToControl>(&effect)) {
+                m_watchStream->send(sent->message);
+            } else if (std::holds_alternative<CloseWatchStream>(effect)) {
+                m_watchStream->close();
+            }
+        }
+    }
+
+    void watch(WatchSubscriber &subscriber, Duration time)
+    {
+        for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+            carryOut(subscriber, subscriber.tick(m_clock.now()));
+            run(milliseconds(100));
+        }
+    }
+
+    ManualClock m_clock;
+    std::mt19937_64 m_random;
+    std::unique_ptr<Logger> m_logger;
+    std::unique_ptr<FakeNetwork> m_network;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::shared_ptr<MessageStream> m_watchStream;
+    CommandBuilder m_anna{"anna"};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlHostTest);
--- /dev/null
+++ b/src/jujubequay/control/control_services.cpp
@@ -0,0 +1,441 @@
+#include <jujubequay/control/control_services.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+// Agents return within their longest retry wait; after that a registry without a complete peer counts as filled.
+constexpr Duration fillTime = std::chrono::seconds(10);
+constexpr Duration exchangeInterval = std::chrono::milliseconds(250);
+
+template<class Message>
+std::optional<Message> parsed(const Bytes &bytes)
+{
+    Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+pb::CommandAnswer refusal(ResultCode code, std::string detail)
+{
+    pb::CommandAnswer answer;
+    answer.set_result(static_cast<std::uint32_t>(code));
+    answer.set_detail(std::move(detail));
+    return answer;
+}
+
+std::set<std::string> agentHosts(const LeaseRegistry &registry)
+{
+    std::set<std::string> hosts;
+    for (const pb::ServerEntry &entry : registry.servers()) {
+        hosts.insert(entry.host());
+    }
+    return hosts;
+}
+
+}
+
+std::uint64_t AcceptedStreams::add(std::shared_ptr<MessageStream> stream)
+{
+    m_streams[++m_lastId] = std::move(stream);
+    return m_lastId;
+}
+
+void AcceptedStreams::remove(std::uint64_t id)
+{
+    m_streams.erase(id);
+}
+
+MessageStream *AcceptedStreams::find(std::uint64_t id) const
+{
+    const auto found = m_streams.find(id);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
+bool AcceptedStreams::contains(const std::string &peer) const
+{
+    return std::any_of(m_streams.begin(), m_streams.end(), [&peer](const auto &entry) {
+        return entry.second->peer().name == peer;
+    });
+}
+
+bool isNameOnHost(const std::string &name, const std::string &peer)
+{
+    return name == peer || name.starts_with(peer + "/");
+}
+
+// ---- Watch ----
+
+WatchService::WatchService(const Clock &clock, ReplicaDriver &driver, WatchServer &server)
+    : m_clock(clock)
+    , m_driver(driver)
+    , m_server(server)
+{
+}
+
+MessageStreamHandlers WatchService::accept(const std::shared_ptr<MessageStream> &stream)
+{
+    const std::uint64_t id = m_streams.add(stream);
+    m_server.opened(m_clock.now(), id);
+    MessageStreamHandlers handlers;
+    handlers.message = [this, id](const Bytes &bytes) {
+        receive(id, bytes);
+    };
+    handlers.closed = [this, id](ResultCode) {
+        m_server.closed(m_clock.now(), id);
+        m_streams.remove(id);
+    };
+    return handlers;
+}
+
+void WatchService::receive(std::uint64_t id, const Bytes &bytes)
+{
+    MessageStream *stream = m_streams.find(id);
+    auto message = parsed<pb::WatchUp>(bytes);
+    if (stream == nullptr) {
+        return;
+    }
+    const PeerIdentity peer = stream->peer();
+    if (!message || (message->has_request() && !isNameOnHost(message->request().host(), peer.name))) {
+        stream->close();
+        return;
+    }
+    if (message->has_request()) {
+        message->mutable_request()->set_role(peer.role);
+    }
+    m_server.receive(m_clock.now(), id, *message);
+}
+
+void WatchService::tick()
+{
+    for (const WatcherId id : m_server.watchers()) {
+        const MessageStream *stream = m_streams.find(id);
+        m_server.setQueued(id, stream == nullptr ? 0 : stream->queuedBytes());
+    }
+    for (const WatchServerEffect &effect : m_server.pump(m_clock.now())) {
+        if (const auto *sent = std::get_if<SendToWatcher>(&effect)) {
+            if (MessageStream *stream = m_streams.find(sent->watcher)) {
+                stream->send(sent->message);
+            }
+        } else if (const auto *closed = std::get_if<CloseWatcher>(&effect)) {
+            if (MessageStream *stream = m_streams.find(closed->watcher)) {
+                stream->close();
+            }
+        } else if (const auto *ask = std::get_if<ConfirmState>(&effect)) {
+            m_driver.confirm([this, number = ask->number](ResultCode code) {
+                if (code == ResultCode::Ok) {
+                    m_server.confirmed(m_clock.now(), number);
+                } else {
+                    m_server.notConfirmed(number);
+                }
+            });
+        }
+    }
+}
+
+// ---- Announce ----
+
+AnnounceService::AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry)
+    : m_clock(clock)
+    , m_wallClock(std::move(wallClock))
+    , m_state(state)
+    , m_registry(registry)
+{
+}
+
+MessageStreamHandlers AnnounceService::accept(const std::shared_ptr<MessageStream> &stream)
+{
+    const std::uint64_t id = m_streams.add(stream);
+    MessageStreamHandlers handlers;
+    handlers.message = [this, id](const Bytes &bytes) {
+        receive(id, bytes);
+    };
+    handlers.closed = [this, id](ResultCode) {
+        m_registry.sessionClosed(id);
+        m_permissions.erase(id);
+        m_streams.remove(id);
+    };
+    return handlers;
+}
+
+void AnnounceService::receive(std::uint64_t id, const Bytes &bytes)
+{
+    MessageStream *stream = m_streams.find(id);
+    if (stream == nullptr) {
+        return;
+    }
+    const auto message = parsed<pb::AnnounceUp>(bytes);
+    if (!message) {
+        stream->close();
+        return;
+    }
+    if (!isAllowed(id, stream->peer().name, message->server())) {
+        pb::AnnounceDown refused;
+        refused.set_result(static_cast<std::uint32_t>(ResultCode::NotAuthorized));
+        stream->send(refused);
+        return;
+    }
+    stream->send(m_registry.announce(m_clock.now(), m_wallClock(), id, message->server()));
+}
+
+bool AnnounceService::isAllowed(std::uint64_t id, const std::string &peer, const pb::ServerEntry &entry)
+{
+    Permission &last = m_permissions[id];
+    const bool isChecked = last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
+    if (!isChecked && !m_state.mayAnnounce(entry.service(), entry.name())) {
+        return false;
+    }
+    last = {entry.service(), entry.name(), m_state.revision()};
+    return isNameOnHost(entry.host(), peer);
+}
+
+// ---- Registry ----
+
+RegistryExchange::RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports)
+    : m_clock(clock)
+    , m_registry(registry)
+    , m_reports(reports)
+    , m_links(client,
+              random,
+              "/registry",
+              {.message = [](const std::string &, const Bytes &) {},
+               .opened =
+                   [this](const std::string &host) {
+                       m_positions[host] = Position();
+                   }})
+    , m_startedAt(clock.now())
+{
+}
+
+MessageStreamHandlers RegistryExchange::accept(const std::shared_ptr<MessageStream> &stream)
+{
+    const std::string host = stream->peer().name;
+    const std::uint64_t id = m_streams.add(stream);
+    m_registry.peerReturned(host);
+    MessageStreamHandlers handlers;
+    handlers.message = [this, host](const Bytes &bytes) {
+        receive(host, bytes);
+    };
+    handlers.closed = [this, id, host](ResultCode) {
+        ended(id, host);
+    };
+    return handlers;
+}
+
+void RegistryExchange::ended(std::uint64_t id, const std::string &host)
+{
+    m_streams.remove(id);
+    if (!m_streams.contains(host)) {
+        m_registry.peerLost(m_clock.now(), host);
+    }
+}
+
+void RegistryExchange::receive(const std::string &host, const Bytes &bytes)
+{
+    const auto delta = parsed<pb::RegistryDelta>(bytes);
+    if (!delta) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    for (const pb::ServerEntry &entry : delta->servers()) {
+        m_registry.merge(now, entry);
+    }
+    for (const pb::HostInForce &report : delta->reports()) {
+        if (report.control_host() == host) {
+            m_reports.merge(now, report);
+        }
+    }
+    m_isFilled = m_isFilled || (delta->filled() && !delta->more());
+}
+
+void RegistryExchange::setPeers(const std::map<std::string, HostAddress> &peers)
+{
+    m_links.setPeers(peers);
+    for (const auto &[host, address] : peers) {
+        if (!m_streams.contains(host)) {
+            m_registry.peerLost(m_clock.now(), host);
+        }
+    }
+}
+
+void RegistryExchange::tick()
+{
+    const TimePoint now = m_clock.now();
+    m_isFilled = m_isFilled || now - m_startedAt >= fillTime;
+    m_links.tick(now);
+    if (now - m_lastExchange < exchangeInterval) {
+        return;
+    }
+    m_lastExchange = now;
+    for (auto &[host, position] : m_positions) {
+        sendChanges(host, position);
+    }
+}
+
+void RegistryExchange::sendChanges(const std::string &host, Position &position)
+{
+    std::vector<pb::RegistryDelta> deltas = m_registry.localChangesAfter(position.registry);
+    const std::vector<pb::HostInForce> reports = m_reports.localChangesAfter(position.reports);
+    if (deltas.empty() && !reports.empty()) {
+        deltas.emplace_back();
+    }
+    if (deltas.empty()) {
+        return;
+    }
+    deltas.back().mutable_reports()->Add(reports.begin(), reports.end());
+    deltas.back().set_filled(m_isFilled);
+    bool isSent = true;
+    for (const pb::RegistryDelta &delta : deltas) {
+        isSent = isSent && m_links.send(host, delta);
+    }
+    if (isSent) {
+        position = {m_registry.sequence(), m_reports.sequence()};
+    }
+}
+
+bool RegistryExchange::isFilled() const
+{
+    return m_isFilled;
+}
+
+bool RegistryExchange::isReachable(const std::string &host) const
+{
+    return m_streams.contains(host);
+}
+
+// ---- Operators ----
+
+OperatorService::OperatorService(
+    const Clock &clock, Logger &logger, ReplicaDriver &driver, const LeaseRegistry &registry, const ReportBoard &reports, Handlers handlers)
+    : m_clock(clock)
+    , m_logger(logger)
+    , m_driver(driver)
+    , m_registry(registry)
+    , m_reports(reports)
+    , m_handlers(std::move(handlers))
+{
+}
+
+MessageStreamHandlers OperatorService::accept(const std::shared_ptr<MessageStream> &stream)
+{
+    const std::uint64_t id = m_streams.add(stream);
+    MessageStreamHandlers handlers;
+    handlers.message = [this, id](const Bytes &bytes) {
+        receive(id, bytes);
+    };
+    handlers.closed = [this, id](ResultCode) {
+        m_streams.remove(id);
+    };
+    return handlers;
+}
+
+void OperatorService::receive(std::uint64_t id, const Bytes &bytes)
+{
+    MessageStream *stream = m_streams.find(id);
+    if (stream == nullptr) {
+        return;
+    }
+    const auto message = parsed<pb::OperatorUp>(bytes);
+    if (!message || message->kind_case() == pb::OperatorUp::KIND_NOT_SET) {
+        stream->close();
+        return;
+    }
+    if (message->has_command()) {
+        execute(id, stream->peer().name, message->command());
+        return;
+    }
+    m_driver.confirm([this, id, request = message->status()](ResultCode code) {
+        sendStatus(id, request, code);
+    });
+}
+
+void OperatorService::execute(std::uint64_t id, const std::string &operatorName, const std::string &bytes)
+{
+    pb::Command command;
+    if (!command.ParseFromString(bytes)) {
+        answer(id, refusal(ResultCode::BadRequest, "the command does not parse"));
+        return;
+    }
+    m_logger.info("operator-command", {{"operator", operatorName}, {"operation", command.operation_id()}, {"kind", static_cast<int>(command.kind_case())}});
+    if (command.has_membership()) {
+        changeMembership(id, command.membership());
+        return;
+    }
+    pb::LoggedCommand logged;
+    logged.set_command(bytes);
+    logged.set_operator_name(operatorName);
+    if (command.has_retire_flow_key()) {
+        const auto inUse = m_reports.flowKeysInUse(agentHosts(m_registry), m_driver.state().flowKeyNumbers());
+        logged.mutable_flow_keys_in_use()->Add(inUse.begin(), inUse.end());
+    }
+    if (command.has_activate_flow_key()) {
+        const auto lagging = m_reports.flowKeysLagging(m_driver.state().flowKeyRevision());
+        logged.mutable_flow_keys_lagging()->Add(lagging.begin(), lagging.end());
+    }
+    m_driver.propose(logged, [this, id](const pb::CommandAnswer &result) {
+        answer(id, result);
+    });
+}
+
+void OperatorService::changeMembership(std::uint64_t id, const pb::ChangeMembership &command)
+{
+    const auto &members = m_driver.replica().membership().members();
+    const auto member = std::find_if(members.begin(), members.end(), [&command](const pb::Member &candidate) {
+        return command.remove() ? candidate.host() == command.host() : candidate.id() == command.disk_id();
+    });
+    const bool isMember = member != members.end();
+    if (isMember != command.remove()) {
+        // A resend of a change that was made already.
+        answer(id, pb::CommandAnswer());
+        return;
+    }
+    Consensus::MembershipChange change;
+    if (command.remove()) {
+        change = Consensus::RemoveMember{member->id()};
+    } else {
+        change = Consensus::AddLearner{command.disk_id(), command.host(), command.address()};
+    }
+    m_driver.changeMembership(change, [this, id](const pb::CommandAnswer &result) {
+        answer(id, result);
+    });
+}
+
+void OperatorService::answer(std::uint64_t id, pb::CommandAnswer answer)
+{
+    if (answer.result() == static_cast<std::uint32_t>(ResultCode::NotLeader)) {
+        answer.set_leader_address(m_handlers.leaderAddress());
+    }
+    if (MessageStream *stream = m_streams.find(id)) {
+        pb::OperatorDown message;
+        *message.mutable_answer() = std::move(answer);
+        stream->send(message);
+    }
+}
+
+// Without a majority the status is still sent: it may be outdated, and its result says so.
+void OperatorService::sendStatus(std::uint64_t id, const pb::StatusRequest &request, ResultCode result)
+{
+    MessageStream *stream = m_streams.find(id);
+    if (stream == nullptr) {
+        return;
+    }
+    pb::OperatorDown message;
+    pb::StatusAnswer &status = *message.mutable_status();
+    status.set_result(static_cast<std::uint32_t>(result));
+    m_driver.state().fillStatus(status);
+    if (!request.with_bundles()) {
+        status.clear_bundles();
+    }
+    status.set_leader_address(m_handlers.leaderAddress());
+    m_handlers.fillStatus(request, status);
+    stream->send(message);
+}
+
+}
