Rename the control-host service; leave signing to the operators' program

Cause: the settings use the name ControlHost for a known host, and the operators' program has its own signer key type. Change: ControlHostService; bundle.h gives the text that signatures cover and verifies, but holds no secret keys. Conclusion: ./dev test passes.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -47,7 +47,7 @@
     SOURCES
         bundle.cpp
         config_snapshot.cpp
-        control_host.cpp
+        control_host_service.cpp
         control_services.cpp
         control_state.cpp
         lease_registry.cpp
@@ -58,7 +58,7 @@
         watch_server.cpp
         watch_subscriber.cpp
     TESTS
-        control_host_test.cpp
+        control_host_service_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
         watch_test.cpp
--- a/include/jujubequay/control/bundle.h
+++ b/include/jujubequay/control/bundle.h
@@ -5,7 +5,6 @@
 
 #include <control.pb.h>
 
-#include <array>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -25,16 +24,9 @@
 /// Digest that bundle signatures cover, as the bytes that messages carry.
 std::string bundleDigest(std::string_view content);
 
-/// An Ed25519 key pair. The secret half never leaves the operator's host.
-struct SignerKey {
-    std::array<std::uint8_t, 32> publicKey{};
-    std::array<std::uint8_t, 64> secretKey{};
-};
-
-SignerKey generateSignerKey();
-
-/// Signs the digest of a bundle.
-std::string signBundle(const SignerKey &key, std::string_view digest);
+/// The text that Ed25519 signatures of a bundle are made over: a fixed context, so that a signature has no other use, and
+/// the digest.
+std::string bundleSignedText(std::string_view digest);
 
 /// True if the signature over the digest was made with the key.
 bool isBundleSignature(std::string_view publicKey, std::string_view digest, std::string_view signature);
--- a/include/jujubequay/control/control_host.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -20,8 +20,8 @@
 /// accepted streams must have ended, or never call their handlers again, when it is destroyed.
 ///
 ///     MessageServer::listen(..., [&host](auto &path, auto &stream) { return host.accept(path, stream); });
-///     // every ControlHost::tickInterval: host.tick();
-class ControlHost
+///     // every ControlHostService::tickInterval: host.tick();
+class ControlHostService
 {
 public:
     static constexpr Duration tickInterval = std::chrono::milliseconds(50);
@@ -37,7 +37,7 @@
         std::function<void(const Failure &)> failed;
     };
 
-    ControlHost(ControlHostOptions options, Environment environment, Consensus::StoredState stored);
+    ControlHostService(ControlHostOptions options, Environment environment, Consensus::StoredState stored);
 
     void start();
     /// For MessageStreamAcceptor. A role that may not use the path is refused.
--- a/src/jujubequay/control/bundle.cpp
+++ b/src/jujubequay/control/bundle.cpp
@@ -1,6 +1,5 @@
 #include <jujubequay/control/bundle.h>
 #include <jujubequay/core/identifiers.h>
-#include <jujubequay/core/invariant.h>
 
 #include <fmt/format.h>
 #include <sodium.h>
@@ -33,11 +32,6 @@
     return reinterpret_cast<const std::uint8_t *>(text.data());
 }
 
-std::string signedText(std::string_view digest)
-{
-    return std::string(signatureContext) + std::string(digest);
-}
-
 Result<void> checkAddresses(const pb::BundleContent &content)
 {
     if (content.addresses_size() == 0 || content.addresses_size() > maxAddresses) {
@@ -122,20 +116,9 @@
     return {digest.begin(), digest.end()};
 }
 
-SignerKey generateSignerKey()
+std::string bundleSignedText(std::string_view digest)
 {
-    checkInvariant(sodium_init() >= 0, "the cryptographic library is available");
-    SignerKey key;
-    crypto_sign_keypair(key.publicKey.data(), key.secretKey.data());
-    return key;
-}
-
-std::string signBundle(const SignerKey &key, std::string_view digest)
-{
-    const std::string text = signedText(digest);
-    std::string signature(crypto_sign_BYTES, '\0');
-    crypto_sign_detached(reinterpret_cast<std::uint8_t *>(signature.data()), nullptr, bytesOf(text), text.size(), key.secretKey.data());
-    return signature;
+    return std::string(signatureContext) + std::string(digest);
 }
 
 bool isBundleSignature(std::string_view publicKey, std::string_view digest, std::string_view signature)
@@ -143,7 +126,7 @@
     if (publicKey.size() != crypto_sign_PUBLICKEYBYTES || signature.size() != crypto_sign_BYTES) {
         return false;
     }
-    const std::string text = signedText(digest);
+    const std::string text = bundleSignedText(digest);
     return crypto_sign_verify_detached(bytesOf(signature), bytesOf(text), text.size(), bytesOf(publicKey)) == 0;
 }
 
--- a/src/jujubequay/control/control_host.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -1,4 +1,4 @@
-#include <jujubequay/control/control_host.h>
+#include <jujubequay/control/control_host_service.h>
 
 #include <algorithm>
 
@@ -13,7 +13,7 @@
 
 }
 
-ControlHost::ControlHost(ControlHostOptions options, Environment environment, Consensus::StoredState stored)
+ControlHostService::ControlHostService(ControlHostOptions options, Environment environment, Consensus::StoredState stored)
     : m_options(std::move(options))
     , m_environment(std::move(environment))
     , m_registry(m_options.host, m_options.epoch, m_options.lease)
@@ -64,13 +64,13 @@
 {
 }
 
-void ControlHost::start()
+void ControlHostService::start()
 {
     m_driver.start();
     updatePeers();
 }
 
-MessageStreamHandlers ControlHost::accept(const std::string &path, const std::shared_ptr<MessageStream> &stream)
+MessageStreamHandlers ControlHostService::accept(const std::string &path, const std::shared_ptr<MessageStream> &stream)
 {
     const std::string role = stream->peer().role;
     if (path == "/raft" && role == "control") {
@@ -92,7 +92,7 @@
     return {};
 }
 
-void ControlHost::tick()
+void ControlHostService::tick()
 {
     const TimePoint now = m_environment.clock.now();
     m_driver.tick();
@@ -111,24 +111,24 @@
     }
 }
 
-const ReplicaDriver &ControlHost::driver() const
+const ReplicaDriver &ControlHostService::driver() const
 {
     return m_driver;
 }
 
-const LeaseRegistry &ControlHost::registry() const
+const LeaseRegistry &ControlHostService::registry() const
 {
     return m_registry;
 }
 
-const WatchServer &ControlHost::watchServer() const
+const WatchServer &ControlHostService::watchServer() const
 {
     return m_watchServer;
 }
 
 // ---- Replica messages ----
 
-MessageStreamHandlers ControlHost::acceptRaft(const std::shared_ptr<MessageStream> &stream)
+MessageStreamHandlers ControlHostService::acceptRaft(const std::shared_ptr<MessageStream> &stream)
 {
     const std::string host = stream->peer().name;
     const std::uint64_t id = m_raftStreams.add(stream);
@@ -145,7 +145,7 @@
     return handlers;
 }
 
-void ControlHost::receiveRaft(const std::string &host, const Bytes &bytes, std::uint64_t replyStream)
+void ControlHostService::receiveRaft(const std::string &host, const Bytes &bytes, std::uint64_t replyStream)
 {
     pb::ReplicaMessage message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
@@ -163,7 +163,7 @@
     m_driver.step(message);
 }
 
-void ControlHost::sendRaft(const pb::ReplicaMessage &message)
+void ControlHostService::sendRaft(const pb::ReplicaMessage &message)
 {
     const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.to());
     if (member != nullptr && m_raftLinks.send(member->host(), message)) {
@@ -178,7 +178,7 @@
 
 // ---- Membership ----
 
-void ControlHost::updatePeers()
+void ControlHostService::updatePeers()
 {
     std::map<std::string, HostAddress> peers;
     for (const pb::Member &member : m_driver.replica().membership().members()) {
@@ -191,7 +191,7 @@
     m_exchange.setPeers(peers);
 }
 
-void ControlHost::promoteLearners()
+void ControlHostService::promoteLearners()
 {
     const Consensus::Replica &replica = m_driver.replica();
     if (replica.role() != Consensus::Role::Leader) {
@@ -212,13 +212,13 @@
 
 // ---- Status ----
 
-std::string ControlHost::leaderAddress() const
+std::string ControlHostService::leaderAddress() const
 {
     const pb::Member *leader = Consensus::findMember(m_driver.replica().membership(), m_driver.replica().leader());
     return leader == nullptr ? std::string() : leader->address();
 }
 
-void ControlHost::fillStatus(const pb::StatusRequest &request, pb::StatusAnswer &status) const
+void ControlHostService::fillStatus(const pb::StatusRequest &request, pb::StatusAnswer &status) const
 {
     status.set_answered_by(m_options.host);
     if (request.with_servers()) {
@@ -234,7 +234,7 @@
     }
 }
 
-pb::ControlHostStatus ControlHost::statusOf(const pb::Member &member) const
+pb::ControlHostStatus ControlHostService::statusOf(const pb::Member &member) const
 {
     const Consensus::Replica &replica = m_driver.replica();
     const bool isSelf = member.id() == replica.id();
--- a/src/jujubequay/control/control_host_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -1,4 +1,4 @@
-#include <jujubequay/control/control_host.h>
+#include <jujubequay/control/control_host_service.h>
 #include <jujubequay/control/watch_subscriber.h>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -69,7 +69,7 @@
     HostAddress address;
     std::unique_ptr<MessageClient> client;
     MemoryStorage storage;
-    std::unique_ptr<ControlHost> control;
+    std::unique_ptr<ControlHostService> control;
 };
 
 /// Sends to the operator path of one host and keeps the answers.
@@ -258,7 +258,7 @@
         ControlHostOptions options;
         options.host = host.name;
         options.epoch = m_random() | 1U;
-        ControlHost::Environment environment{
+        ControlHostService::Environment environment{
             .clock = m_clock,
             .wallClock =
                 [] {
@@ -273,7 +273,7 @@
                     CPPUNIT_FAIL(failure.detail);
                 },
         };
-        host.control = std::make_unique<ControlHost>(options, environment, host.storage.stored);
+        host.control = std::make_unique<ControlHostService>(options, environment, host.storage.stored);
         host.control->start();
         m_network->listen(host.address, host.name, [control = host.control.get()](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
             return control->accept(path, stream);
--- a/src/jujubequay/control/control_test_support.h
+++ b/src/jujubequay/control/control_test_support.h
@@ -4,7 +4,10 @@
 #include <jujubequay/control/control_state.h>
 
 #include <fmt/format.h>
+#include <sodium.h>
 
+#include <algorithm>
+#include <array>
 #include <string>
 
 namespace Jujubequay {
@@ -15,13 +18,10 @@
 public:
     explicit CommandBuilder(std::string operatorName)
         : m_operatorName(std::move(operatorName))
-        , m_key(generateSignerKey())
     {
-    }
-
-    const SignerKey &key() const
-    {
-        return m_key;
+        std::array<std::uint8_t, crypto_sign_SEEDBYTES> seed{};
+        std::copy_n(m_operatorName.begin(), std::min(m_operatorName.size(), seed.size()), seed.begin());
+        crypto_sign_seed_keypair(m_publicKey.data(), m_secretKey.data(), seed.data());
     }
 
     /// Operations that the next commands claim to have seen.
@@ -56,7 +56,7 @@
         sign.set_service(service);
         sign.set_version(version);
         sign.mutable_signature()->set_signer(m_operatorName);
-        sign.mutable_signature()->set_signature(signBundle(m_key, bundleDigest(content)));
+        sign.mutable_signature()->set_signature(signatureOf(content));
         return logged(command);
     }
 
@@ -77,7 +77,7 @@
         auto &signer = *command.mutable_set_signer();
         signer.set_service(service);
         signer.set_signer(m_operatorName);
-        signer.set_public_key({m_key.publicKey.begin(), m_key.publicKey.end()});
+        signer.set_public_key({m_publicKey.begin(), m_publicKey.end()});
         return logged(command);
     }
 
@@ -113,6 +113,15 @@
     }
 
 private:
+    std::string signatureOf(const std::string &content) const
+    {
+        const std::string text = bundleSignedText(bundleDigest(content));
+        std::string signature(crypto_sign_BYTES, '\0');
+        auto *out = reinterpret_cast<std::uint8_t *>(signature.data());
+        crypto_sign_detached(out, nullptr, reinterpret_cast<const std::uint8_t *>(text.data()), text.size(), m_secretKey.data());
+        return signature;
+    }
+
     Bytes logged(jujubequay::pb::Command &command, const std::vector<std::uint32_t> &inUse = {}, const std::vector<std::string> &lagging = {})
     {
         command.set_operation_id(fmt::format("{}-{}", m_operatorName, ++m_count));
@@ -128,7 +137,8 @@
     }
 
     std::string m_operatorName;
-    SignerKey m_key;
+    std::array<std::uint8_t, crypto_sign_PUBLICKEYBYTES> m_publicKey{};
+    std::array<std::uint8_t, crypto_sign_SECRETKEYBYTES> m_secretKey{};
     std::uint64_t m_count = 0;
     std::uint64_t m_seen = 0;
 };
