--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -89,6 +89,7 @@
         request_broker_test.cpp
     DEPENDS jujubequay_flow)
 
+
 jujubequay_module(consensus
     SOURCES
         disk_log_storage.cpp
@@ -167,3 +168,26 @@
         agent_path_test.cpp
         announcer_test.cpp
     DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
+    DEPENDS jujubequay_wire)
+
+jujubequay_module(control
+    SOURCES
+        bundle.cpp
+        config_snapshot.cpp
+        control_host_service.cpp
+        control_services.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        peer_links.cpp
+        replica_driver.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_host_service_test.cpp
+        control_state_test.cpp
+        lease_registry_test.cpp
+        watch_test.cpp
+    DEPENDS jujubequay_consensus)
