Free the server's TLS session after the handshake and measure

An idle connection held 82.2 KB, 10.7 KB of it the GnuTLS session, which nothing uses after the handshake: key updates need only the secrets and session tickets are off.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -0,0 +1,3 @@
+jujubequay_program(quic-bench
+    SOURCES bench/quic_bench.cpp
+    DEPENDS jujubequay_quic)
--- a/src/jujubequay/quic/quic_connection.cpp
+++ b/src/jujubequay/quic/quic_connection.cpp
@@ -143,7 +143,11 @@
         callbacks.client_initial = ngtcp2_crypto_client_initial_cb;
         callbacks.recv_retry = ngtcp2_crypto_recv_retry_cb;
     }
-    callbacks.recv_crypto_data = ngtcp2_crypto_recv_crypto_data_cb;
+    callbacks.recv_crypto_data
+        = [](ngtcp2_conn *connection, ngtcp2_crypto_level level, std::uint64_t offset, const std::uint8_t *data, std::size_t length, void *self) {
+              const bool open = static_cast<QuicConnection *>(self)->m_session != nullptr;
+              return open ? ngtcp2_crypto_recv_crypto_data_cb(connection, level, offset, data, length, self) : static_cast<int>(NGTCP2_ERR_CRYPTO);
+          };
     callbacks.encrypt = ngtcp2_crypto_encrypt_cb;
     callbacks.decrypt = ngtcp2_crypto_decrypt_cb;
     callbacks.hp_mask = ngtcp2_crypto_hp_mask_cb;
@@ -320,9 +324,19 @@
         handleError(now, code);
         return;
     }
+    releaseSession();
     checkMemory(now);
 }
 
+void QuicConnection::releaseSession()
+{
+    // Key updates need no TLS session, and no TLS message follows the handshake: session tickets are off.
+    if (m_server && m_established && m_session) {
+        ngtcp2_conn_set_tls_native_handle(m_connection, nullptr);
+        m_session.reset();
+    }
+}
+
 void QuicConnection::checkMemory(TimePoint now)
 {
     if (m_options.maxMemory == 0 || memoryBytes() <= m_options.maxMemory) {
--- a/src/jujubequay/quic/quic_connection.h
+++ b/src/jujubequay/quic/quic_connection.h
@@ -141,6 +141,8 @@
     std::map<StreamNumber, Stream>::iterator nextSender();
     void send(const ngtcp2_path &path, std::span<const std::uint8_t> datagram);
     void checkMemory(TimePoint now);
+    /// Server: frees the TLS session, about 11 KB, once nothing more is to come of it.
+    void releaseSession();
 
     const FlowHandle m_flow;
     const QuicConnectionOptions m_options;
