--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -25,6 +25,101 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
+jujubequay_module(control
+    SOURCES
+        bundle.cpp
+        config_snapshot.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_state_test.cpp
+        lease_registry_test.cpp
+        watch_test.cpp
+    DEPENDS jujubequay_wire)
+
+jujubequay_module(policy
+    SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
+        placement.cpp
+        retry.cpp
+    TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
+        placement_test.cpp
+    DEPENDS jujubequay_core)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(consensus
+    SOURCES
+        disk_log_storage.cpp
+        election.cpp
+        log_record.cpp
+        membership.cpp
+        posix_file_system.cpp
+        reads.cpp
+        replica.cpp
+        replica_log.cpp
+        replication.cpp
+        snapshot_transfer.cpp
+        storage_writes.cpp
+    TESTS
+        disk_log_storage_test.cpp
+        membership_test.cpp
+    DEPENDS jujubequay_wire)
+
+# Fakes for tests and soak runs; not part of the installed library.
+jujubequay_module(consensus_testing
+    SOURCES
+        fake_cluster.cpp
+        fake_disk.cpp
+        fake_network.cpp
+        ledger.cpp
+        random_run.cpp
+        run_label.cpp
+    TESTS
+        random_run_test.cpp
+    DEPENDS jujubequay_consensus)
+
 jujubequay_module(quic
     SOURCES
         quic_client.cpp
@@ -38,3 +133,23 @@
         quic_test.cpp
         send_buffer_test.cpp
     DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
+
+jujubequay_module(net
+    SOURCES
+        certificate.cpp
+        http2_callbacks.cpp
+        http2_message_client.cpp
+        http2_message_stream.cpp
+        http2_session.cpp
+        http2_stream.cpp
+        keep_alive.cpp
+        key_file.cpp
+        message_server.cpp
+        peer_identity.cpp
+        tls_context.cpp
+        traffic.cpp
+    TESTS
+        http2_session_test.cpp
+        keep_alive_test.cpp
+        message_stream_test.cpp
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
