--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -14,3 +14,7 @@
         bench/policy_run_requests.cpp
         bench/scenario.cpp
     DEPENDS jujubequay_policy)
+
+jujubequay_program(quic-bench
+    SOURCES bench/quic_bench.cpp
+    DEPENDS jujubequay_quic)
