Move requests by compared load, and distrust disproved reports

Change: balancers add the load of one other server to each datagram they forward, which needs no packets of its own. A server moves a request once to the caller's other flow if that server has less work by more than half a request. A server that reports no work while it moves requests away counts as full for 10 s.

--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -56,6 +56,11 @@
     }
 }
 
+AdmissionOptions PolicyRun::admissionOptions() const
+{
+    return {.slots = slots};
+}
+
 CellResult PolicyRun::run()
 {
     addServers();
@@ -88,7 +93,7 @@
             server.index = static_cast<int>(m_servers.size());
             server.zone = index % zoneCount;
             server.service = service;
-            server.queue = std::make_unique<AdmissionQueue>(AdmissionOptions{.slots = slots});
+            server.queue = std::make_unique<AdmissionQueue>(admissionOptions());
             m_servers.push_back(std::move(server));
         }
     }
@@ -230,7 +235,7 @@
     server.startedAt = m_events.now();
     server.servingSince = m_events.now();
     ++server.incarnation;
-    server.queue = std::make_unique<AdmissionQueue>(AdmissionOptions{.slots = slots});
+    server.queue = std::make_unique<AdmissionQueue>(admissionOptions());
     server.flows = 0;
     server.assigned = 0;
     server.others.clear();
@@ -246,7 +251,7 @@
     countBusy(server);
     server.alive = false;
     const std::uint32_t incarnation = server.incarnation;
-    server.queue = std::make_unique<AdmissionQueue>(AdmissionOptions{.slots = slots});
+    server.queue = std::make_unique<AdmissionQueue>(admissionOptions());
     for (int attempt = 0; attempt < static_cast<int>(m_attempts.size()); ++attempt) {
         if (m_attempts[attempt].server == index && !m_attempts[attempt].ended && m_attempts[attempt].incarnation == incarnation) {
             m_attempts[attempt].ended = true;
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -104,6 +104,9 @@
         int server = -1;
         std::uint32_t incarnation = 0;
         bool canMove = false;
+        std::optional<double> otherWork; ///< reported by the server that moved the request
+        int movedFrom = -1; ///< server that moved the request here
+        int moveTo = -1; ///< server that a move named
         bool started = false;
         bool ended = false;
     };
@@ -141,16 +144,19 @@
     void scheduleArrival(int service, double rate, bool flood);
     void submitRequest(int service, int customer);
     void dispatch(int request);
-    void send(int request, int flow, bool canMove);
+    void send(int request, int flow, bool canMove, std::optional<double> otherWork = {}, int movedFrom = -1);
+    AdmissionOptions admissionOptions() const;
     void arrive(int attempt);
     void apply(int server, const AdmissionEffects &effects);
     void startAttempt(int attempt);
     void answer(int attempt, ResultCode code, Duration retryAfter);
     void answered(int attempt, ResultCode code, Duration retryAfter, const LoadReport &load);
-    void retry(int request, ResultCode code, Duration retryAfter, int exceptFlow);
+    void retry(int request, ResultCode code, Duration retryAfter, int attempt, double work);
     void endRequest(int request, ResultCode code);
     std::vector<int> usableFlows(int caller, int exceptFlow) const;
     int leastAssigned(int service);
+    int otherServer(int attempt) const;
+    void shareLoad(int balancer, int server);
 
     // Counting.
     void countBusy(Server &server);
--- a/bench/policy_run_flows.cpp
+++ b/bench/policy_run_flows.cpp
@@ -195,7 +195,10 @@
     }
     if (m_flows[flow].open) {
         const int balancer = anyBalancer();
-        m_network.betweenZones(m_balancers[balancer].zone, m_servers[m_flows[flow].server].zone, keepAliveBytes);
+        const Server &server = m_servers[m_flows[flow].server];
+        m_network.betweenZones(m_balancers[balancer].zone, server.zone, keepAliveBytes);
+        shareLoad(balancer, server.index);
+        m_balancers[balancer].loads[server.index] = reportedLoad(server);
         if (!packetReachesFlow(flow, balancer)) {
             breakFlow(flow, m_lastChangePlanned);
             return;
--- a/bench/policy_run_requests.cpp
+++ b/bench/policy_run_requests.cpp
@@ -100,7 +100,7 @@
     send(request, flows[chosen], m_policy.move && !work.moved && flows.size() > 1);
 }
 
-void PolicyRun::send(int request, int flow, bool canMove)
+void PolicyRun::send(int request, int flow, bool canMove, std::optional<double> otherWork, int movedFrom)
 {
     ++m_requests[request].attempts;
     ++m_result.attempts;
@@ -110,7 +110,13 @@
         server = leastAssigned(m_requests[request].service);
         ++m_servers[server].assigned;
     }
-    m_attempts.push_back({.request = request, .flow = flow, .server = server, .incarnation = m_servers[server].incarnation, .canMove = canMove});
+    m_attempts.push_back({.request = request,
+                          .flow = flow,
+                          .server = server,
+                          .incarnation = m_servers[server].incarnation,
+                          .canMove = canMove,
+                          .otherWork = otherWork,
+                          .movedFrom = movedFrom});
     ++m_flows[flow].outstanding;
     m_flows[flow].estimate.sent();
 
@@ -124,7 +130,8 @@
         });
         return;
     }
-    m_events.after(toBalancer + m_network.betweenZones(m_balancers[balancer].zone, m_servers[server].zone, requestBytes), [this, attempt] {
+    m_events.after(toBalancer + m_network.betweenZones(m_balancers[balancer].zone, m_servers[server].zone, requestBytes), [this, attempt, balancer] {
+        shareLoad(balancer, m_attempts[attempt].server);
         arrive(attempt);
     });
 }
@@ -148,9 +155,53 @@
                                .customer = std::to_string(m_callers[request.caller].customer),
                                .workClass = request.kind->workClass,
                                .deadline = request.deadline,
-                               .canMove = arrived.canMove};
+                               .canMove = arrived.canMove,
+                               .otherWork = arrived.otherWork};
+    const int other = otherServer(attempt);
+    LoadEstimate *estimate = other < 0 ? nullptr : &m_servers[arrived.server].others[other];
+    if (m_policy.distrust && admission.otherWork && isContradictedByMove(*admission.otherWork, admissionOptions().moveMargin)) {
+        m_servers[arrived.server].others[arrived.movedFrom].contradicted(m_events.now());
+    }
+    if (m_policy.loadOnForward && !admission.otherWork && estimate && (estimate->flows(m_events.now()) || estimate->isContradicted(m_events.now()))) {
+        admission.otherWork = estimate->work(m_events.now());
+    }
     countBusy(m_servers[arrived.server]);
-    apply(arrived.server, server.queue->submit(m_events.now(), admission));
+    const AdmissionEffects effects = server.queue->submit(m_events.now(), admission);
+    const auto *refuse = effects.empty() ? nullptr : std::get_if<RefuseRequest>(&effects.back());
+    if (estimate && refuse && refuse->code == ResultCode::NotRunMoved) {
+        m_attempts[attempt].moveTo = other;
+        estimate->sent();
+    }
+    apply(arrived.server, effects);
+}
+
+int PolicyRun::otherServer(int attempt) const
+{
+    const std::vector<int> others = usableFlows(m_requests[m_attempts[attempt].request].caller, m_attempts[attempt].flow);
+    int best = -1;
+    double least = 0;
+    for (const int flow : others) {
+        const int server = m_flows[flow].server;
+        const auto estimate = m_servers[m_attempts[attempt].server].others.find(server);
+        const double work = estimate == m_servers[m_attempts[attempt].server].others.end() ? 0 : estimate->second.work(m_events.now());
+        if (best < 0 || work < least) {
+            best = server;
+            least = work;
+        }
+    }
+    return best;
+}
+
+void PolicyRun::shareLoad(int balancer, int server)
+{
+    if (!m_policy.loadOnForward) {
+        return;
+    }
+    const int other = static_cast<int>(m_random() % m_servers.size());
+    const auto load = m_balancers[balancer].loads.find(other);
+    if (other != server && m_servers[other].service == m_servers[server].service && load != m_balancers[balancer].loads.end()) {
+        m_servers[server].others[other].reported(m_events.now(), load->second);
+    }
 }
 
 void PolicyRun::apply(int server, const AdmissionEffects &effects)
@@ -228,29 +279,35 @@
         endRequest(ended.request, code);
         return;
     }
-    retry(ended.request, code, retryAfter, ended.flow);
+    retry(ended.request, code, retryAfter, attempt, load.running + load.queued);
 }
 
-void PolicyRun::retry(int request, ResultCode code, Duration retryAfter, int exceptFlow)
+void PolicyRun::retry(int request, ResultCode code, Duration retryAfter, int attempt, double work)
 {
-    Request &work = m_requests[request];
-    const RetryRule rule = retryRule(code, work.kind->idempotent);
-    if (rule == RetryRule::Never || work.attempts >= maxAttempts || m_events.now() + retryAfter >= work.deadline) {
+    Request &moved = m_requests[request];
+    const RetryRule rule = retryRule(code, moved.kind->idempotent);
+    if (rule == RetryRule::Never || moved.attempts >= maxAttempts || m_events.now() + retryAfter >= moved.deadline) {
         endRequest(request, code);
         return;
     }
-    const std::vector<int> others = usableFlows(work.caller, exceptFlow);
-    if (rule == RetryRule::Elsewhere && !work.moved && !others.empty()) {
-        work.moved = true;
-        send(request, others[m_random() % others.size()], false);
+    std::vector<int> others = usableFlows(moved.caller, m_attempts[attempt].flow);
+    const int moveTo = m_attempts[attempt].moveTo;
+    if (moveTo >= 0) {
+        std::erase_if(others, [&](int flow) {
+            return m_flows[flow].server != moveTo;
+        });
+    }
+    if (rule == RetryRule::Elsewhere && !moved.moved && !others.empty()) {
+        moved.moved = true;
+        send(request, others[m_random() % others.size()], false, work, m_attempts[attempt].server);
         return;
     }
-    RetryBudget &budget = m_callers[work.caller].budget;
+    RetryBudget &budget = m_callers[moved.caller].budget;
     if (!budget.tryTake()) {
         endRequest(request, code);
         return;
     }
-    m_events.after(budget.delay(work.attempts, retryAfter, m_random), [this, request] {
+    m_events.after(budget.delay(moved.attempts, retryAfter, m_random), [this, request] {
         dispatch(request);
     });
 }
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -67,8 +67,9 @@
         {.name = "one-flow", .flowsPerCaller = 1, .useLoad = false, .move = false},
         {.name = "two-flows-random", .useLoad = false, .move = false},
         {.name = "two-flows-load", .move = false},
-        {.name = "two-flows-move", .useLoad = false},
         {.name = "no-load-on-open", .loadOnOpen = false},
+        {.name = "no-load-on-forward", .loadOnForward = false},
+        {.name = "no-distrust", .distrust = false},
         {.name = "three-flows", .flowsPerCaller = 3},
     };
     return all;
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -47,8 +48,10 @@
     bool handOver = true; ///< first choices pass openings to second choices
     int flowsPerCaller = 2;
     bool useLoad = true; ///< callers pick the flow with less estimated work
-    bool move = true; ///< a server without a free slot moves a request to the caller's other flow
+    bool move = true; ///< a server moves a request once to the caller's other flow if that has more room
+    bool loadOnForward = true; ///< balancers add the last load seen of another server to each datagram
     bool loadOnOpen = true; ///< balancers add the last load seen of the second choice to openings
+    bool distrust = true; ///< reports that moves contradict are discarded for a time
     bool promises = false; ///< trial: servers promise a future slot to a waiting caller
     Duration renewAfter{}; ///< callers replace an idle flow after this time; zero for never
 };
--- a/include/jujubequay/policy/admission_queue.h
+++ b/include/jujubequay/policy/admission_queue.h
@@ -24,8 +24,10 @@
     std::uint32_t maxFeeds = 2000;
     Duration queueTimeout = std::chrono::seconds(10); ///< longest wait for a slot
     std::map<std::string, std::uint32_t> customerWeights; ///< customers that are not named have weight 1
-    /// Waits below this are shorter than a round trip to the other server, so the request is not moved.
-    Duration moveThreshold = std::chrono::milliseconds(10);
+    /// A request is moved if this server has more work than the caller's other server by more than this, in requests. Half
+    /// a request keeps small differences that come from the age of the figures from causing a round trip. Without figures
+    /// of the other server, a request is moved if no slot is free.
+    double moveMargin = 0.5;
     /// Slot time that a customer of weight 1 may use ahead of the least served one before its critical work loses
     /// precedence over the work of others. Without a bound, a flood of critical work would take all slots.
     Duration priorityBurst = std::chrono::milliseconds(500);
@@ -39,7 +41,8 @@
     std::string customer;
     WorkClass workClass = WorkClass::Interactive;
     std::optional<TimePoint> deadline;
-    bool canMove = false; ///< the caller holds a flow to another server that has not refused this request
+    bool canMove = false; ///< the caller holds a flow to another server and may be sent there
+    std::optional<double> otherWork; ///< running and queued work at that server, as far as known
 };
 
 /// The request must be started now. Its outcome is the later call of AdmissionQueue::finished.
@@ -129,6 +132,7 @@
     AdmissionEffect submitFeed(const AdmissionRequest &request, Customer &customer);
     std::optional<RefuseRequest> refusal(TimePoint now, const AdmissionRequest &request) const;
     /// Makes room in a full queue; returns the refusal of the new request or of the one that gives way.
+    bool shouldMove(const AdmissionRequest &request) const;
     RefuseRequest makeRoom(std::uint64_t newId, const Customer &customer, WorkClass workClass);
     void enqueue(TimePoint now, const AdmissionRequest &request, Customer &customer);
     void dequeue(std::uint64_t id, Entry &entry);
--- a/include/jujubequay/policy/load_estimate.h
+++ b/include/jujubequay/policy/load_estimate.h
@@ -29,6 +29,8 @@
     /// Recent answer times above this multiple of the usual ones contradict a report. Eight exponentially distributed
     /// answer times average above twice their mean in about 1 of 10,000 cases.
     double slowAnswerRatio = 2;
+    /// Time for which a server whose report was proven wrong counts as having a full queue.
+    Duration distrustFor = std::chrono::seconds(10);
     /// A server that has just started counts as partly occupied for this time.
     Duration rampTime = std::chrono::seconds(10);
 };
@@ -47,15 +49,17 @@
     void sent();
     /// A request was answered in the given time, including its wait for a slot.
     void answered(WorkClass workClass, Duration time);
+    /// The server moved a request away although its report promised room. See isContradictedByMove.
+    void contradicted(TimePoint now);
     /// The server has started; begins the cold-start ramp and forgets earlier figures.
     void started(TimePoint now);
 
     /// Estimated requests running and queued, never negative.
     double work(TimePoint now) const;
-    /// Estimated open flows; empty without a recent report.
+    /// Estimated open flows; empty without a recent report or while reports are contradicted.
     std::optional<double> flows(TimePoint now) const;
-    /// True while answer times contradict the reports.
-    bool isContradicted() const;
+    /// True while answer times or moved requests contradict the reports.
+    bool isContradicted(TimePoint now) const;
     /// Share of the cold-start ramp that has passed, 0 to 1; 1 for a server that was not seen to start.
     double ramp(TimePoint now) const;
 
@@ -65,6 +69,8 @@
         std::uint32_t count = 0;
     };
 
+    bool areAnswersSlow() const;
+
     LoadEstimateOptions m_options;
     std::optional<LoadReport> m_report;
     TimePoint m_reportedAt{};
@@ -72,6 +78,11 @@
     std::array<AnswerTimes, 4> m_answerTimes{};
     double m_recentRatio = 1; ///< moving average of answer time over the usual time of its class
     std::optional<TimePoint> m_startedAt;
+    std::optional<TimePoint> m_distrustedUntil;
 };
 
+/// True if the work that a server reported with a request that it moved cannot be true: it moves requests only if it has
+/// more than `margin` work (AdmissionOptions::moveMargin).
+bool isContradictedByMove(double reportedWork, double margin);
+
 }
--- a/src/jujubequay/policy/admission_queue.cpp
+++ b/src/jujubequay/policy/admission_queue.cpp
@@ -202,16 +202,25 @@
     if (m_draining) {
         return RefuseRequest{request.id, ResultCode::NotRunMoved, {}};
     }
-    const Duration wait = expectedWait(request.customer, request.workClass);
-    if (request.canMove && wait >= m_options.moveThreshold) {
+    if (shouldMove(request)) {
         return RefuseRequest{request.id, ResultCode::NotRunMoved, {}};
     }
+    const Duration wait = expectedWait(request.customer, request.workClass);
     if (request.deadline && now + wait >= *request.deadline) {
         return RefuseRequest{request.id, ResultCode::NotRunDeadline, wait};
     }
     return std::nullopt;
 }
 
+bool AdmissionQueue::shouldMove(const AdmissionRequest &request) const
+{
+    if (!request.canMove || request.workClass == WorkClass::Feed) {
+        return false;
+    }
+    const std::uint32_t work = m_running + m_queued;
+    return request.otherWork ? work > *request.otherWork + m_options.moveMargin : work >= m_options.slots;
+}
+
 RefuseRequest AdmissionQueue::makeRoom(std::uint64_t newId, const Customer &customer, WorkClass workClass)
 {
     if (m_byQueue.empty()) {
--- a/src/jujubequay/policy/admission_queue_test.cpp
+++ b/src/jujubequay/policy/admission_queue_test.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(unusedCapacityIsNotOwedLater);
     CPPUNIT_TEST(feedsHoldNoSlot);
     CPPUNIT_TEST(refusesEarly);
+    CPPUNIT_TEST(movesToTheServerWithLessWork);
     CPPUNIT_TEST(queueOfLengthZero);
     CPPUNIT_TEST(drainRefusesWaitingAndNewWork);
     CPPUNIT_TEST(randomRunGivesEachRequestOneOutcome);
@@ -208,6 +209,25 @@
         CPPUNIT_ASSERT(slots.refused.at(5).code == ResultCode::NotRunOverloaded);
     }
 
+    // Guards against a request that waits here while the caller's other server has room, and against moves of no use.
+    void movesToTheServerWithLessWork()
+    {
+        Slots slots({.slots = 3});
+        slots.submit(makeRequest(1, "a"));
+        slots.submit(makeRequest(2, "a"));
+        const auto isMoved = [&](std::uint64_t id, std::optional<double> otherWork) {
+            AdmissionRequest request = makeRequest(id, "a");
+            request.canMove = true;
+            request.otherWork = otherWork;
+            slots.submit(request);
+            return slots.refused.contains(id);
+        };
+        CPPUNIT_ASSERT(isMoved(10, 1));
+        CPPUNIT_ASSERT(!isMoved(11, 1.6));
+        CPPUNIT_ASSERT(isMoved(12, std::nullopt));
+        CPPUNIT_ASSERT(!isMoved(13, 6));
+    }
+
     // Guards against undefined behaviour when a bundle sets a queue limit of zero.
     void queueOfLengthZero()
     {
--- a/src/jujubequay/policy/balance_test.cpp
+++ b/src/jujubequay/policy/balance_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(BalanceTest);
     CPPUNIT_TEST(oldFiguresLoseInfluence);
     CPPUNIT_TEST(zeroLoadWithSlowAnswersIsNotBelieved);
+    CPPUNIT_TEST(movesContradictReports);
     CPPUNIT_TEST(startedServerRampsUp);
     CPPUNIT_TEST(openingsGoWhereThereIsMoreRoom);
     CPPUNIT_TEST(retriesOnlyWhatIsSafe);
@@ -41,15 +42,28 @@
             estimate.answered(WorkClass::Interactive, 30ms);
             estimate.answered(WorkClass::Bulk, 600ms);
         }
-        CPPUNIT_ASSERT(!estimate.isContradicted());
+        CPPUNIT_ASSERT(!estimate.isContradicted(TimePoint{}));
         for (int count = 0; count < 30; ++count) {
             estimate.answered(WorkClass::Interactive, 90ms);
         }
         estimate.reported(TimePoint{}, {});
-        CPPUNIT_ASSERT(estimate.isContradicted());
+        CPPUNIT_ASSERT(estimate.isContradicted(TimePoint{}));
         CPPUNIT_ASSERT(estimate.work(TimePoint{}) > 6);
     }
 
+    // Guards against a server that draws requests and openings by reports that its own moves disprove.
+    void movesContradictReports()
+    {
+        CPPUNIT_ASSERT(isContradictedByMove(0, 0.5));
+        CPPUNIT_ASSERT(!isContradictedByMove(2, 0.5));
+        LoadEstimate estimate;
+        estimate.reported(TimePoint{}, {});
+        estimate.contradicted(TimePoint{});
+        CPPUNIT_ASSERT(estimate.work(TimePoint{} + 1s) >= 6);
+        CPPUNIT_ASSERT(!estimate.flows(TimePoint{} + 1s));
+        CPPUNIT_ASSERT(!estimate.isContradicted(TimePoint{} + 10s));
+    }
+
     void startedServerRampsUp()
     {
         LoadEstimate estimate;
--- a/src/jujubequay/policy/load_estimate.cpp
+++ b/src/jujubequay/policy/load_estimate.cpp
@@ -54,7 +54,12 @@
     }
     const double ratio = times.usualSeconds > 0 ? seconds / times.usualSeconds : 1;
     m_recentRatio += (ratio - m_recentRatio) * recentShare;
-    times.usualSeconds += (seconds - times.usualSeconds) * (isContradicted() ? usualShareWhileSlow : usualShare);
+    times.usualSeconds += (seconds - times.usualSeconds) * (areAnswersSlow() ? usualShareWhileSlow : usualShare);
+}
+
+void LoadEstimate::contradicted(TimePoint now)
+{
+    m_distrustedUntil = now + m_options.distrustFor;
 }
 
 void LoadEstimate::started(TimePoint now)
@@ -64,6 +69,7 @@
     m_answerTimes = {};
     m_recentRatio = 1;
     m_startedAt = now;
+    m_distrustedUntil.reset();
 }
 
 double LoadEstimate::work(TimePoint now) const
@@ -76,21 +82,29 @@
         estimate += (reported - m_options.typicalWork) * trust;
     }
     estimate += m_sentSince;
-    if (isContradicted()) {
+    if (areAnswersSlow()) {
         estimate = std::max(estimate, m_recentRatio * m_options.slots);
     }
+    if (m_distrustedUntil && now < *m_distrustedUntil) {
+        estimate = std::max(estimate, 2.0 * m_options.slots);
+    }
     return estimate + (1 - ramp(now)) * m_options.slots;
 }
 
 std::optional<double> LoadEstimate::flows(TimePoint now) const
 {
-    if (!m_report || now - m_reportedAt > m_options.flowsUsableFor) {
+    if (!m_report || isContradicted(now) || now - m_reportedAt > m_options.flowsUsableFor) {
         return std::nullopt;
     }
     return static_cast<double>(m_report->flows) + m_sentSince;
 }
 
-bool LoadEstimate::isContradicted() const
+bool LoadEstimate::isContradicted(TimePoint now) const
+{
+    return areAnswersSlow() || (m_distrustedUntil && now < *m_distrustedUntil);
+}
+
+bool LoadEstimate::areAnswersSlow() const
 {
     return m_recentRatio > m_options.slowAnswerRatio;
 }
@@ -103,4 +117,9 @@
     return std::clamp(toSeconds(now - *m_startedAt) / toSeconds(m_options.rampTime), 0.0, 1.0);
 }
 
+bool isContradictedByMove(double reportedWork, double margin)
+{
+    return reportedWork <= margin;
+}
+
 }
