Invite idle flows to servers that have joined

Change: a server with 10% more flows than another one invites up to 10 idle flows without a feed per second to that server. The caller opens the new flow, which an identifier of the target names, before it closes the old one. LoadEstimate knows that a server that has just started has no flows; without that, nobody had figures of it, because figures travel on traffic.

Ruled out: replacing idle flows after a fixed time (handshakes in steady state, and most of them land on the servers that already have flows).

--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -310,6 +310,9 @@
         if (server.alive) {
             apply(server.index, server.queue->tick(m_events.now()));
         }
+        if (isServing(server)) {
+            relocateFlows(server);
+        }
         if (isServing(server) && isFairnessWindow()) {
             m_capacity[server.service] += slots * toSeconds(tickLength) / slowness(server);
         }
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -71,6 +71,7 @@
         bool closed = false;
         bool draining = false;
         bool feed = false;
+        int invitedTo = -1; ///< server that the identifier of an invitation names
         int home = -1; ///< round robin: the balancer whose table has the flow
         int reopenings = 0;
         std::uint32_t outstanding = 0;
@@ -124,14 +125,16 @@
     void refresh(int balancer);
 
     // Flows.
-    void openFlow(int caller, bool feed, int reopenings);
+    void openFlow(int caller, bool feed, int reopenings, int invitedTo = -1);
+    void relocateFlows(Server &server);
+    int relocationTarget(const Server &server);
     void sendOpening(int flow);
     void arriveOpening(int flow, int server, int second, int balancer, bool handedOver);
     void acceptFlow(int flow, int server, int balancer);
     void flowOpened(int flow);
     void closeFlow(int flow);
     void breakFlow(int flow, bool planned);
-    void moveFlow(int flow);
+    void moveFlow(int flow, int invitedTo = -1);
     void keepAlive(int flow);
     bool packetReachesFlow(int flow, int balancer);
     PlacementChoice place(int balancer, int service, std::uint64_t key);
--- a/bench/policy_run_flows.cpp
+++ b/bench/policy_run_flows.cpp
@@ -19,10 +19,11 @@
 
 }
 
-void PolicyRun::openFlow(int caller, bool feed, int reopenings)
+void PolicyRun::openFlow(int caller, bool feed, int reopenings, int invitedTo)
 {
     const int flow = static_cast<int>(m_flows.size());
     m_flows.push_back({.key = m_random(), .caller = caller, .service = m_callers[caller].service, .feed = feed, .reopenings = reopenings});
+    m_flows[flow].invitedTo = invitedTo;
     m_callers[caller].flows.push_back(flow);
     sendOpening(flow);
     m_events.after(randomDuration(0s, 5s), [this, flow] {
@@ -36,7 +37,10 @@
     const int balancer = m_policy.placement == Placement::RoundRobin ? homeBalancer(opening.key) : anyBalancer();
     int first = -1;
     int second = -1;
-    if (m_policy.placement == Placement::Central) {
+    if (opening.invitedTo >= 0) {
+        first = opening.invitedTo;
+        opening.invitedTo = -1;
+    } else if (m_policy.placement == Placement::Central) {
         first = leastFlows(opening.service);
     } else {
         const PlacementChoice choice = place(balancer, opening.service, opening.key);
@@ -179,13 +183,13 @@
     });
 }
 
-void PolicyRun::moveFlow(int flow)
+void PolicyRun::moveFlow(int flow, int invitedTo)
 {
     if (!m_flows[flow].open || m_flows[flow].draining) {
         return;
     }
     m_flows[flow].draining = true;
-    openFlow(m_flows[flow].caller, m_flows[flow].feed, 0);
+    openFlow(m_flows[flow].caller, m_flows[flow].feed, 0, invitedTo);
 }
 
 void PolicyRun::keepAlive(int flow)
@@ -204,20 +208,63 @@
             return;
         }
         const bool idle = m_flows[flow].outstanding == 0 && !m_flows[flow].feed;
-        const bool due = m_policy.renewAfter > 0s && m_events.now() - m_flows[flow].openedAt > m_policy.renewAfter;
         if (m_flows[flow].draining && idle) {
             closeFlow(flow);
             return;
         }
-        if (due && idle && !m_flows[flow].draining) {
-            moveFlow(flow);
-        }
     }
     m_events.after(5s, [this, flow] {
         keepAlive(flow);
     });
 }
 
+int PolicyRun::relocationTarget(const Server &server)
+{
+    int target = -1;
+    double least = 0;
+    for (auto &[index, estimate] : m_servers[server.index].others) {
+        const std::optional<double> flows = estimate.flows(m_events.now());
+        if (!flows || m_servers[index].service != server.service || (target >= 0 && *flows >= least)) {
+            continue;
+        }
+        const SecondChoiceLoad load{.flows = flows, .ramp = estimate.ramp(m_events.now())};
+        if (shouldRelocate({.load = ownLoad(server), .ramp = ramp(server)}, load, {.slots = slots, .maxFlows = maxFlows})) {
+            target = index;
+            least = *flows;
+        }
+    }
+    return target;
+}
+
+void PolicyRun::relocateFlows(Server &server)
+{
+    constexpr int ticksPerSecond = 10;
+    if (m_policy.relocationsPerSecond == 0) {
+        return;
+    }
+    const int target = relocationTarget(server);
+    int left = target < 0 ? 0 : m_policy.relocationsPerSecond / ticksPerSecond;
+    const std::size_t start = m_random() % m_flows.size();
+    for (std::size_t step = 0; step < m_flows.size() && left > 0; ++step) {
+        const int flow = static_cast<int>((start + step) % m_flows.size());
+        const Flow &idle = m_flows[flow];
+        if (!idle.open || idle.server != server.index || idle.feed || idle.draining || idle.outstanding > 0) {
+            continue;
+        }
+        // A caller that has a flow to the target already ignores the invitation.
+        const auto isAtTarget = [&](int other) {
+            return m_flows[other].server == target;
+        };
+        const std::vector<int> &flows = m_callers[idle.caller].flows;
+        if (std::any_of(flows.begin(), flows.end(), isAtTarget)) {
+            continue;
+        }
+        --left;
+        server.others[target].sent();
+        moveFlow(flow, target);
+    }
+}
+
 bool PolicyRun::packetReachesFlow(int flow, int balancer)
 {
     if (m_policy.flowIdentifiers) {
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -53,7 +53,7 @@
     bool loadOnOpen = true; ///< balancers add the last load seen of the second choice to openings
     bool distrust = true; ///< reports that moves contradict are discarded for a time
     bool promises = false; ///< trial: servers promise a future slot to a waiting caller
-    Duration renewAfter{}; ///< callers replace an idle flow after this time; zero for never
+    int relocationsPerSecond = 10; ///< idle flows that a server invites to another server
 };
 
 /// Baselines first, then jujubequay, then its variants.
--- a/include/jujubequay/policy/handover.h
+++ b/include/jujubequay/policy/handover.h
@@ -11,6 +11,9 @@
     std::uint32_t maxFlows = 2000;
     /// The second choice must have at least this many flows less. One would pass openings back and forth on equal load.
     double flowMargin = 2;
+    /// An idle flow moves only to a server with less flows by this share. Each move costs a handshake, and openings alone
+    /// keep the difference below it while the set of servers does not change.
+    double relocationShare = 0.1;
     /// Flows that one queued request weighs. Flows last for hours and a queue for seconds, so work counts only as a queue.
     double flowsPerQueuedRequest = 4;
 };
@@ -36,4 +39,8 @@
 /// request for each slot.
 bool shouldHandOver(const OwnLoad &own, const SecondChoiceLoad &second, const HandOverOptions &options);
 
+/// True if the server should invite the caller of an idle flow without a feed to open another flow at the target, which then
+/// replaces this one. Without this, a server that joins would stay nearly empty for as long as flows last.
+bool shouldRelocate(const OwnLoad &own, const SecondChoiceLoad &target, const HandOverOptions &options);
+
 }
--- a/include/jujubequay/policy/load_estimate.h
+++ b/include/jujubequay/policy/load_estimate.h
@@ -51,7 +51,8 @@
     void answered(WorkClass workClass, Duration time);
     /// The server moved a request away although its report promised room. See isContradictedByMove.
     void contradicted(TimePoint now);
-    /// The server has started; begins the cold-start ramp and forgets earlier figures.
+    /// The server has started: it has no work and no flows, and the cold-start ramp begins. Without this figure a server that
+    /// joins would stay unknown, because figures travel on traffic.
     void started(TimePoint now);
 
     /// Estimated requests running and queued, never negative.
--- a/src/jujubequay/policy/balance_test.cpp
+++ b/src/jujubequay/policy/balance_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(movesContradictReports);
     CPPUNIT_TEST(startedServerRampsUp);
     CPPUNIT_TEST(openingsGoWhereThereIsMoreRoom);
+    CPPUNIT_TEST(idleFlowsMoveToAServerThatJoined);
     CPPUNIT_TEST(retriesOnlyWhatIsSafe);
     CPPUNIT_TEST(retryBudgetBoundsRetriesAndDelays);
     CPPUNIT_TEST(leastLoadedUsableFlowIsChosen);
@@ -68,7 +69,7 @@
     {
         LoadEstimate estimate;
         estimate.started(TimePoint{});
-        estimate.reported(TimePoint{}, {});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, estimate.flows(TimePoint{}).value(), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(3, estimate.work(TimePoint{}), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, estimate.ramp(TimePoint{} + 5s), 0.01);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1, estimate.ramp(TimePoint{} + 10s), 0.01);
@@ -92,6 +93,17 @@
         CPPUNIT_ASSERT(!shouldHandOver({.load = {.flows = 100}}, {.flows = 90, .work = 9}, options));
     }
 
+    // Guards against a server that stays nearly empty after it has joined, and against moves back and forth.
+    void idleFlowsMoveToAServerThatJoined()
+    {
+        const HandOverOptions options;
+        CPPUNIT_ASSERT(shouldRelocate({.load = {.flows = 100}}, {.flows = 10}, options));
+        CPPUNIT_ASSERT(!shouldRelocate({.load = {.flows = 100}}, {.flows = 95}, options));
+        CPPUNIT_ASSERT(!shouldRelocate({.load = {.flows = 100}}, {.flows = 50, .ramp = 0.2}, options));
+        CPPUNIT_ASSERT(!shouldRelocate({.load = {.flows = 100}}, {}, options));
+        CPPUNIT_ASSERT(!shouldRelocate({.load = {.flows = 2000}, .draining = true}, {.flows = 0}, options));
+    }
+
     // Guards against a finding or bid that is executed twice because of a retry.
     void retriesOnlyWhatIsSafe()
     {
--- a/src/jujubequay/policy/handover.cpp
+++ b/src/jujubequay/policy/handover.cpp
@@ -37,4 +37,13 @@
     return perWeight(ownFlows, own.weight, own.ramp) >= perWeight(secondFlows + options.flowMargin, second.weight, second.ramp);
 }
 
+bool shouldRelocate(const OwnLoad &own, const SecondChoiceLoad &target, const HandOverOptions &options)
+{
+    if (!target.flows || own.draining) {
+        return false;
+    }
+    const double targetFlows = *target.flows * (1 + options.relocationShare) + options.flowMargin;
+    return perWeight(own.load.flows, own.weight, own.ramp) > perWeight(targetFlows, target.weight, target.ramp);
+}
+
 }
--- a/src/jujubequay/policy/load_estimate.cpp
+++ b/src/jujubequay/policy/load_estimate.cpp
@@ -64,7 +64,8 @@
 
 void LoadEstimate::started(TimePoint now)
 {
-    m_report.reset();
+    m_report = LoadReport{};
+    m_reportedAt = now;
     m_sentSince = 0;
     m_answerTimes = {};
     m_recentRatio = 1;
