--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -25,22 +25,6 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
-jujubequay_module(control
-    SOURCES
-        bundle.cpp
-        config_snapshot.cpp
-        control_state.cpp
-        lease_registry.cpp
-        operation_log.cpp
-        report_board.cpp
-        watch_server.cpp
-        watch_subscriber.cpp
-    TESTS
-        control_state_test.cpp
-        lease_registry_test.cpp
-        watch_test.cpp
-    DEPENDS jujubequay_wire)
-
 jujubequay_module(policy
     SOURCES
         admission_queue.cpp
@@ -55,41 +39,6 @@
         placement_test.cpp
     DEPENDS jujubequay_core)
 
-jujubequay_module(flow
-    SOURCES
-        agent_ingress.cpp
-        forwarder.cpp
-        opening_table.cpp
-        peer_loads.cpp
-        packet.cpp
-        return_paths.cpp
-        request_table.cpp
-    TESTS
-        agent_ingress_test.cpp
-        forwarder_test.cpp
-        opening_table_test.cpp
-        peer_loads_test.cpp
-        request_table_test.cpp
-        return_paths_test.cpp
-    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
-
-jujubequay_module(datapath
-    SOURCES
-        balancer_path.cpp
-        datagram_batch.cpp
-        udp_socket.cpp
-    TESTS
-        balancer_path_test.cpp
-    DEPENDS jujubequay_flow asio)
-
-jujubequay_module(agent
-    SOURCES
-        request_broker.cpp
-    TESTS
-        request_broker_test.cpp
-    DEPENDS jujubequay_flow)
-
-
 jujubequay_module(consensus
     SOURCES
         disk_log_storage.cpp
@@ -158,19 +107,6 @@
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
 
-jujubequay_module(service
-    SOURCES
-        agent_path.cpp
-        announce_client.cpp
-        announcer.cpp
-        config_watcher.cpp
-    TESTS
-        agent_path_test.cpp
-        announcer_test.cpp
-    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
-
-    DEPENDS jujubequay_wire)
-
 jujubequay_module(control
     SOURCES
         bundle.cpp
@@ -191,3 +127,48 @@
         lease_registry_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
