Add settings, command line and exit statuses of the programs

All programs need settings that are checked as a whole before a socket is opened, and a page that cannot differ from the code.

Each key is stated once, by the read that returns its value; the same reads without a file give the tables of docs/settings.md, and a test compares the page. Unknown keys name the nearest known key of their section. Exit statuses are the result codes; 3xx and 4xx map to 30 to 39 and 40 to 49, and a test checks that all differ and that docs/result-codes.md lists every code.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -44,3 +44,22 @@
         keep_alive_test.cpp
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+
+jujubequay_module(daemon
+    SOURCES
+        agent_settings.cpp
+        backend_settings.cpp
+        balancer_settings.cpp
+        call_settings.cpp
+        command_line.cpp
+        common_settings.cpp
+        control_settings.cpp
+        exit_status.cpp
+        operator_settings.cpp
+        settings_documentation.cpp
+        settings_reader.cpp
+    TESTS
+        command_line_test.cpp
+        settings_test.cpp
+    DEPENDS jujubequay_net)
+target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/include/jujubequay/core/result_code.h
+++ b/include/jujubequay/core/result_code.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace Jujubequay {
 
@@ -68,6 +69,9 @@
 /// The name of a code as logs and tables show it, for example "VersionConflict"; "unknown" for an unassigned number.
 std::string_view resultName(ResultCode code);
 
+/// Every code, in rising order.
+std::vector<ResultCode> allResultCodes();
+
 /// True for codes that guarantee that the work of a request did not run.
 bool isNotRun(ResultCode code);
 
--- a/src/jujubequay/core/result_code.cpp
+++ b/src/jujubequay/core/result_code.cpp
@@ -59,6 +59,16 @@
     return resultNames.name(code);
 }
 
+std::vector<ResultCode> allResultCodes()
+{
+    std::vector<ResultCode> codes;
+    codes.reserve(resultNames.entries.size());
+    for (const auto &[code, name] : resultNames.entries) {
+        codes.push_back(code);
+    }
+    return codes;
+}
+
 bool isNotRun(ResultCode code)
 {
     return code >= ResultCode::NotRunOverloaded && code <= ResultCode::NotRunRefused;
--- a/src/jujubequay/net/message_server.cpp
+++ b/src/jujubequay/net/message_server.cpp
@@ -27,7 +27,7 @@
                                                              MessageStreamAcceptor accept,
                                                              MessageServerOptions options)
 {
-    std::shared_ptr<MessageServer> server(new MessageServer(context, clock, logger, std::move(tls), std::move(accept), std::move(options)));
+    std::shared_ptr<MessageServer> server(new MessageServer(context, clock, logger, std::move(tls), std::move(accept), options));
     if (const auto error = listenOn(server->m_acceptor, address)) {
         return fail(ResultCode::AddressUnavailable, fmt::format("{}: {}", toString(address), error.message()));
     }
@@ -42,7 +42,7 @@
     , m_logger(logger)
     , m_tls(std::move(tls))
     , m_accept(std::move(accept))
-    , m_options(std::move(options))
+    , m_options(options)
     , m_acceptor(context)
     , m_acceptRetry(context)
 {
