Add jjq-keygen, signer keys and flow secrets

An installation needs an authority, certificates for hosts and operators, signer keys and flow secrets, all in files that other users cannot read.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -55,11 +55,14 @@
         common_settings.cpp
         control_settings.cpp
         exit_status.cpp
+        flow_secret.cpp
         operator_settings.cpp
         settings_documentation.cpp
         settings_reader.cpp
+        signer_key.cpp
     TESTS
         command_line_test.cpp
+        key_files_test.cpp
         settings_test.cpp
     DEPENDS jujubequay_net)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,2 +1,3 @@
 jujubequay_program(jjq-settings-page SOURCES apps/jjq_settings_page.cpp DEPENDS jujubequay_daemon)
+jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
 
