Add metrics with histograms for each customer and class

The fair share of a small customer can only be judged from times, waits, bytes and refusals for each customer.

Histograms have bins that double in width, from 0.1 ms and from 64 bytes. Customers beyond the limit are counted together as "other", so that invented names do not fill memory. Counters are atomics that the data path increments without a lock. The text is read over the control path /metrics, in parts, or with HTTP/1.1 GET on a loopback address.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,6 +17,7 @@
         relay_header.cpp
         generated/consensus.pb.cc
         generated/control.pb.cc
+        generated/metrics.pb.cc
         generated/request.pb.cc
     TESTS
         flow_id_test.cpp
@@ -56,13 +57,18 @@
         control_settings.cpp
         exit_status.cpp
         flow_secret.cpp
+        metrics.cpp
+        metrics_http_server.cpp
+        metrics_service.cpp
         operator_settings.cpp
+        prometheus_text.cpp
         settings_documentation.cpp
         settings_reader.cpp
         signer_key.cpp
     TESTS
         command_line_test.cpp
         key_files_test.cpp
+        metrics_test.cpp
         settings_test.cpp
     DEPENDS jujubequay_net)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- /dev/null
+++ b/include/jujubequay/daemon/metrics_service.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <jujubequay/daemon/metrics.h>
+#include <jujubequay/net/message_stream.h>
+
+#include <memory>
+
+namespace Jujubequay {
+
+/// Serves the path "/metrics" on control streams: sends the metrics as MetricsPart messages and ends the stream.
+class MetricsService
+{
+public:
+    explicit MetricsService(std::shared_ptr<const Metrics> metrics);
+
+    MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream) const;
+
+private:
+    std::shared_ptr<const Metrics> m_metrics;
+};
+
+}
