Add BackendClient and the stand-in backend server jjq-backend

The agent may report "not run" only when its backend server provably did not start the work.

BackendClient reports Completed, NotStarted (never sent, REFUSED_STREAM, or above the last stream of a GOAWAY, and no answer received) or MayHaveRun. jjq-backend has slots, a queue, a cold start, drain by GOAWAY, load shedding by REFUSED_STREAM, deadlines, feeds and a count of executions for each request identity; its health and load reports can lag or mislead.

A drain sends GOAWAY twice, so that requests on their way are still accepted. Connections made while draining can read health and load and are closed after that.

--- /dev/null
+++ b/apps/jjq_backend.cpp
@@ -0,0 +1,79 @@
+#include <jujubequay/daemon/backend_server.h>
+#include <jujubequay/daemon/command_line.h>
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+
+using namespace Jujubequay;
+
+namespace {
+
+constexpr auto drainPoll = std::chrono::milliseconds(50);
+
+ProgramDescription description()
+{
+    return {"jjq-backend",
+            "A stand-in backend server on HTTP/2 without TLS, for tests and demonstrations. SIGTERM drains it and ends it when its work is done.",
+            {
+                {"jjq-backend --settings examples/settings/jjq-backend.toml", "Serves with the settings in the file."},
+                {"jjq-backend --settings jjq-backend.toml --check-settings", "Checks the file and exits."},
+            }};
+}
+
+/// Stops the context once the server has no more work.
+void stopWhenDrained(asio::io_context &context, BackendServer &server, asio::steady_timer &timer)
+{
+    if (server.isDrained()) {
+        context.stop();
+        return;
+    }
+    timer.expires_after(drainPoll);
+    timer.async_wait([&](const asio::error_code &error) {
+        if (!error) {
+            stopWhenDrained(context, server, timer);
+        }
+    });
+}
+
+Result<void> serve(const BackendSettings &settings, LogLevel level)
+{
+    const SteadyClock clock;
+    Logger logger(clock, {"jjq-backend", toString(settings.address), "none"}, {.level = level});
+    asio::io_context context;
+    BOOST_LEAF_AUTO(server, BackendServer::listen(context, clock, logger, settings));
+    asio::steady_timer timer(context);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const asio::error_code &error, int) {
+        if (!error) {
+            server->drain();
+            stopWhenDrained(context, *server, timer);
+        }
+    });
+    logger.info("listening", {{"address", toString(server->address())}, {"slots", settings.slots}});
+    context.run();
+    return {};
+}
+
+Result<void> run(const std::vector<std::string> &arguments)
+{
+    CommandLine line(description());
+    BOOST_LEAF_AUTO(options, line.parse(arguments));
+    BOOST_LEAF_AUTO(reader, SettingsReader::open(options.settings));
+    const BackendSettings settings = readBackendSettings(reader);
+    BOOST_LEAF_CHECK(reader.finish());
+    if (options.isCheckOnly) {
+        return {};
+    }
+    return serve(settings, options.logLevel.value_or(settings.logLevel));
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    return runProgram("jjq-backend", [&] {
+        return run({argv, argv + argc});
+    });
+}
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -28,6 +28,7 @@
 
 jujubequay_module(net
     SOURCES
+        backend_client.cpp
         certificate.cpp
         http2_callbacks.cpp
         http2_message_client.cpp
@@ -49,6 +50,7 @@
 jujubequay_module(daemon
     SOURCES
         agent_settings.cpp
+        backend_server.cpp
         backend_settings.cpp
         balancer_settings.cpp
         call_settings.cpp
@@ -57,6 +59,7 @@
         control_settings.cpp
         exit_status.cpp
         flow_secret.cpp
+        load_report.cpp
         metrics.cpp
         metrics_http_server.cpp
         metrics_service.cpp
@@ -65,7 +68,10 @@
         settings_documentation.cpp
         settings_reader.cpp
         signer_key.cpp
+        work_queue.cpp
+        work_times.cpp
     TESTS
+        backend_test.cpp
         command_line_test.cpp
         key_files_test.cpp
         metrics_test.cpp
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,3 +1,4 @@
 jujubequay_program(jjq-settings-page SOURCES apps/jjq_settings_page.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
+jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
 
--- /dev/null
+++ b/src/jujubequay/net/backend_client.cpp
@@ -0,0 +1,186 @@
+#include "jujubequay/net/endpoint.h"
+#include "jujubequay/net/socket_transport.h"
+
+#include <jujubequay/core/invariant.h>
+#include <jujubequay/core/name_table.h>
+#include <jujubequay/net/backend_client.h>
+
+#include <charconv>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr NameTable<BackendVerdict, 3> verdictNames{{{
+    {BackendVerdict::Completed, "completed"},
+    {BackendVerdict::NotStarted, "not-started"},
+    {BackendVerdict::MayHaveRun, "may-have-run"},
+}}};
+
+int statusOf(const HttpHeaders &headers)
+{
+    const std::string_view text = headerValue(headers, ":status");
+    int status = 0;
+    std::from_chars(text.data(), text.data() + text.size(), status);
+    return status;
+}
+
+BackendEnd endOf(const Http2StreamEnd &end, bool hasWholeAnswer)
+{
+    // A server may end the answer and then stop reading the rest of the request with RST_STREAM(NO_ERROR).
+    if (end.isComplete || (hasWholeAnswer && end.cause == ResultCode::Cancelled && end.error == Http2Error::NoError)) {
+        return {BackendVerdict::Completed, ResultCode::Ok};
+    }
+    return {end.isNotStarted ? BackendVerdict::NotStarted : BackendVerdict::MayHaveRun, end.cause};
+}
+
+}
+
+struct BackendClient::Connection {
+    explicit Connection(asio::io_context &context)
+        : socket(std::make_shared<asio::ip::tcp::socket>(context))
+        , timer(context)
+    {
+    }
+
+    std::shared_ptr<asio::ip::tcp::socket> socket;
+    asio::steady_timer timer;
+};
+
+std::string_view backendVerdictName(BackendVerdict verdict)
+{
+    return verdictNames.name(verdict);
+}
+
+bool BackendCall::send(std::span<const std::uint8_t> data)
+{
+    return m_stream->send(data);
+}
+
+void BackendCall::end()
+{
+    m_stream->end();
+}
+
+void BackendCall::cancel()
+{
+    m_stream->reset(Http2Error::Cancel);
+}
+
+void BackendCall::consume(std::size_t bytes)
+{
+    m_stream->consume(bytes);
+}
+
+std::size_t BackendCall::queuedBytes() const
+{
+    return m_stream->queuedBytes();
+}
+
+std::shared_ptr<BackendClient> BackendClient::create(asio::io_context &context, const Clock &clock, const HostAddress &address, BackendClientOptions options)
+{
+    return std::shared_ptr<BackendClient>(new BackendClient(context, clock, address, options));
+}
+
+BackendClient::BackendClient(asio::io_context &context, const Clock &clock, const HostAddress &address, BackendClientOptions options)
+    : m_context(context)
+    , m_clock(clock)
+    , m_address(address)
+    , m_options(options)
+{
+}
+
+BackendClient::~BackendClient()
+{
+    stop();
+}
+
+void BackendClient::setDrainingHandler(std::function<void()> handler)
+{
+    m_draining = std::move(handler);
+}
+
+void BackendClient::stop()
+{
+    for (const auto &open : m_sessions) {
+        open->abort(ResultCode::ConnectionLost);
+    }
+}
+
+std::shared_ptr<BackendCall> BackendClient::start(const std::string &method, const std::string &path, const HttpHeaders &headers, BackendCallHandlers handlers)
+{
+    HttpHeaders fields{{":method", method}, {":scheme", "http"}, {":authority", toString(m_address)}, {":path", path}};
+    fields.insert(fields.end(), headers.begin(), headers.end());
+    auto hasWholeAnswer = std::make_shared<bool>(false);
+    Http2StreamHandlers http2;
+    http2.headers = [notify = std::move(handlers.headers)](const HttpHeaders &received) {
+        if (notify) {
+            notify(statusOf(received), received);
+        }
+    };
+    http2.data = std::move(handlers.data);
+    http2.writable = std::move(handlers.writable);
+    http2.end = [hasWholeAnswer](const HttpHeaders &) {
+        *hasWholeAnswer = true;
+    };
+    http2.closed = [hasWholeAnswer, notify = std::move(handlers.closed)](const Http2StreamEnd &end) {
+        if (notify) {
+            notify(endOf(end, *hasWholeAnswer));
+        }
+    };
+    auto call = std::make_shared<BackendCall>();
+    call->m_stream = session()->request(fields, std::move(http2));
+    checkInvariant(call->m_stream != nullptr, "a session that accepts requests opens a stream");
+    return call;
+}
+
+std::shared_ptr<Http2Session> BackendClient::session()
+{
+    if (!m_current || !m_current->acceptsRequests()) {
+        m_current = connect();
+    }
+    return m_current;
+}
+
+std::shared_ptr<Http2Session> BackendClient::connect()
+{
+    auto connection = std::make_shared<Connection>(m_context);
+    auto key = std::make_shared<std::weak_ptr<Http2Session>>();
+    Http2SessionHandlers handlers;
+    handlers.draining = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_draining) {
+            self->m_draining();
+        }
+    };
+    handlers.closed = [weak = weak_from_this(), connection, key](ResultCode) {
+        asio::error_code ignored;
+        connection->timer.cancel();
+        connection->socket->close(ignored);
+        if (const auto self = weak.lock()) {
+            self->m_sessions.erase(key->lock());
+        }
+    };
+    auto session = Http2Session::create(m_context, m_clock, Http2Session::Role::Client, m_options.http2, std::move(handlers));
+    *key = session;
+    m_sessions.insert(session);
+    connection->timer.expires_after(m_options.connectTimeout);
+    connection->timer.async_wait([session](const asio::error_code &error) {
+        if (!error) {
+            session->abort(ResultCode::Timeout);
+        }
+    });
+    connection->socket->async_connect(tcpEndpoint(m_address), [connection, session](const asio::error_code &error) {
+        connection->timer.cancel();
+        if (error) {
+            session->abort(ResultCode::ConnectionLost);
+            return;
+        }
+        asio::error_code ignored;
+        connection->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+        session->start(std::make_unique<SocketTransport<asio::ip::tcp::socket>>(connection->socket));
+    });
+    return session;
+}
+
+}
