--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,6 +17,7 @@
         relay_header.cpp
         generated/consensus.pb.cc
         generated/control.pb.cc
+        generated/metrics.pb.cc
         generated/request.pb.cc
     TESTS
         flow_id_test.cpp
@@ -89,6 +90,7 @@
 
 jujubequay_module(net
     SOURCES
+        backend_client.cpp
         certificate.cpp
         http2_callbacks.cpp
         http2_message_client.cpp
@@ -172,3 +174,35 @@
         agent_path_test.cpp
         announcer_test.cpp
     DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
+jujubequay_module(daemon
+    SOURCES
+        agent_settings.cpp
+        backend_server.cpp
+        backend_settings.cpp
+        balancer_settings.cpp
+        call_settings.cpp
+        command_line.cpp
+        common_settings.cpp
+        control_settings.cpp
+        exit_status.cpp
+        flow_secret.cpp
+        load_report.cpp
+        metrics.cpp
+        metrics_http_server.cpp
+        metrics_service.cpp
+        operator_settings.cpp
+        prometheus_text.cpp
+        settings_documentation.cpp
+        settings_reader.cpp
+        signer_key.cpp
+        work_queue.cpp
+        work_times.cpp
+    TESTS
+        backend_test.cpp
+        command_line_test.cpp
+        key_files_test.cpp
+        metrics_test.cpp
+        settings_test.cpp
+    DEPENDS jujubequay_net)
+target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -18,3 +18,8 @@
 jujubequay_program(quic-bench
     SOURCES bench/quic_bench.cpp
     DEPENDS jujubequay_quic)
+
+jujubequay_program(jjq-settings-page SOURCES apps/jjq_settings_page.cpp DEPENDS jujubequay_daemon)
+jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
+jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
+
