Add the balancer and agent programs

Cause: the data paths need processes around them.

Ruled out: taking a failing health answer as proof that a backend server is gone. Health answers may mislead, so only refused connections count, three in a row.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -23,3 +23,5 @@
 jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
 
+jujubequay_program(jjq-balancer SOURCES apps/jjq_balancer.cpp DEPENDS jujubequay_balancer_program)
+jujubequay_program(jjq-agent SOURCES apps/jjq_agent.cpp DEPENDS jujubequay_agent_program)
--- /dev/null
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -0,0 +1,541 @@
+#include <jujubequay/agent_program/agent_process.h>
+#include <jujubequay/agent_program/backend_adapter.h>
+#include <jujubequay/core/kernel.h>
+#include <jujubequay/daemon/metrics_http_server.h>
+#include <jujubequay/net/http2_message_client.h>
+#include <jujubequay/service/agent_path.h>
+#include <jujubequay/service/announce_client.h>
+#include <jujubequay/service/config_watcher.h>
+#include <jujubequay/wire/digest.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace Jujubequay {
+
+namespace {
+
+namespace pb = jujubequay::pb;
+
+constexpr auto statusInterval = std::chrono::seconds(1);
+constexpr auto drainPoll = std::chrono::milliseconds(50);
+/// A drained agent stays for this long, so that lost last packets can be retransmitted and balancers learn of its state.
+constexpr auto drainLinger = std::chrono::milliseconds(1000);
+/// Consecutive health queries without a connection after which the backend server counts as gone. Health answers may
+/// mislead, so only a refused connection counts.
+constexpr int goneLimit = 3;
+
+std::uint32_t randomIncarnation()
+{
+    std::random_device device;
+    std::uint32_t value = 0;
+    // Zero means "any incarnation".
+    while (value == 0) {
+        value = device();
+    }
+    return value;
+}
+
+/// All agents of a deployment derive the same key, so a restarted agent can reset the flows of its earlier start.
+std::array<std::uint8_t, 32> resetKeyOf(const FlowKeySet &keys)
+{
+    Digest digest;
+    const std::string purpose = "stateless reset";
+    digest.add({reinterpret_cast<const std::uint8_t *>(purpose.data()), purpose.size()});
+    digest.add(*keys.find(keys.active().value()));
+    return digest.finish();
+}
+
+AdmissionOptions admissionOf(const ServiceAdmission &rules)
+{
+    AdmissionOptions options;
+    options.slots = rules.slots;
+    options.customerWeights = rules.customerWeights;
+    if (rules.queueLimit > 0) {
+        options.queueLimit = rules.queueLimit;
+    }
+    if (rules.maxConnections > 0) {
+        options.maxFeeds = rules.maxConnections;
+    }
+    if (rules.queueTimeout.count() > 0) {
+        options.queueTimeout = rules.queueTimeout;
+    }
+    return options;
+}
+
+/// What the control thread wants to know of the traffic thread.
+struct PathStatus {
+    bool isIdle = false;
+    std::size_t flows = 0;
+    LoadReport load;
+    std::vector<std::uint32_t> flowKeysInUse;
+    RequestBrokerStatistics requests;
+};
+
+/// The services of one agent: control thread and one traffic thread.
+class AgentProcess
+{
+public:
+    explicit AgentProcess(const AgentSettings &settings);
+    ~AgentProcess();
+
+    Result<void> start();
+    void run();
+
+private:
+    void apply(const ConfigSnapshotPointer &config);
+    void createPath(const ConfigSnapshotPointer &config, const ServiceSnapshot &service);
+    AgentPathOptions pathOptions(const ConfigSnapshot &config, const ServiceSnapshot &service) const;
+    void reportRequest(const RequestReport &report);
+
+    void queryHealth();
+    void scheduleHealthQuery();
+    void handleHealth(bool isConnected, bool isHealthy);
+
+    void beginDrain();
+    void pollDrain();
+    void leave();
+    void scheduleStatus();
+    void publishStatus(const PathStatus &status);
+    template<class Handler>
+    void queryPath(Handler handler);
+    void fail(const std::string &event, const std::string &detail);
+
+    const AgentSettings m_settings;
+    const Incarnation m_incarnation{randomIncarnation()};
+    Kernel m_kernel;
+    asio::io_context m_context;
+    asio::io_context m_traffic;
+    asio::executor_work_guard<asio::io_context::executor_type> m_trafficWork;
+    std::mt19937_64 m_random;
+    std::shared_ptr<Clock> m_clock;
+    std::shared_ptr<Logger> m_logger;
+    std::shared_ptr<Metrics> m_metrics;
+    std::shared_ptr<TlsContext> m_tls;
+    std::shared_ptr<const TlsCredentials> m_credentials;
+    std::shared_ptr<Http2MessageClient> m_client;
+    std::shared_ptr<ConfigWatcher> m_watcher;
+    std::shared_ptr<AnnounceClient> m_announcer;
+    std::shared_ptr<MetricsHttpServer> m_metricsServer;
+
+    // Used on the traffic thread once it runs.
+    std::shared_ptr<BackendClient> m_backendClient;
+    std::shared_ptr<BackendClient> m_healthClient;
+    std::shared_ptr<BackendCall> m_healthCall;
+    std::unique_ptr<BackendAdapter> m_backend;
+    std::unique_ptr<AgentPath> m_path;
+    asio::steady_timer m_healthTimer;
+
+    std::thread m_thread;
+    bool m_hasPath = false;
+    bool m_isDraining = false;
+    int m_failedQueries = 0;
+    asio::signal_set m_stopSignals;
+    asio::signal_set m_reloadSignals;
+    asio::steady_timer m_statusTimer;
+    asio::steady_timer m_drainTimer;
+};
+
+AgentProcess::AgentProcess(const AgentSettings &settings)
+    : m_settings(settings)
+    , m_trafficWork(asio::make_work_guard(m_traffic))
+    , m_random(std::random_device()())
+    , m_clock(std::make_shared<SteadyClock>())
+    , m_logger(std::make_shared<Logger>(*m_clock,
+                                        LogOrigin{"jjq-agent", settings.common.placement.hostName, settings.common.placement.availabilityZone},
+                                        Logger::Options{.level = settings.common.logLevel}))
+    , m_metrics(std::make_shared<Metrics>(settings.metricsCustomers))
+    , m_healthTimer(m_traffic)
+    , m_stopSignals(m_context, SIGTERM, SIGINT)
+    , m_reloadSignals(m_context, SIGHUP)
+    , m_statusTimer(m_context)
+    , m_drainTimer(m_context)
+{
+    m_kernel.add<Clock>("clock", m_clock);
+    m_kernel.add<Logger>("logger", m_logger);
+    m_kernel.add<Metrics>("metrics", m_metrics);
+}
+
+AgentProcess::~AgentProcess()
+{
+    m_traffic.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+    if (m_watcher) {
+        m_watcher->stop();
+    }
+    if (m_announcer) {
+        m_announcer->stop();
+    }
+    if (m_client) {
+        m_client->stop();
+    }
+    if (m_metricsServer) {
+        m_metricsServer->stop();
+    }
+    if (m_backendClient) {
+        m_backendClient->stop();
+        m_healthClient->stop();
+    }
+}
+
+Result<void> AgentProcess::start()
+{
+    BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.common.tls));
+    BOOST_LEAF_AUTO(certificate, readPemFile(m_settings.quicCertificate));
+    BOOST_LEAF_AUTO(key, readPemFile(m_settings.quicKey));
+    BOOST_LEAF_ASSIGN(m_credentials, TlsCredentials::server(certificate, key));
+    if (m_settings.common.metricsAddress) {
+        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.common.metricsAddress, m_metrics));
+    }
+    MessageClientOptions clientOptions;
+    clientOptions.http2.keepAlive = m_settings.common.keepAlive;
+    clientOptions.connectTimeout = m_settings.common.connectTimeout;
+    m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, clientOptions);
+    m_kernel.add<MessageClient>("message-client", m_client);
+
+    std::vector<HostAddress> controlHosts;
+    for (const ControlHost &host : m_settings.common.controlHosts) {
+        controlHosts.push_back(host.address);
+    }
+    WatchSubscriberOptions watch;
+    // Several agents may run on one host; a name below the host's keeps their reports apart.
+    watch.host = m_settings.common.placement.hostName + "/" + m_settings.serverName;
+    watch.zone = m_settings.common.placement.availabilityZone;
+    watch.role = "agent";
+    watch.controlHosts = controlHosts;
+    watch.services = {m_settings.service};
+    m_watcher = std::make_shared<ConfigWatcher>(
+        m_context, *m_clock, *m_logger, *m_client, std::move(watch), std::vector<HostAddress>{}, m_random, [this](const ConfigSnapshotPointer &config) {
+            apply(config);
+        });
+    m_kernel.add<ConfigWatcher>("config-watcher", m_watcher);
+
+    pb::ServerEntry server;
+    server.set_name(m_settings.serverName);
+    server.set_service(m_settings.service);
+    server.set_zone(m_settings.common.placement.availabilityZone);
+    server.set_host(m_settings.common.placement.hostName);
+    server.set_relay_address(toString(m_settings.relayAddress));
+    server.set_incarnation(m_incarnation.value);
+    server.set_weight(m_settings.weight);
+    AnnouncerOptions announce;
+    announce.controlHosts = controlHosts;
+    announce.heartbeat = m_settings.renewInterval;
+    m_announcer = std::make_shared<AnnounceClient>(m_context, *m_clock, *m_logger, *m_client, Announcer(announce, server, m_random));
+    m_kernel.add<AnnounceClient>("announcer", m_announcer);
+
+    BackendClientOptions backendOptions;
+    m_backendClient = BackendClient::create(m_traffic, *m_clock, m_settings.backendAddress, backendOptions);
+    m_healthClient = BackendClient::create(m_traffic, *m_clock, m_settings.backendAddress, backendOptions);
+    m_backendClient->setDrainingHandler([this] {
+        asio::post(m_context, [this] {
+            m_logger->info("backend-server-drains");
+            beginDrain();
+        });
+    });
+    m_backend = std::make_unique<BackendAdapter>(m_backendClient);
+
+    m_thread = std::thread([this] {
+        m_traffic.run();
+    });
+    m_watcher->start();
+    m_announcer->start();
+    m_stopSignals.async_wait([this](const asio::error_code &error, int) {
+        if (!error) {
+            beginDrain();
+        }
+    });
+    m_reloadSignals.async_wait([this](const asio::error_code &error, int) {
+        if (!error) {
+            m_logger->info("certificates-reloaded", {{"ok", static_cast<bool>(m_tls->reload())}});
+        }
+    });
+    scheduleStatus();
+    m_logger->info("started",
+                   {{"server", m_settings.serverName},
+                    {"service", m_settings.service},
+                    {"relay_address", toString(m_settings.relayAddress)},
+                    {"incarnation", m_incarnation.value}});
+    return {};
+}
+
+void AgentProcess::run()
+{
+    m_context.run();
+    m_logger->info("stopped");
+}
+
+void AgentProcess::fail(const std::string &event, const std::string &detail)
+{
+    m_logger->error(event, {{"detail", detail}});
+    m_context.stop();
+}
+
+// ---- Configuration ----
+
+void AgentProcess::apply(const ConfigSnapshotPointer &config)
+{
+    m_metrics->setGauge("revision_in_force", static_cast<double>(config->revision));
+    if (m_hasPath) {
+        asio::post(m_traffic, [this, config] {
+            if (m_path) {
+                m_path->apply(config);
+            }
+        });
+        return;
+    }
+    const ServiceSnapshot *service = config->findService(m_settings.service);
+    const bool isUsable = service != nullptr && config->flowKeys.active();
+    if (isUsable) {
+        createPath(config, *service);
+    }
+}
+
+AgentPathOptions AgentProcess::pathOptions(const ConfigSnapshot &config, const ServiceSnapshot &service) const
+{
+    AgentPathOptions options;
+    options.service = service.id;
+    options.serviceName = service.name;
+    options.relayAddress = m_settings.relayAddress;
+    options.incarnation = m_incarnation;
+    options.weight = m_settings.weight;
+    options.broker.admission = admissionOf(service.admission);
+    options.broker.requests.maxStoredBytes = m_settings.requestTableBytes;
+    options.handOver.slots = service.admission.slots;
+    if (service.admission.maxConnections > 0) {
+        options.quic.maxFlows = service.admission.maxConnections;
+        options.handOver.maxFlows = service.admission.maxConnections;
+    }
+    options.quic.resetKey = resetKeyOf(config.flowKeys);
+    return options;
+}
+
+void AgentProcess::createPath(const ConfigSnapshotPointer &config, const ServiceSnapshot &service)
+{
+    m_hasPath = true;
+    const std::uint64_t seed = m_random();
+    asio::post(m_traffic, [this, config, seed, options = pathOptions(*config, service)] {
+        auto path = AgentPath::create(
+            m_traffic,
+            *m_clock,
+            options,
+            m_credentials,
+            config,
+            *m_backend,
+            [this](const RequestReport &report) {
+                reportRequest(report);
+            },
+            seed);
+        if (!path) {
+            asio::post(m_context, [this] {
+                fail("address-not-bound", toString(m_settings.relayAddress));
+            });
+            return;
+        }
+        m_path = std::move(*path);
+        m_backend->setEventHandler([this](const BackendEvent &event) {
+            m_path->handleBackendEvent(event);
+        });
+        queryHealth();
+    });
+}
+
+void AgentProcess::reportRequest(const RequestReport &report)
+{
+    if (isNotRun(report.result)) {
+        m_metrics->addRefusal(report.customer, report.workClass, report.result);
+        return;
+    }
+    m_metrics->addRequest(report.customer, report.workClass, {report.total, report.queued, report.answerBytes});
+}
+
+// ---- Health ----
+
+void AgentProcess::queryHealth()
+{
+    struct Answer {
+        int status = 0;
+    };
+    const auto answer = std::make_shared<Answer>();
+    BackendCallHandlers handlers;
+    handlers.headers = [answer](int status, const HttpHeaders &) {
+        answer->status = status;
+    };
+    handlers.data = [this](std::span<const std::uint8_t> data) {
+        m_healthCall->consume(data.size());
+    };
+    handlers.closed = [this, answer](const BackendEnd &end) {
+        const bool isConnected = end.cause != ResultCode::ConnectionLost && end.cause != ResultCode::Timeout;
+        asio::post(m_context, [this, isConnected, isHealthy = answer->status == 200] {
+            handleHealth(isConnected, isHealthy);
+        });
+        scheduleHealthQuery();
+    };
+    m_healthCall = m_healthClient->start("GET", "/health", {}, std::move(handlers));
+    m_healthCall->end();
+}
+
+void AgentProcess::scheduleHealthQuery()
+{
+    m_healthTimer.expires_after(m_settings.healthInterval);
+    m_healthTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            queryHealth();
+        }
+    });
+}
+
+void AgentProcess::handleHealth(bool isConnected, bool isHealthy)
+{
+    if (m_isDraining) {
+        return;
+    }
+    m_failedQueries = isConnected ? 0 : m_failedQueries + 1;
+    if (isHealthy) {
+        m_announcer->setState(pb::SERVER_STATE_SERVING);
+    } else if (m_failedQueries >= goneLimit) {
+        m_announcer->setState(pb::SERVER_STATE_STARTING);
+    }
+}
+
+// ---- Drain ----
+
+void AgentProcess::beginDrain()
+{
+    if (m_isDraining) {
+        return;
+    }
+    m_isDraining = true;
+    m_logger->info("draining");
+    m_announcer->setState(pb::SERVER_STATE_DRAINING);
+    if (!m_hasPath) {
+        leave();
+        return;
+    }
+    asio::post(m_traffic, [this] {
+        if (m_path) {
+            m_path->beginDrain();
+        }
+    });
+    pollDrain();
+}
+
+void AgentProcess::pollDrain()
+{
+    queryPath([this](const PathStatus &status) {
+        if (status.isIdle) {
+            leave();
+            return;
+        }
+        m_drainTimer.expires_after(drainPoll);
+        m_drainTimer.async_wait([this](const asio::error_code &error) {
+            if (!error) {
+                pollDrain();
+            }
+        });
+    });
+}
+
+void AgentProcess::leave()
+{
+    m_logger->info("drained");
+    m_announcer->setState(pb::SERVER_STATE_LEFT);
+    if (m_hasPath) {
+        asio::post(m_traffic, [this] {
+            if (m_path) {
+                m_path->closeFlows();
+            }
+        });
+    }
+    m_drainTimer.expires_after(drainLinger);
+    m_drainTimer.async_wait([this](const asio::error_code &) {
+        m_context.stop();
+    });
+}
+
+// ---- Status ----
+
+template<class Handler>
+void AgentProcess::queryPath(Handler handler)
+{
+    asio::post(m_traffic, [this, handler] {
+        // The path is missing when its address could not be bound; the process is then about to stop.
+        if (!m_path) {
+            return;
+        }
+        PathStatus status;
+        status.isIdle = m_path->isIdle();
+        status.flows = m_path->flowCount();
+        status.load = m_path->load();
+        status.flowKeysInUse = m_path->flowKeysInUse();
+        status.requests = m_path->requestStatistics();
+        asio::post(m_context, [handler, status] {
+            handler(status);
+        });
+    });
+}
+
+void AgentProcess::scheduleStatus()
+{
+    m_statusTimer.expires_after(statusInterval);
+    m_statusTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (m_hasPath) {
+            queryPath([this](const PathStatus &status) {
+                publishStatus(status);
+            });
+        }
+        scheduleStatus();
+    });
+}
+
+void AgentProcess::publishStatus(const PathStatus &status)
+{
+    m_watcher->setFlowKeysInUse(status.flowKeysInUse);
+    m_metrics->setGauge("open_flows", static_cast<double>(status.flows));
+    m_metrics->setGauge("running_requests", status.load.running);
+    m_metrics->setGauge("queued_requests", status.load.queued);
+    const auto publish = [this](std::string_view name, std::string_view cause, std::uint64_t value) {
+        m_metrics->counter(name, cause).store(value, std::memory_order_relaxed);
+    };
+    const AgentPathCounters &counters = m_path->counters();
+    publish("datagrams", "accepted", counters.accepted);
+    publish("datagrams", "handed-over", counters.handedOver);
+    publish("datagrams", "refused-stale", counters.refusedStale);
+    publish("datagrams", "replies", counters.replies);
+    publish("datagrams", "not-sent", counters.notSent);
+    for (std::size_t cause = 0; cause < counters.dropped.size(); ++cause) {
+        publish("dropped_datagrams", ingressDropCauseName(static_cast<IngressDropCause>(cause)), counters.dropped[cause]);
+    }
+    for (std::size_t cause = 0; cause < counters.badRelays.size(); ++cause) {
+        publish("dropped_relays", relayErrorName(static_cast<RelayError>(cause)), counters.badRelays[cause]);
+    }
+    publish("requests", "started", status.requests.started);
+    publish("requests", "replayed", status.requests.replayed);
+    publish("requests", "attached", status.requests.attached);
+    publish("requests", "feeds-moved", status.requests.feedsMoved);
+    publish("requests", "malformed", status.requests.malformed);
+    for (const auto &[result, count] : status.requests.answered) {
+        publish("answers", resultName(result), count);
+    }
+}
+
+}
+
+Result<void> runAgent(const AgentSettings &settings)
+{
+    AgentProcess process(settings);
+    BOOST_LEAF_CHECK(process.start());
+    process.run();
+    return {};
+}
+
+}
