--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -37,8 +37,13 @@
     std::size_t maxPendingProposals = 1024;
     std::size_t maxPendingReads = 4096;
     std::size_t snapshotChunkBytes = 256U << 10U;
-    std::uint64_t snapshotInterval = 1000; ///< applied entries after which a snapshot is wanted
-    std::uint64_t retainedEntries = 200; ///< entries kept before a snapshot for followers that lag
+    std::size_t maxSnapshotBytes = 64U << 20U; ///< largest state that is accepted from a leader
+    /// Applied entries, and their bytes, after which a snapshot is wanted.
+    std::uint64_t snapshotInterval = 1000;
+    std::size_t snapshotIntervalBytes = 8U << 20U;
+    /// Entries, and their bytes, kept before a snapshot for followers that lag.
+    std::uint64_t retainedEntries = 200;
+    std::size_t retainedBytes = 1U << 20U;
 };
 
 /// One replica of the log: a state machine without I/O. Every function returns the effects to carry out in order.
@@ -79,7 +84,8 @@
     Role role() const;
     std::uint64_t term() const;
     const std::string &id() const;
-    /// Disk identity of the leader in this term; empty if unknown.
+    /// Disk identity of the leader in this term; empty if unknown. A new learner may hear a leader that is not in its
+    /// membership yet; answers go back the way that the message came.
     const std::string &leader() const;
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
@@ -178,6 +184,7 @@
     void replicateTo(const std::string &id, Progress &progress, bool heartbeat);
     void hearLeader(const jujubequay::pb::ReplicaMessage &message);
     void onAppendRequest(const jujubequay::pb::ReplicaMessage &message);
+    static bool isWellFormed(const jujubequay::pb::AppendRequest &request);
     void acceptEntries(const jujubequay::pb::AppendRequest &request);
     void rejectAppend(const jujubequay::pb::ReplicaMessage &message);
     void onAppendReply(const jujubequay::pb::ReplicaMessage &message);
@@ -195,6 +202,7 @@
     void installSnapshot(const jujubequay::pb::ReplicaMessage &message);
     void finishInstall();
     void finishCompaction();
+    std::uint64_t retentionStart(std::uint64_t index) const;
 
     // reads.cpp
     void addRead(PendingRead read);
@@ -217,6 +225,7 @@
     HardState m_hardState;
     std::unique_ptr<ReplicaLog> m_log;
     Snapshot m_snapshot;
+    std::uint64_t m_stateDigest = 0; // of m_snapshot.state
     jujubequay::pb::Membership m_membership;
     std::uint64_t m_membershipIndex = 0;
 
@@ -240,6 +249,7 @@
     std::uint64_t m_commit = 0;
     std::uint64_t m_applied = 0;
     bool m_snapshotWanted = false;
+    std::size_t m_bytesSinceSnapshot = 0;
     TimePoint m_electionDeadline{};
     TimePoint m_lastLeaderContact{};
     bool m_heardLeader = false;
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -44,6 +44,7 @@
     checkInvariant(!m_identity.id.empty(), "a replica has a disk identity");
     checkInvariant(m_log->covers(m_snapshot.index), "snapshot and log leave no gap");
     checkInvariant(m_log->positionAt(m_snapshot.index).digest == m_snapshot.digest, "snapshot and log hold the same history");
+    m_stateDigest = digestOfState(m_snapshot.state);
     refreshMembership();
     m_cluster = m_membership.cluster();
     resetElectionTimer();
@@ -192,8 +193,7 @@
             }
         }
         flushPersist();
-        const std::uint64_t retained = std::min(m_options.retainedEntries, index - m_log->base().index);
-        const LogBase base = m_log->positionAt(index - retained);
+        const LogBase base = m_log->positionAt(retentionStart(index));
         m_compacting = {++m_sequence, snapshot};
         m_storageEffects.emplace_back(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, base, m_log->entriesAfter(base.index)});
     }
@@ -211,8 +211,22 @@
         return;
     }
     m_snapshot = std::move(snapshot);
-    const std::uint64_t retained = std::min(m_options.retainedEntries, m_snapshot.index - m_log->base().index);
-    m_log->compactTo(m_snapshot.index - retained);
+    m_stateDigest = digestOfState(m_snapshot.state);
+    m_log->compactTo(retentionStart(m_snapshot.index));
+}
+
+std::uint64_t Replica::retentionStart(std::uint64_t index) const
+{
+    std::uint64_t start = index;
+    std::size_t bytes = 0;
+    while (start > m_log->base().index && index - start < m_options.retainedEntries) {
+        bytes += m_log->entryAt(start).ByteSizeLong();
+        if (bytes > m_options.retainedBytes) {
+            break;
+        }
+        --start;
+    }
+    return start;
 }
 
 TimePoint Replica::nextTick() const
@@ -447,13 +461,18 @@
         entries.push_back(m_log->entryAt(index));
     }
     checkInvariant(entries.front().index() == m_applied + 1, "entries are applied in order");
+    for (const pb::LogEntry &entry : entries) {
+        m_bytesSinceSnapshot += entry.ByteSizeLong();
+    }
     m_applied = m_commit;
     emit(Apply{entries});
     for (const pb::LogEntry &entry : entries) {
         reportCommitted(entry);
     }
     releaseForwardedReads();
-    if (!m_snapshotWanted && !m_compacting && m_applied - m_snapshot.index >= m_options.snapshotInterval) {
+    const bool due = m_applied - m_snapshot.index >= m_options.snapshotInterval || m_bytesSinceSnapshot >= m_options.snapshotIntervalBytes;
+    if (due && !m_snapshotWanted && !m_compacting) {
+        m_bytesSinceSnapshot = 0;
         m_snapshotWanted = true;
         emit(SnapshotWanted{m_applied});
     }
--- a/src/jujubequay/consensus/replica_log.cpp
+++ b/src/jujubequay/consensus/replica_log.cpp
@@ -14,6 +14,11 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), previous);
 }
 
+std::uint64_t digestOfState(const Bytes &state)
+{
+    return XXH3_64bits(state.data(), state.size());
+}
+
 ReplicaLog::ReplicaLog(const LogBase &base, std::vector<pb::LogEntry> entries)
     : m_base(base)
 {
--- a/src/jujubequay/consensus/replica_log.h
+++ b/src/jujubequay/consensus/replica_log.h
@@ -14,6 +14,9 @@
 /// Digest chain: covers the entry and, through the previous digest, everything before it.
 std::uint64_t chainDigest(std::uint64_t previous, const jujubequay::pb::LogEntry &entry);
 
+/// Digest of a snapshot's state.
+std::uint64_t digestOfState(const Bytes &state);
+
 /// The entries of one replica in memory, with the digest chain at each of them.
 class ReplicaLog
 {
--- a/src/jujubequay/consensus/replica_test.cpp
+++ b/src/jujubequay/consensus/replica_test.cpp
@@ -150,6 +150,8 @@
     CPPUNIT_TEST(voteIsSentOnlyWhenDurable);
     CPPUNIT_TEST(votesOncePerTermAlsoAfterARestart);
     CPPUNIT_TEST(entriesAreAcknowledgedOnlyWhenDurable);
+    CPPUNIT_TEST(malformedEntriesAreIgnored);
+    CPPUNIT_TEST(readOnANewLeaderWaitsForItsFirstEntry);
     CPPUNIT_TEST(entryOfAnEarlierTermDoesNotCommitByCount);
     CPPUNIT_TEST(leaderWithoutMajorityStepsDown);
     CPPUNIT_TEST(partitionedVoterDoesNotDeposeTheLeader);
@@ -186,15 +188,47 @@
 
     void entriesAreAcknowledgedOnlyWhenDurable()
     {
-        Subject subject(storedState("a", {"a", "b", "c"}));
+        StoredState state = storedState("a", {"a", "b", "c"});
+        state.hardState = {1, "b"}; // nothing but the entry waits for the disk
+        Subject subject(state);
         ReplicaMessage message = subject.from("b", 1);
         *message.mutable_append_request()->add_entries() = entry(1, 1);
         subject.receive(message);
-        subject.receive(message); // a repeated request must not be acknowledged earlier either
         CPPUNIT_ASSERT(subject.sent.empty());
+        subject.receive(message); // a repeated request is answered, but does not acknowledge the entry earlier
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, subject.sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subject.sent.back().append_reply().index());
         subject.store();
-        CPPUNIT_ASSERT(!subject.sent.empty());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subject.sent.front().append_reply().index());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, subject.sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subject.sent.back().append_reply().index());
+    }
+
+    // Guards against a faulty peer that stops this host through an invariant of the log.
+    void malformedEntriesAreIgnored()
+    {
+        Subject subject(storedState("a", {"a", "b", "c"}));
+        ReplicaMessage message = subject.from("b", 3);
+        *message.mutable_append_request()->add_entries() = entry(2, 3);
+        subject.receive(message);
+        *message.mutable_append_request()->mutable_entries(0) = entry(1, 3);
+        *message.mutable_append_request()->add_entries() = entry(2, 2);
+        subject.receive(message);
+        message.clear_append_request();
+        message.mutable_snapshot_chunk()->set_index(4);
+        message.mutable_snapshot_chunk()->set_size(ReplicaOptions().maxSnapshotBytes + 1);
+        subject.receive(message);
+        subject.store();
+        CPPUNIT_ASSERT(subject.sent.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subject.replica.lastIndex());
+    }
+
+    // Guards against a new leader that answers before it knows how far its predecessor committed.
+    void readOnANewLeaderWaitsForItsFirstEntry()
+    {
+        Subject subject(storedState("a", {"a", "b", "c"}));
+        subject.becomeLeader("b");
+        subject.handle(subject.replica.confirmRead(subject.now, {1}));
+        CPPUNIT_ASSERT(subject.sent.empty());
     }
 
     // Guards against the loss of an entry that a majority holds but that a later leader may still replace.
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -88,6 +88,9 @@
     }
     hearLeader(message);
     const pb::AppendRequest &request = message.append_request();
+    if (!isWellFormed(request)) {
+        return;
+    }
     const std::uint64_t last = request.prev_index() + static_cast<std::uint64_t>(request.entries_size());
     if (m_installing || last < m_commit) {
         // What lies below the commit index is known to match; entries before the base cannot be compared.
@@ -106,6 +109,19 @@
     acknowledge(message.from(), wrote ? last : std::min(last, m_durableIndex), request.round(), wrote ? m_sequence + 1 : 0);
 }
 
+bool Replica::isWellFormed(const pb::AppendRequest &request)
+{
+    std::uint64_t index = request.prev_index();
+    std::uint64_t term = request.prev_term();
+    for (const pb::LogEntry &entry : request.entries()) {
+        if (entry.index() != ++index || entry.term() < term) {
+            return false;
+        }
+        term = entry.term();
+    }
+    return true;
+}
+
 void Replica::acceptEntries(const pb::AppendRequest &request)
 {
     bool changesMembership = false;
--- a/src/jujubequay/consensus/snapshot_transfer.cpp
+++ b/src/jujubequay/consensus/snapshot_transfer.cpp
@@ -5,21 +5,10 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
-
 namespace Jujubequay::Consensus {
 
 namespace pb = jujubequay::pb;
 
-namespace {
-
-std::uint64_t stateDigest(const Bytes &state)
-{
-    return XXH3_64bits(state.data(), state.size());
-}
-
-}
-
 void Replica::sendSnapshotChunk(const std::string &id, Progress &progress)
 {
     if (progress.snapshotIndex != m_snapshot.index) {
@@ -34,7 +23,7 @@
     *chunk->mutable_membership() = m_snapshot.membership;
     chunk->set_applied_digest(m_snapshot.digest);
     chunk->set_size(m_snapshot.state.size());
-    chunk->set_digest(stateDigest(m_snapshot.state));
+    chunk->set_digest(m_stateDigest);
     chunk->set_offset(progress.snapshotOffset);
     chunk->set_data(m_snapshot.state.data() + progress.snapshotOffset, size);
     chunk->set_round(m_round);
@@ -48,6 +37,9 @@
         return replySnapshot(message.from(), chunk.index(), 0, false, 0);
     }
     hearLeader(message);
+    if (chunk.size() > m_options.maxSnapshotBytes) {
+        return;
+    }
     const bool sameHistory = m_log->covers(chunk.index()) && m_log->termAt(chunk.index()) == chunk.term();
     if (m_installing || chunk.index() <= m_commit || sameHistory) {
         if (!m_installing && chunk.index() > m_commit) {
@@ -65,7 +57,7 @@
         m_incoming.state.insert(m_incoming.state.end(), chunk.data().begin(), chunk.data().end());
     }
     const bool complete = m_incoming.state.size() == chunk.size();
-    if (complete && stateDigest(m_incoming.state) == chunk.digest()) {
+    if (complete && digestOfState(m_incoming.state) == chunk.digest()) {
         return installSnapshot(message);
     }
     if (complete || m_incoming.state.size() > chunk.size()) {
@@ -91,6 +83,7 @@
         return;
     }
     m_snapshot = std::move(m_installing->second);
+    m_stateDigest = digestOfState(m_snapshot.state);
     m_installing.reset();
     checkInvariant(m_snapshot.index > m_commit && m_snapshot.index > m_applied, "a snapshot does not take committed entries back");
     m_log->reset({m_snapshot.index, m_snapshot.term, m_snapshot.digest});
@@ -98,6 +91,7 @@
     m_applied = m_snapshot.index;
     m_durableIndex = m_snapshot.index;
     m_snapshotWanted = false;
+    m_bytesSinceSnapshot = 0;
     refreshMembership();
     emit(RestoreState{m_snapshot.index, m_snapshot.state});
     emit(MembershipCommitted{m_snapshot.index, m_snapshot.membership});
--- a/src/jujubequay/consensus_testing/fake_cluster.cpp
+++ b/src/jujubequay/consensus_testing/fake_cluster.cpp
@@ -38,6 +38,12 @@
     return text;
 }
 
+/// As long as a real identity, so that bytes can be counted.
+std::string diskName(std::size_t host, int disk)
+{
+    return fmt::format("{:.<32}", fmt::format("disk-{}-{}", host, disk));
+}
+
 Bytes encodeState(std::uint64_t index, std::uint64_t digest, std::size_t size)
 {
     Bytes state(std::max<std::size_t>(size, 16), 0x5a);
@@ -132,7 +138,7 @@
     for (std::size_t number = 0; number < options.hosts; ++number) {
         auto host = std::make_unique<Host>();
         host->name = fmt::format("host-{}", number);
-        host->identity = fmt::format("disk-{}-0", number);
+        host->identity = diskName(number, 0);
         host->clockRate = std::uniform_real_distribution<double>(1 - options.clockSkew, 1 + options.clockSkew)(random);
         host->random.seed(random());
         if (number < options.voters) {
@@ -432,7 +438,7 @@
 void FakeCluster::initialise(std::size_t number, const pb::Membership &founders)
 {
     Host &host = *m_hosts[number];
-    host.identity = fmt::format("disk-{}-{}", number, host.disks++);
+    host.identity = diskName(number, host.disks++);
     m_hostOfIdentity[host.identity] = number;
     host.disk = std::make_unique<FakeDisk>(random);
     const bool initialised = static_cast<bool>(initialiseDisk(*host.disk, {{host.identity, host.name}, founders}));
