--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -25,3 +25,5 @@
 
 jujubequay_program(jjq-balancer SOURCES apps/jjq_balancer.cpp DEPENDS jujubequay_balancer_program)
 jujubequay_program(jjq-agent SOURCES apps/jjq_agent.cpp DEPENDS jujubequay_agent_program)
+
+jujubequay_program(jjq-bench-consensus SOURCES bench/jjq_bench_consensus.cpp DEPENDS jujubequay_consensus_testing)
