Add the operators' request with retries; correct linter findings

Cause: an operator's command with a lost answer has to be sent again, with the same bytes, to other control hosts. This commit removes all findings in src/control. Ordered containers of types with a defaulted operator<=> were replaced, because clang-tidy 14 reports a false "use nullptr" for them. Change: OperatorRequest; clang-tidy findings in the control module. Conclusion: ./dev test passes; clang-tidy has no finding in the control module.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -52,6 +52,7 @@
         control_state.cpp
         lease_registry.cpp
         operation_log.cpp
+        operator_request.cpp
         peer_links.cpp
         replica_driver.cpp
         report_board.cpp
@@ -61,5 +62,6 @@
         control_host_service_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
+        operator_request_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
--- a/include/jujubequay/control/operation_log.h
+++ b/include/jujubequay/control/operation_log.h
@@ -27,7 +27,7 @@
     /// Number of operations ever added.
     std::uint64_t applied() const;
 
-    void add(jujubequay::pb::OperationRecord record);
+    void add(const jujubequay::pb::OperationRecord &record);
     void save(jujubequay::pb::ControlSnapshot &snapshot) const;
     void load(const jujubequay::pb::ControlSnapshot &snapshot);
 
--- a/include/jujubequay/control/replica_driver.h
+++ b/include/jujubequay/control/replica_driver.h
@@ -70,8 +70,8 @@
     bool m_isRunning = false;
     bool m_hasFailed = false;
     std::uint64_t m_lastId = 0;
-    std::map<Consensus::ProposalId, AnswerHandler> m_proposals;
-    std::map<Consensus::ReadId, ReadHandler> m_reads;
+    std::map<std::uint64_t, AnswerHandler> m_proposals;
+    std::map<std::uint64_t, ReadHandler> m_reads;
     std::map<std::uint64_t, jujubequay::pb::CommandAnswer> m_answers; // last applied entries, by index
 };
 
--- a/src/jujubequay/control/bundle.cpp
+++ b/src/jujubequay/control/bundle.cpp
@@ -37,13 +37,13 @@
     if (content.addresses_size() == 0 || content.addresses_size() > maxAddresses) {
         return fail(ResultCode::BadBundle, fmt::format("addresses: 1 to {} are needed, got {}", maxAddresses, content.addresses_size()));
     }
-    std::set<HostAddress> seen;
+    std::set<std::string> seen;
     for (const std::string &text : content.addresses()) {
         const auto address = parseHostAddress(text);
         if (!address || address->port == 0) {
             return fail(ResultCode::BadBundle, fmt::format("addresses: \"{}\" is not an IPv4 address and port", text));
         }
-        if (!seen.insert(*address).second) {
+        if (!seen.insert(toString(*address)).second) {
             return fail(ResultCode::BadBundle, fmt::format("addresses: \"{}\" is named twice", text));
         }
     }
--- a/src/jujubequay/control/control_state.cpp
+++ b/src/jujubequay/control/control_state.cpp
@@ -93,7 +93,7 @@
     }
 
     const std::uint64_t revisionBefore = m_revision;
-    const Answer answer = execute(logged, command);
+    Answer answer = execute(logged, command);
     checkInvariant(m_revision == revisionBefore || (isAccepted(answer) && command.has_roll() && m_revision == revisionBefore + 1),
                    "the revision rises by one, for an accepted roll only");
 
@@ -101,7 +101,7 @@
     record.set_operation_id(command.operation_id());
     record.set_digest(digest);
     *record.mutable_answer() = answer;
-    m_operations.add(std::move(record));
+    m_operations.add(record);
     return answer;
 }
 
@@ -247,7 +247,7 @@
         return refusal(ResultCode::UnknownService, fmt::format("service \"{}\" is not known", command.service()));
     }
     Service &service = found->second;
-    const Answer refused = refuseRoll(command.service(), service, command);
+    Answer refused = refuseRoll(command.service(), service, command);
     if (!isAccepted(refused)) {
         return refused;
     }
@@ -619,9 +619,9 @@
 
 bool ControlState::holdsInvariants() const
 {
-    std::set<ServiceId> numbers;
+    std::set<std::uint16_t> numbers;
     for (const auto &[name, service] : m_services) {
-        const bool isNumberUnique = service.id.value != 0 && service.id.value <= m_lastServiceId && numbers.insert(service.id).second;
+        const bool isNumberUnique = service.id.value != 0 && service.id.value <= m_lastServiceId && numbers.insert(service.id.value).second;
         if (!isNumberUnique || service.revision > m_revision) {
             return false;
         }
--- a/src/jujubequay/control/control_state_test.cpp
+++ b/src/jujubequay/control/control_state_test.cpp
@@ -212,7 +212,7 @@
 private:
     pb::CommandAnswer refuse(ResultCode code, const Bytes &command)
     {
-        const auto answer = m_state.apply(command);
+        auto answer = m_state.apply(command);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.detail(), resultName(code), resultName(resultOf(answer)));
         return answer;
     }
--- a/src/jujubequay/control/fake_network.h
+++ b/src/jujubequay/control/fake_network.h
@@ -19,7 +19,7 @@
     /// Accepts streams at an address; replaces an earlier process there.
     void listen(const HostAddress &address, const std::string &name, MessageStreamAcceptor acceptor)
     {
-        m_listeners[address] = {name, std::move(acceptor)};
+        m_listeners[toString(address)] = {name, std::move(acceptor)};
     }
 
     /// Ends all streams of a process; it accepts no more.
@@ -140,7 +140,7 @@
 
     std::shared_ptr<MessageStream> open(const PeerIdentity &from, const HostAddress &address, const std::string &path, MessageStreamHandlers handlers)
     {
-        const auto listener = m_listeners.find(address);
+        const auto listener = m_listeners.find(toString(address));
         const std::string name = listener == m_listeners.end() ? std::string() : listener->second.name;
         auto near = std::make_shared<Stream>(*this, PeerIdentity{name, "control"});
         near->shared = near;
@@ -201,7 +201,7 @@
         std::shared_ptr<Stream> far;
     };
 
-    std::map<HostAddress, Listener> m_listeners;
+    std::map<std::string, Listener> m_listeners; // by address
     std::vector<Joined> m_streams;
     std::set<std::string> m_cutOff;
     std::deque<std::function<void()>> m_events;
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -49,7 +49,7 @@
 }
 
 // True if both entries say the same about the server, apart from the counters that order them.
-bool isSameAnnouncement(pb::ServerEntry left, pb::ServerEntry right)
+bool isSameAnnouncement(pb::ServerEntry left, const pb::ServerEntry &right)
 {
     left.set_observation(right.observation());
     return left.SerializeAsString() == right.SerializeAsString();
--- a/src/jujubequay/control/lease_registry_test.cpp
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -278,14 +278,14 @@
 
     pb::AnnounceDown announce(const pb::ServerEntry &entry)
     {
-        const auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
+        auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
         CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::Ok), resultName(resultOf(answer)));
         return answer;
     }
 
     pb::AnnounceDown refused(const pb::ServerEntry &entry)
     {
-        const auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
+        auto answer = m_registry->announce(m_now, m_wallMs, 1, entry);
         CPPUNIT_ASSERT_EQUAL(resultName(ResultCode::StaleIncarnation), resultName(resultOf(answer)));
         return answer;
     }
--- a/src/jujubequay/control/operation_log.cpp
+++ b/src/jujubequay/control/operation_log.cpp
@@ -26,10 +26,10 @@
     return m_applied;
 }
 
-void OperationLog::add(pb::OperationRecord record)
+void OperationLog::add(const pb::OperationRecord &record)
 {
     m_order.push_back(record.operation_id());
-    const bool inserted = m_records.try_emplace(record.operation_id(), std::move(record)).second;
+    const bool inserted = m_records.try_emplace(record.operation_id(), record).second;
     checkInvariant(inserted, "an operation runs once");
     ++m_applied;
     if (m_order.size() > m_capacity) {
--- a/src/jujubequay/control/replica_driver.cpp
+++ b/src/jujubequay/control/replica_driver.cpp
@@ -52,21 +52,21 @@
 void ReplicaDriver::propose(const pb::LoggedCommand &command, AnswerHandler handler)
 {
     const Consensus::ProposalId id{++m_lastId};
-    m_proposals[id] = std::move(handler);
+    m_proposals[id.value] = std::move(handler);
     run(m_replica.propose(m_clock.now(), id, serialized(command)));
 }
 
 void ReplicaDriver::changeMembership(const Consensus::MembershipChange &change, AnswerHandler handler)
 {
     const Consensus::ProposalId id{++m_lastId};
-    m_proposals[id] = std::move(handler);
+    m_proposals[id.value] = std::move(handler);
     run(m_replica.changeMembership(m_clock.now(), id, change));
 }
 
 void ReplicaDriver::confirm(ReadHandler handler)
 {
     const Consensus::ReadId id{++m_lastId};
-    m_reads[id] = std::move(handler);
+    m_reads[id.value] = std::move(handler);
     run(m_replica.confirmRead(m_clock.now(), id));
 }
 
@@ -170,8 +170,8 @@
 
 ReplicaDriver::AnswerHandler ReplicaDriver::takeProposal(Consensus::ProposalId id)
 {
-    AnswerHandler handler = std::move(m_proposals.at(id));
-    m_proposals.erase(id);
+    AnswerHandler handler = std::move(m_proposals.at(id.value));
+    m_proposals.erase(id.value);
     return handler;
 }
 
@@ -193,8 +193,8 @@
 
 void ReplicaDriver::finishRead(Consensus::ReadId id, ResultCode code)
 {
-    const ReadHandler handler = std::move(m_reads.at(id));
-    m_reads.erase(id);
+    const ReadHandler handler = std::move(m_reads.at(id.value));
+    m_reads.erase(id.value);
     handler(code);
 }
 
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -288,7 +288,7 @@
         snapshot->services.push_back(serviceOf(config));
     }
     std::sort(snapshot->services.begin(), snapshot->services.end(), [](const ServiceSnapshot &left, const ServiceSnapshot &right) {
-        return left.id < right.id;
+        return left.id.value < right.id.value;
     });
     for (const auto &[name, entry] : m_servers) {
         ServerSnapshot &server = snapshot->servers.emplace_back(serverOf(entry));
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -295,7 +295,7 @@
     // Guards against watchers that return to one control host all at once, and against waits without a limit.
     void retriesSpreadAndVisitEveryControlHost()
     {
-        std::set<HostAddress> visited;
+        std::set<std::string> visited;
         std::set<Duration> waits;
         for (int attempt = 0; attempt < 60; ++attempt) {
             const TimePoint start = m_now;
@@ -305,7 +305,7 @@
                 CPPUNIT_ASSERT(m_now - start <= seconds(10) + milliseconds(10));
             }
             const auto &opened = std::get<OpenWatchStream>(effects.at(0));
-            visited.insert(opened.address);
+            visited.insert(toString(opened.address));
             waits.insert(m_now - start);
             m_subscriber->closed(m_now, opened.stream);
         }
