--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,6 +17,7 @@
         relay_header.cpp
         generated/consensus.pb.cc
         generated/control.pb.cc
+        generated/metrics.pb.cc
         generated/request.pb.cc
     TESTS
         flow_id_test.cpp
@@ -25,6 +26,20 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
+jujubequay_module(policy
+    SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
+        placement.cpp
+        retry.cpp
+    TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
+        placement_test.cpp
+    DEPENDS jujubequay_core)
+
 jujubequay_module(consensus
     SOURCES
         disk_log_storage.cpp
@@ -41,8 +56,59 @@
     TESTS
         disk_log_storage_test.cpp
         membership_test.cpp
+        replica_test.cpp
     DEPENDS jujubequay_wire)
 
+# Fakes for tests and soak runs; not part of the installed library.
+jujubequay_module(consensus_testing
+    SOURCES
+        fake_cluster.cpp
+        fake_disk.cpp
+        fake_network.cpp
+        ledger.cpp
+        random_run.cpp
+        run_label.cpp
+    TESTS
+        disk_faults_test.cpp
+        fault_matrix_test.cpp
+        random_run_test.cpp
+    DEPENDS jujubequay_consensus)
+
+jujubequay_module(quic
+    SOURCES
+        quic_client.cpp
+        quic_connection.cpp
+        quic_event.cpp
+        quic_server.cpp
+        send_buffer.cpp
+        tls_credentials.cpp
+        tls_session.cpp
+    TESTS
+        quic_test.cpp
+        send_buffer_test.cpp
+    DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
+
+jujubequay_module(net
+    SOURCES
+        backend_client.cpp
+        certificate.cpp
+        http2_callbacks.cpp
+        http2_message_client.cpp
+        http2_message_stream.cpp
+        http2_session.cpp
+        http2_stream.cpp
+        keep_alive.cpp
+        key_file.cpp
+        message_server.cpp
+        peer_identity.cpp
+        tls_context.cpp
+        traffic.cpp
+    TESTS
+        http2_session_test.cpp
+        keep_alive_test.cpp
+        message_stream_test.cpp
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+
 jujubequay_module(control
     SOURCES
         bundle.cpp
@@ -65,3 +131,80 @@
         operator_request_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
+jujubequay_module(daemon
+    SOURCES
+        agent_settings.cpp
+        backend_server.cpp
+        backend_settings.cpp
+        balancer_settings.cpp
+        call_settings.cpp
+        command_line.cpp
+        common_settings.cpp
+        control_settings.cpp
+        exit_status.cpp
+        flow_secret.cpp
+        load_report.cpp
+        metrics.cpp
+        metrics_http_server.cpp
+        metrics_service.cpp
+        operator_settings.cpp
+        prometheus_text.cpp
+        settings_documentation.cpp
+        settings_reader.cpp
+        signer_key.cpp
+        work_queue.cpp
+        work_times.cpp
+    TESTS
+        backend_test.cpp
+        command_line_test.cpp
+        key_files_test.cpp
+        metrics_test.cpp
+        settings_test.cpp
+    DEPENDS jujubequay_net)
+target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -4,7 +4,10 @@
 #include <jujubequay/core/invariant.h>
 #include <jujubequay/core/name_table.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <iterator>
 
 namespace Jujubequay::Consensus {
 
@@ -121,6 +124,7 @@
         handleFailure(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(membership, Consensus::changeMembership(m_membership, change));
+                BOOST_LEAF_CHECK(checkRemoval(change, membership));
                 pb::LogEntry entry;
                 *entry.mutable_membership() = std::move(membership);
                 m_proposals[m_log->lastIndex() + 1] = {id, m_hardState.term};
@@ -135,6 +139,21 @@
     return finish();
 }
 
+Result<void> Replica::checkRemoval(const MembershipChange &change, const pb::Membership &after) const
+{
+    const auto *removal = std::get_if<RemoveMember>(&change);
+    if (removal == nullptr || !isVoter(m_membership, removal->id)) {
+        return {};
+    }
+    // A voter that was lost within the last election timeout still counts as caught up. Unless one more than a majority is
+    // left, the removal of a working voter could turn that loss into a permanent standstill.
+    const std::size_t needed = majorityOf(after) + (isCaughtUp(m_now, removal->id) ? 1 : 0);
+    if (caughtUpVoters(after) < needed) {
+        return fail(ResultCode::NoQuorum, fmt::format("fewer than {} of the remaining voters have caught up", needed));
+    }
+    return {};
+}
+
 Effects Replica::stored(TimePoint now, std::uint64_t sequence)
 {
     m_now = now;
@@ -176,7 +195,7 @@
         const std::uint64_t retained = std::min(m_options.retainedEntries, index - m_log->base().index);
         const LogBase base = m_log->positionAt(index - retained);
         m_compacting = {++m_sequence, snapshot};
-        emit(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, base, m_log->entriesAfter(base.index)});
+        m_storageEffects.emplace_back(SaveSnapshot{m_sequence, std::move(snapshot), m_hardState, base, m_log->entriesAfter(base.index)});
     }
     return finish();
 }
@@ -253,9 +272,12 @@
 Effects Replica::finish()
 {
     flushPersist();
-    m_effects.insert(m_effects.end(), std::make_move_iterator(m_sends.begin()), std::make_move_iterator(m_sends.end()));
+    Effects effects = std::exchange(m_storageEffects, {});
+    std::move(m_sends.begin(), m_sends.end(), std::back_inserter(effects));
     m_sends.clear();
-    return std::exchange(m_effects, {});
+    std::move(m_effects.begin(), m_effects.end(), std::back_inserter(effects));
+    m_effects.clear();
+    return effects;
 }
 
 void Replica::flushPersist()
@@ -272,7 +294,7 @@
     if (!persist.entries.empty()) {
         m_writes.push_back({m_sequence, persist.entries.back().index()});
     }
-    emit(std::move(persist));
+    m_storageEffects.emplace_back(std::move(persist));
 }
 
 void Replica::emit(Effect effect)
