Add the caller library

A Caller holds flows to a service, sends requests and retries what is safe to retry; its tests run it against the agent's request broker and a fake backend server that counts executions, over links that lose, duplicate and reorder, with lost flows, restarts, drains and cuts.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -153,3 +153,15 @@
         keep_alive_test.cpp
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy)
+# The tests run the caller against the agent's request broker.
+target_link_libraries(client_test PRIVATE jujubequay_agent)
--- /dev/null
+++ b/src/jujubequay/client/caller_flow.cpp
@@ -0,0 +1,223 @@
+#include <jujubequay/client/caller_flow.h>
+
+#include <request.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+constexpr std::size_t bodyChunkLength = 16U << 10U;
+/// Error code of streams that the caller abandons.
+constexpr std::uint64_t cancelCode = static_cast<std::uint64_t>(ResultCode::Cancelled);
+
+void appendFrame(Bytes &out, const pb::CallerMessage &message)
+{
+    const Bytes frame = encodeFrame(message);
+    out.insert(out.end(), frame.begin(), frame.end());
+}
+
+Bytes encodeRequest(const pb::RequestHeader &header, std::span<const std::uint8_t> body)
+{
+    Bytes out;
+    pb::CallerMessage first;
+    *first.mutable_header() = header;
+    appendFrame(out, first);
+    for (std::size_t offset = 0; offset < body.size(); offset += bodyChunkLength) {
+        const auto chunk = body.subspan(offset, std::min(bodyChunkLength, body.size() - offset));
+        pb::CallerMessage message;
+        message.mutable_body()->set_data(chunk.data(), chunk.size());
+        appendFrame(out, message);
+    }
+    pb::CallerMessage last;
+    last.set_end(true);
+    appendFrame(out, last);
+    return out;
+}
+
+bool isBidirectional(StreamNumber stream)
+{
+    return (static_cast<std::uint64_t>(stream) & 2U) == 0;
+}
+
+}
+
+std::optional<Greeting> GreetingReader::add(std::span<const std::uint8_t> bytes)
+{
+    m_frames.add(bytes);
+    std::optional<Greeting> newest;
+    while (const std::optional<Bytes> frame = m_frames.next()) {
+        pb::AgentMessage message;
+        if (!message.ParseFromArray(frame->data(), static_cast<int>(frame->size())) || !message.has_greeting()) {
+            continue;
+        }
+        const pb::FlowGreeting &greeting = message.greeting();
+        const std::string &resume = greeting.resume_id();
+        newest = Greeting{Incarnation{greeting.incarnation()}, greeting.window(), Bytes(resume.begin(), resume.end()), greeting.draining()};
+    }
+    return newest;
+}
+
+CallerFlow::CallerFlow(QuicClientOptions options,
+                       std::shared_ptr<const TlsCredentials> credentials,
+                       std::span<const std::uint8_t> destination,
+                       std::size_t maxAnswerBytes,
+                       QuicClientSink &sink,
+                       std::mt19937_64 &random,
+                       TimePoint now)
+    : m_client(std::move(options), std::move(credentials), destination, sink, random, now)
+    , m_maxAnswerBytes(maxAnswerBytes)
+{
+}
+
+void CallerFlow::receive(TimePoint now, std::span<const std::uint8_t> datagram)
+{
+    m_client.receive(now, datagram);
+}
+
+void CallerFlow::flush(TimePoint now)
+{
+    m_client.flush(now);
+}
+
+std::optional<TimePoint> CallerFlow::nextTimeout() const
+{
+    return m_client.nextTimeout();
+}
+
+void CallerFlow::handleTimeout(TimePoint now)
+{
+    m_client.handleTimeout(now);
+}
+
+std::vector<CallerFlowEvent> CallerFlow::takeEvents()
+{
+    for (const QuicEvent &event : m_client.takeEvents()) {
+        std::visit(
+            [this](const auto &happened) {
+                handle(happened);
+            },
+            event);
+    }
+    return std::exchange(m_events, {});
+}
+
+std::optional<StreamNumber> CallerFlow::send(const pb::RequestHeader &header, std::span<const std::uint8_t> body)
+{
+    const std::optional<StreamNumber> stream = m_client.openBidirectional();
+    if (!stream) {
+        return std::nullopt;
+    }
+    const bool isFeed = header.work_class() == pb::REQUEST_CLASS_FEED;
+    const auto [position, inserted] = m_attempts.emplace(*stream, Attempt{encodeRequest(header, body), 0, AnswerReader(isFeed, m_maxAnswerBytes)});
+    writeUnsent(*stream, position->second);
+    return stream;
+}
+
+void CallerFlow::writeUnsent(StreamNumber stream, Attempt &attempt)
+{
+    const auto rest = std::span(attempt.unsent).subspan(attempt.sent);
+    if (rest.empty()) {
+        return;
+    }
+    attempt.sent += m_client.write(stream, rest, true);
+    if (attempt.sent == attempt.unsent.size()) {
+        attempt.unsent = Bytes();
+        attempt.sent = 0;
+    }
+}
+
+void CallerFlow::cancel(StreamNumber stream)
+{
+    m_client.resetStream(stream, cancelCode);
+    m_client.stopSending(stream, cancelCode);
+    m_attempts.erase(stream);
+}
+
+void CallerFlow::close(TimePoint now)
+{
+    m_client.close(now, 0, {});
+}
+
+void CallerFlow::handle(const FlowEstablished &)
+{
+    // The flow is of use once the greeting has arrived.
+}
+
+void CallerFlow::handle(const FlowEnded &event)
+{
+    m_attempts.clear();
+    m_events.emplace_back(CallerFlowEnded{event.end});
+}
+
+void CallerFlow::handle(const StreamReceived &event)
+{
+    m_client.consume(event.stream, event.data.size());
+    if (!isBidirectional(event.stream)) {
+        if (std::optional<Greeting> greeting = m_greetings.add(event.data)) {
+            m_events.emplace_back(FlowGreeted{std::move(*greeting)});
+        }
+        return;
+    }
+    const auto found = m_attempts.find(event.stream);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    found->second.reader.add(event.data, event.end);
+    finishIfDone(event.stream);
+}
+
+void CallerFlow::finishIfDone(StreamNumber stream)
+{
+    const auto found = m_attempts.find(stream);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    AnswerReader &reader = found->second.reader;
+    for (FeedPart &part : reader.takeParts()) {
+        m_events.emplace_back(AttemptFeedPart{stream, std::move(part)});
+    }
+    if (reader.outcome()) {
+        // The answer may be over before the request is sent, or while the agent still sends.
+        if (!found->second.unsent.empty() || reader.outcome()->result == ResultCode::AnswerIncomplete) {
+            m_client.resetStream(stream, cancelCode);
+            m_client.stopSending(stream, cancelCode);
+        }
+        m_events.emplace_back(AttemptEnded{stream, *reader.outcome(), reader.takeBody()});
+        m_attempts.erase(found);
+    }
+}
+
+void CallerFlow::handle(const StreamReset &event)
+{
+    if (const auto found = m_attempts.find(event.stream); found != m_attempts.end()) {
+        found->second.reader.abort();
+        finishIfDone(event.stream);
+    }
+}
+
+void CallerFlow::handle(const StreamStopped &)
+{
+    // The agent may answer before it has read the whole request.
+}
+
+void CallerFlow::handle(const StreamWritable &event)
+{
+    if (const auto found = m_attempts.find(event.stream); found != m_attempts.end()) {
+        writeUnsent(event.stream, found->second);
+    }
+}
+
+void CallerFlow::handle(const StreamEnded &event)
+{
+    if (const auto found = m_attempts.find(event.stream); found != m_attempts.end()) {
+        found->second.reader.abort();
+        finishIfDone(event.stream);
+    }
+}
+
+}
