--- a/cmake/JujubequayModule.cmake
+++ b/cmake/JujubequayModule.cmake
@@ -37,3 +37,18 @@
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
 endfunction()
+
+# Adds a libFuzzer target from the given sources, relative to the project, if JUJUBEQUAY_FUZZ is on.
+#
+#   jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
+function(jujubequay_fuzz name)
+    if(NOT JUJUBEQUAY_FUZZ)
+        return()
+    endif()
+    jujubequay_program(${name} ${ARGN})
+    target_link_options(${name} PRIVATE -fsanitize=fuzzer)
+    if(NOT TARGET fuzzers)
+        add_custom_target(fuzzers)
+    endif()
+    add_dependencies(fuzzers ${name})
+endfunction()
--- /dev/null
+++ b/fuzz/message_frame_fuzz.cpp
@@ -0,0 +1,85 @@
+#include <jujubequay/core/invariant.h>
+#include <jujubequay/wire/framing.h>
+#include <jujubequay/wire/relay_header.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+using namespace Jujubequay;
+
+namespace {
+
+constexpr std::size_t maxLength = 4096;
+
+FlowKeySet oneKey()
+{
+    FlowSecret secret;
+    secret.fill(3);
+    FlowKeySet keys;
+    keys.set(4, secret);
+    keys.activate(4);
+    return keys;
+}
+
+std::vector<Bytes> framesOf(std::span<const std::uint8_t> input, std::size_t partLength)
+{
+    FrameReader reader(maxLength);
+    std::vector<Bytes> frames;
+    while (!input.empty()) {
+        const std::size_t length = std::min(partLength, input.size());
+        reader.add(input.first(length));
+        input = input.subspan(length);
+        while (auto frame = reader.next()) {
+            checkInvariant(frame->size() <= maxLength, "a frame is no longer than the limit");
+            frames.push_back(std::move(*frame));
+        }
+    }
+    return frames;
+}
+
+void fuzzFrames(std::span<const std::uint8_t> input)
+{
+    if (input.empty()) {
+        return;
+    }
+    const std::size_t partLength = 1 + input.front() % 64;
+    const auto body = input.subspan(1);
+    checkInvariant(framesOf(body, partLength) == framesOf(body, body.size() + 1), "frames do not depend on how the stream is split");
+}
+
+void fuzzRelay(std::span<const std::uint8_t> input)
+{
+    static const FlowKeySet keys = oneKey();
+    RelayError error{};
+    decodeRelay(keys, input, error);
+    if (input.size() < relayHeaderLength) {
+        return;
+    }
+    // The check rejects nearly all inputs, so the fields behind it are reached by signing a header made from the input.
+    const std::uint8_t *bytes = input.data();
+    RelayHeader header;
+    header.kind = static_cast<RelayKind>(1 + bytes[0] % 5);
+    header.service.value = static_cast<std::uint16_t>(bytes[1] << 8U | bytes[2]);
+    header.incarnation.value = bytes[3];
+    header.revision = bytes[4];
+    header.caller = {bytes[5], bytes[6]};
+    header.load = {bytes[7], bytes[8], bytes[9]};
+    const auto payload = input.subspan(relayHeaderLength);
+    std::vector<std::uint8_t> datagram(relayHeaderLength);
+    encodeRelayHeader(keys, header, payload, datagram);
+    datagram.insert(datagram.end(), payload.begin(), payload.end());
+    const auto relay = decodeRelay(keys, datagram, error);
+    checkInvariant(relay && relay->header == header, "a signed header decodes to itself");
+}
+
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::span<const std::uint8_t> input(data, size);
+    fuzzFrames(input);
+    fuzzRelay(input);
+    return 0;
+}
