--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -26,6 +26,68 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
+jujubequay_module(policy
+    SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
+        placement.cpp
+        retry.cpp
+    TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
+        placement_test.cpp
+    DEPENDS jujubequay_core)
+
+jujubequay_module(consensus
+    SOURCES
+        disk_log_storage.cpp
+        election.cpp
+        log_record.cpp
+        membership.cpp
+        posix_file_system.cpp
+        reads.cpp
+        replica.cpp
+        replica_log.cpp
+        replication.cpp
+        snapshot_transfer.cpp
+        storage_writes.cpp
+    TESTS
+        disk_log_storage_test.cpp
+        membership_test.cpp
+        replica_test.cpp
+    DEPENDS jujubequay_wire)
+
+# Fakes for tests and soak runs; not part of the installed library.
+jujubequay_module(consensus_testing
+    SOURCES
+        fake_cluster.cpp
+        fake_disk.cpp
+        fake_network.cpp
+        ledger.cpp
+        random_run.cpp
+        run_label.cpp
+    TESTS
+        disk_faults_test.cpp
+        fault_matrix_test.cpp
+        random_run_test.cpp
+    DEPENDS jujubequay_consensus)
+
+jujubequay_module(quic
+    SOURCES
+        quic_client.cpp
+        quic_connection.cpp
+        quic_event.cpp
+        quic_server.cpp
+        send_buffer.cpp
+        tls_credentials.cpp
+        tls_session.cpp
+    TESTS
+        quic_test.cpp
+        send_buffer_test.cpp
+    DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
+
 jujubequay_module(net
     SOURCES
         backend_client.cpp
@@ -47,6 +109,72 @@
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
 
+jujubequay_module(control
+    SOURCES
+        bundle.cpp
+        config_snapshot.cpp
+        control_host_service.cpp
+        control_services.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        peer_links.cpp
+        replica_driver.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_host_service_test.cpp
+        control_state_test.cpp
+        lease_registry_test.cpp
+        watch_test.cpp
+    DEPENDS jujubequay_consensus)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
 jujubequay_module(daemon
     SOURCES
         agent_settings.cpp
--- a/src/jujubequay/wire/relay_header.cpp
+++ b/src/jujubequay/wire/relay_header.cpp
@@ -16,12 +16,13 @@
 constexpr std::size_t checkLength = crypto_shorthash_BYTES;
 constexpr std::size_t fieldsLength = relayHeaderLength - checkLength;
 
-constexpr NameTable<RelayKind, 5> kindNames{{{
+constexpr NameTable<RelayKind, 6> kindNames{{{
     {RelayKind::Forward, "forward"},
     {RelayKind::Open, "open"},
     {RelayKind::Handover, "handover"},
     {RelayKind::Reply, "reply"},
     {RelayKind::Stale, "stale"},
+    {RelayKind::Load, "load"},
 }}};
 
 constexpr NameTable<RelayError, 5> errorNames{{{
@@ -88,6 +89,7 @@
     position = putInteger(position, header.revision);
     position = putAddress(position, header.caller);
     position = putAddress(position, header.balancer);
+    position = putAddress(position, header.entry);
     position = putAddress(position, header.secondChoice);
     position = putInteger(position, header.secondIncarnation.value);
     position = putInteger(position, header.load.running);
@@ -110,7 +112,7 @@
         return std::nullopt;
     }
     const auto kind = static_cast<RelayKind>(takeInteger<std::uint8_t>(in));
-    if (kind < RelayKind::Forward || kind > RelayKind::Stale) {
+    if (kind < RelayKind::Forward || kind > RelayKind::Load) {
         error = RelayError::BadKind;
         return std::nullopt;
     }
@@ -134,6 +136,7 @@
     relay.header.revision = takeInteger<std::uint64_t>(in);
     relay.header.caller = takeAddress(in);
     relay.header.balancer = takeAddress(in);
+    relay.header.entry = takeAddress(in);
     relay.header.secondChoice = takeAddress(in);
     relay.header.secondIncarnation.value = takeInteger<std::uint32_t>(in);
     relay.header.load.running = takeInteger<std::uint16_t>(in);
