--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -22,8 +22,11 @@
 jujubequay_program(jjq-settings-page SOURCES apps/jjq_settings_page.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
+jujubequay_program(control-stream-bench SOURCES bench/control_stream_bench.cpp DEPENDS jujubequay_daemon)
 
 jujubequay_program(jjq-balancer SOURCES apps/jjq_balancer.cpp DEPENDS jujubequay_balancer_program)
 jujubequay_program(jjq-agent SOURCES apps/jjq_agent.cpp DEPENDS jujubequay_agent_program)
 
 jujubequay_program(jjq-bench-consensus SOURCES bench/jjq_bench_consensus.cpp DEPENDS jujubequay_consensus_testing)
+
+jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
