Count requests without a result in the policy bench

Cause: a request that is lost between two state machines would appear in no column. Change: a column and a check for requests without a result 10 s after their deadline; only policies with handover relocate flows.

--- a/bench/metrics.h
+++ b/bench/metrics.h
@@ -18,6 +18,7 @@
     std::uint64_t requests = 0;
     std::uint64_t refused = 0; ///< requests that ended as "not run"
     std::uint64_t unknown = 0; ///< requests whose outcome the caller does not know
+    std::uint64_t unanswered = 0; ///< requests without any result 10 s after their deadline
     std::uint64_t attempts = 0;
     double workImbalance = 1; ///< running work of the busiest server to the mean, mean of 10 s windows, worse service
     double worstWindow = 1; ///< the same, in the worst window
--- a/bench/policy_bench_test.cpp
+++ b/bench/policy_bench_test.cpp
@@ -44,6 +44,7 @@
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(cell, std::uint64_t{0}, result.runTwice);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(cell, std::uint64_t{0}, result.falseNotRun);
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(cell, std::uint64_t{0}, result.lateOnDraining);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(cell, std::uint64_t{0}, result.unanswered);
             }
         }
     }
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -438,6 +438,9 @@
         m_result.worstWindow = std::max(m_result.worstWindow, percentile(m_windows[service], 1));
         m_result.flowImbalance = std::max(m_result.flowImbalance, mean(m_flowWindows[service]));
     }
+    for (const Request &request : m_requests) {
+        m_result.unanswered += !request.ended && request.deadline + 10s < m_events.now() ? 1 : 0;
+    }
     m_result.jain = jain;
     m_result.worstSmall = worst;
     m_result.p50Ms = percentile(m_times, 0.5);
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -97,6 +97,7 @@
         std::uint32_t executions = 0;
         bool moved = false;
         bool fairnessCounted = false;
+        bool ended = false;
     };
 
     struct Attempt {
--- a/bench/policy_run_flows.cpp
+++ b/bench/policy_run_flows.cpp
@@ -239,7 +239,7 @@
 void PolicyRun::relocateFlows(Server &server)
 {
     constexpr int ticksPerSecond = 10;
-    if (m_policy.relocationsPerSecond == 0) {
+    if (!m_policy.handOver || m_policy.relocationsPerSecond == 0) {
         return;
     }
     const int target = relocationTarget(server);
--- a/bench/policy_run_requests.cpp
+++ b/bench/policy_run_requests.cpp
@@ -314,6 +314,7 @@
 
 void PolicyRun::endRequest(int request, ResultCode code)
 {
+    m_requests[request].ended = true;
     const Request &work = m_requests[request];
     const int customer = m_callers[work.caller].customer;
     if (code != ResultCode::Ok) {
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -52,7 +52,6 @@
     bool loadOnForward = true; ///< balancers add the last load seen of another server to each datagram
     bool loadOnOpen = true; ///< balancers add the last load seen of the second choice to openings
     bool distrust = true; ///< reports that moves contradict are discarded for a time
-    bool promises = false; ///< trial: servers promise a future slot to a waiting caller
     int relocationsPerSecond = 10; ///< idle flows that a server invites to another server
 };
 
