--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -150,6 +150,17 @@
         return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy)
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
 jujubequay_module(datapath
     SOURCES
         balancer_path.cpp
@@ -222,20 +233,3 @@
     TESTS
         backend_adapter_test.cpp
     DEPENDS jujubequay_daemon jujubequay_service)
-
-        http2_session_test.cpp
-        keep_alive_test.cpp
-        message_stream_test.cpp
-    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
-
-jujubequay_module(client
-    SOURCES
-        answer_reader.cpp
-        caller.cpp
-        caller_flow.cpp
-    TESTS
-        answer_reader_test.cpp
-        caller_test.cpp
-    DEPENDS jujubequay_quic jujubequay_policy)
-# The tests run the caller against the agent's request broker.
-target_link_libraries(client_test PRIVATE jujubequay_agent)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,33 +1,18 @@
 jujubequay_program(jjq-forwarding-bench
     SOURCES bench/forwarding_bench.cpp
     DEPENDS jujubequay_datapath benchmark::benchmark)
-
 jujubequay_program(jjq-soak SOURCES soak/jjq_soak.cpp DEPENDS jujubequay_consensus_testing)
-
-jujubequay_program(policy-bench
-    SOURCES
-        bench/metrics.cpp
-        bench/network.cpp
-        bench/policy_bench.cpp
-        bench/policy_run.cpp
-        bench/policy_run_flows.cpp
-        bench/policy_run_requests.cpp
-        bench/scenario.cpp
-    DEPENDS jujubequay_policy)
-
 jujubequay_program(quic-bench
     SOURCES bench/quic_bench.cpp
     DEPENDS jujubequay_quic)
-
 jujubequay_program(jjq-settings-page SOURCES apps/jjq_settings_page.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(control-stream-bench SOURCES bench/control_stream_bench.cpp DEPENDS jujubequay_daemon)
-
 jujubequay_program(jjq-balancer SOURCES apps/jjq_balancer.cpp DEPENDS jujubequay_balancer_program)
 jujubequay_program(jjq-agent SOURCES apps/jjq_agent.cpp DEPENDS jujubequay_agent_program)
-
 jujubequay_program(jjq-bench-consensus SOURCES bench/jjq_bench_consensus.cpp DEPENDS jujubequay_consensus_testing)
+jujubequay_program(policy-benchmark SOURCES bench/allocation_count.cpp bench/policy_benchmark.cpp DEPENDS jujubequay_policy benchmark::benchmark)
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
 
@@ -42,7 +27,6 @@
 target_link_libraries(policy_bench_run PUBLIC jujubequay_policy)
 
 jujubequay_program(policy-bench SOURCES bench/policy_bench.cpp DEPENDS policy_bench_run)
-jujubequay_program(policy-benchmark SOURCES bench/allocation_count.cpp bench/policy_benchmark.cpp DEPENDS jujubequay_policy benchmark::benchmark)
 
 add_executable(policy_bench_test bench/policy_bench_test.cpp src/jujubequay/test_main.cpp)
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
