Add the demonstration script and let jjq-backend list its executions

Cause: the whole path has to run as separate processes with faults, and requests that ran twice can only be counted at the backend servers.

Change: tools/demo.sh starts one deployment, kills a balancer, drains a backend server and rolls a bundle under traffic; jjq-backend writes the executed identities at its end.

--- a/apps/jjq_backend.cpp
+++ b/apps/jjq_backend.cpp
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <csignal>
+#include <fstream>
 
 using namespace Jujubequay;
 
@@ -37,7 +38,16 @@
     });
 }
 
-Result<void> serve(const BackendSettings &settings, LogLevel level)
+/// Writes a line "identity count" for each executed request.
+Result<void> writeExecutions(const BackendServer &server, const std::string &file)
+{
+    std::ofstream out(file);
+    out << server.executionsText(1);
+    out.close();
+    return out ? Result<void>() : Result<void>(fail(ResultCode::DiskFailed, fmt::format("cannot write {}", file)));
+}
+
+Result<void> serve(const BackendSettings &settings, LogLevel level, const std::string &executionsFile)
 {
     const SteadyClock clock;
     Logger logger(clock, {"jjq-backend", toString(settings.address), "none"}, {.level = level});
@@ -53,12 +63,13 @@
     });
     logger.info("listening", {{"address", toString(server->address())}, {"slots", settings.slots}});
     context.run();
-    return {};
+    return executionsFile.empty() ? Result<void>() : writeExecutions(*server, executionsFile);
 }
 
 Result<void> run(const std::vector<std::string> &arguments)
 {
     CommandLine line(description());
+    TCLAP::ValueArg<std::string> executionsFile("", "executions-file", "write the executed request identities here at the end", false, "", "FILE", line.parser());
     BOOST_LEAF_AUTO(options, line.parse(arguments));
     BOOST_LEAF_AUTO(reader, SettingsReader::open(options.settings));
     const BackendSettings settings = readBackendSettings(reader);
@@ -66,7 +77,7 @@
     if (options.isCheckOnly) {
         return {};
     }
-    return serve(settings, options.logLevel.value_or(settings.logLevel));
+    return serve(settings, options.logLevel.value_or(settings.logLevel), executionsFile.getValue());
 }
 
 }
--- a/include/jujubequay/daemon/backend_server.h
+++ b/include/jujubequay/daemon/backend_server.h
@@ -55,6 +55,8 @@
     bool isDrained() const;
     /// Executions of the work of a request identity.
     std::uint32_t executions(const std::string &requestId) const;
+    /// A line "identity count" for each request identity that was executed at least `least` times.
+    std::string executionsText(std::uint32_t least) const;
     void stop();
 
 private:
@@ -78,7 +80,6 @@
     void feedTick(const std::shared_ptr<Feed> &feed);
     void updateReport();
     std::string loadText();
-    std::string executionsText(std::uint32_t least) const;
 
     asio::io_context &m_context;
     const Clock &m_clock;
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,250 @@
+#!/usr/bin/env bash
+# Runs one deployment on loopback addresses: 3 control hosts, 4 entry hosts in 4 availability zones, 7 + 4 backend
+# servers. Sends traffic through all balancers while a balancer is killed, a backend server drains and a bundle is
+# rolled, and prints a summary. Exit status 0 only if nothing was lost.
+set -euo pipefail
+bin=$(cd "$(dirname "$0")/../build" && pwd)
+work=$(mktemp -d "${TMPDIR:-/tmp}/jujubequay-demo.XXXXXX")
+keep_logs=${JUJUBEQUAY_DEMO_LOGS:-}
+declare -A pids=()
+
+clean_up() {
+    trap - EXIT INT TERM
+    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    if [ -n "$keep_logs" ]; then cp -r "$work/log" "$keep_logs"; fi
+    rm -rf "$work"
+}
+trap clean_up EXIT
+trap 'exit 130' INT TERM
+
+cd "$work"
+mkdir keys log data executions
+zones=(dar-kariakoo dar-mikocheni dar-kurasini dar-ubungo)
+desk_count=7
+vault_count=4
+
+say() { printf '%s\n' "$*"; }
+
+start() { # NAME PROGRAM ARGUMENTS...
+    local name=$1
+    shift
+    "$bin/$1" "${@:2}" >"log/$name.out" 2>"log/$name.err" &
+    pids[$name]=$!
+}
+
+stop() { # NAME SIGNAL
+    kill "-$2" "${pids[$1]}" 2>/dev/null || true
+}
+
+wait_for() { # SECONDS DESCRIPTION COMMAND...
+    local deadline=$((SECONDS + $1)) description=$2
+    shift 2
+    until "$@" >/dev/null 2>&1; do
+        if [ $SECONDS -ge $deadline ]; then
+            say "timed out: $description"
+            tail -n 3 log/*.err
+            exit 1
+        fi
+        sleep 0.1
+    done
+}
+
+jjq() { "$bin/jjq" "$@" --settings operator.toml; }
+
+control_sections() {
+    for number in 1 2 3; do
+        printf '\n[[control_host]]\nname = "control-%s"\naddress = "127.0.0.1%s:7400"\n' "$number" "$number"
+    done
+}
+
+tls_section() { # NAME
+    printf '\n[tls]\nauthority_file = "keys/authority.crt"\ncertificate_file = "keys/%s.crt"\nkey_file = "keys/%s.key"\n' "$1" "$1"
+}
+
+placement() { # NAME ZONE
+    printf 'host_name = "%s"\navailability_zone = "%s"\nregion = "tz-coast"\n' "$1" "$2"
+}
+
+certificate() { # NAME ROLE
+    "$bin/jjq-keygen" certificate --directory keys --name "$1" --role "$2" >/dev/null
+}
+
+write_settings() {
+    "$bin/jjq-keygen" authority --directory keys --name authority >/dev/null
+    certificate operator operator
+    { printf 'operator_name = "operator"\n'; tls_section operator; control_sections; } >operator.toml
+    for service in inspect-desk cert-vault; do certificate "$service" agent; done
+    for number in 1 2 3; do
+        certificate "control-$number" control
+        {
+            placement "control-$number" "${zones[$((number - 1))]}"
+            printf 'control_address = "127.0.0.1%s:7400"\ndata_directory = "data/control-%s"\n' "$number" "$number"
+            tls_section "control-$number"
+            control_sections
+        } >"control-$number.toml"
+    done
+    for number in 1 2 3 4; do
+        certificate "entry-$number" balancer
+        {
+            placement "entry-$number" "${zones[$((number - 1))]}"
+            printf 'relay_address = "127.0.0.2%s:4400"\npeer_address = "127.0.0.2%s:7401"\n' "$number" "$number"
+            printf 'metrics_address = "127.0.0.2%s:7480"\npeers = [' "$number"
+            for peer in 1 2 3 4; do [ "$peer" = "$number" ] || printf '"127.0.0.2%s:7401",' "$peer"; done
+            printf ']\n'
+            tls_section "entry-$number"
+            printf '\n[[caller_address]]\nservice = "inspect-desk"\naddress = "127.0.0.2%s:4433"\n' "$number"
+            printf '\n[[caller_address]]\nservice = "cert-vault"\naddress = "127.0.0.2%s:4434"\n' "$number"
+            control_sections
+        } >"entry-$number.toml"
+    done
+    for number in $(seq $desk_count); do write_server "desk-$number" inspect-desk "127.0.0.3$number" "$number"; done
+    for number in $(seq $vault_count); do write_server "vault-$number" cert-vault "127.0.0.4$number" "$number"; done
+    write_caller desk critical false 4433 inspect-desk
+    write_caller vault bulk true 4434 cert-vault
+}
+
+write_server() { # NAME SERVICE ADDRESS NUMBER
+    certificate "host-$1" agent
+    {
+        placement "host-$1" "${zones[$((($4 - 1) % 4))]}"
+        printf 'server_name = "%s"\nservice = "%s"\nrelay_address = "%s:4500"\nbackend_address = "%s:8080"\n' "$1" "$2" "$3" "$3"
+        printf 'renew_interval_ms = 1000\nmetrics_address = "%s:7480"\n' "$3"
+        printf '\n[quic]\ncertificate_file = "keys/%s.crt"\nkey_file = "keys/%s.key"\n' "$2" "$2"
+        tls_section "host-$1"
+        control_sections
+    } >"agent-$1.toml"
+    {
+        printf 'address = "%s:8080"\nslots = 3\nfeed_interval_ms = 100\n' "$3"
+        printf '\n[work]\ndistribution = "exponential"\nmean_ms = 20\nseed = %s\n' "$4"
+    } >"backend-$1.toml"
+}
+
+write_caller() { # NAME CLASS IDEMPOTENT PORT SERVICE
+    {
+        printf 'customer = "mtibwa-sugar"\nbalancers = ['
+        for number in 1 2 3 4; do printf '"127.0.0.2%s:%s",' "$number" "$4"; done
+        printf ']\ntrusted_certificate_file = "keys/authority.crt"\nwork_class = "%s"\nidempotent = %s\ndeadline_ms = 10000\nretries = 5\n' "$2" "$3"
+    } >"caller-$1.toml"
+}
+
+roll_bundle() { # SERVICE VERSION ADDRESS_PORT NAME_PREFIX
+    local file="bundle-$1-$2"
+    "$bin/jjq" bundle create --service "$1" --version "$2" --address "10.0.0.1:$3" --server-name "$4*" --slots 3 --out "$file.bundle" >/dev/null
+    "$bin/jjq" sign --bundle "$file.bundle" --key keys/signer.key --signer amina --out "$file.sig" >/dev/null
+    jjq propose --bundle "$file.bundle" >/dev/null
+    jjq submit --signature "$file.sig" >/dev/null
+    jjq roll --service "$1" --version "$2" >/dev/null
+}
+
+serving_servers() { jjq status --servers --output json >status.json && [ "$(grep -o SERVING status.json | wc -l)" -ge "$1" ]; }
+
+metrics_of() { # ADDRESS
+    exec 9<>"/dev/tcp/$1/7480"
+    printf 'GET /metrics HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n' "$1" >&9
+    cat <&9
+    exec 9>&-
+}
+
+summary_value() { # FILE KEY
+    awk -F= -v key="$2" '$1 == key { print $2 }' "log/$1.out"
+}
+
+say "writing keys and settings"
+write_settings
+
+say "starting 3 control hosts"
+"$bin/jjq-control" --settings control-1.toml --initialise --found >/dev/null
+for number in 2 3; do
+    "$bin/jjq-control" --settings "control-$number.toml" --initialise | awk '$1 == "disk" { print $2 }' >"disk-$number"
+done
+for number in 1 2 3; do start "control-$number" jjq-control --settings "control-$number.toml"; done
+wait_for 15 "control host 1 leads" jjq status
+for number in 2 3; do
+    wait_for 15 "control host $number joins" jjq members add --host "control-$number" --address "127.0.0.1$number:7400" --disk "$(cat "disk-$number")"
+done
+
+say "signing and rolling bundles"
+"$bin/jjq" keygen --out keys/signer.key >/dev/null
+jjq keys signer-add --service '*' --signer amina --public-key keys/signer.key.pub >/dev/null
+"$bin/jjq-keygen" flow-secret --directory keys --name flow-0 >/dev/null
+jjq keys flow-add --number 0 --secret keys/flow-0.secret --activate >/dev/null
+roll_bundle inspect-desk 1 4433 desk-
+roll_bundle cert-vault 1 4434 vault-
+
+say "starting 4 balancers and 11 backend servers with their agents"
+for number in 1 2 3 4; do start "entry-$number" jjq-balancer --settings "entry-$number.toml"; done
+servers=()
+for number in $(seq $desk_count); do servers+=("desk-$number"); done
+for number in $(seq $vault_count); do servers+=("vault-$number"); done
+for server in "${servers[@]}"; do
+    start "backend-$server" jjq-backend --settings "backend-$server.toml" --executions-file "executions/$server"
+    start "agent-$server" jjq-agent --settings "agent-$server.toml"
+done
+wait_for 20 "all backend servers serve" serving_servers 11
+sleep 1
+
+say "sending traffic for 12 s: findings and gauge streams to inspect-desk, downloads from cert-vault"
+start callers-desk jjq-call --settings caller-desk.toml --service inspect-desk --path /work --callers 60 --feeds 1 --rate 200 --requests 0 --duration-s 12
+start callers-vault jjq-call --settings caller-vault.toml --service cert-vault --path '/download?bytes=20000' --callers 30 --rate 100 --requests 0 --duration-s 12
+sleep 3
+say "  killing balancer entry-1"
+stop entry-1 KILL
+sleep 1
+say "  draining backend server desk-2"
+stop agent-desk-2 TERM
+sleep 2
+say "  rolling inspect-desk version 2"
+roll_bundle inspect-desk 2 4433 desk-
+sleep 1
+say "  starting balancer entry-1 again"
+start entry-1 jjq-balancer --settings entry-1.toml
+for callers in callers-desk callers-vault; do
+    wait "${pids[$callers]}" || say "  $callers ended with status $?"
+    unset "pids[$callers]"
+done
+
+wrong_service_drops=0
+for server in "${servers[@]}"; do
+    [ "$server" = desk-2 ] && continue
+    case $server in
+    desk-*) address="127.0.0.3${server#desk-}" ;;
+    *) address="127.0.0.4${server#vault-}" ;;
+    esac
+    drops=$(metrics_of "$address" | awk '/dropped_datagrams.*wrong-service/ { sum += $NF } END { print sum + 0 }')
+    wrong_service_drops=$((wrong_service_drops + drops))
+done
+lagging=$(jjq status --output json | grep -o '"lagging": *true' | wc -l || true)
+
+for server in "${servers[@]}"; do stop "agent-$server" TERM; done
+for server in "${servers[@]}"; do wait "${pids[agent-$server]}" 2>/dev/null || true; done
+for server in "${servers[@]}"; do stop "backend-$server" TERM; done
+for server in "${servers[@]}"; do wait "${pids[backend-$server]}" 2>/dev/null || true; done
+
+cat executions/desk-* 2>/dev/null | awk '{ count[$1] += $2 } END { for (id in count) if (count[id] > 1) twice++; print twice + 0 }' >twice
+cat executions/desk-* | awk '{ split($1, part, "-"); print part[1] }' | sort -u >desk-callers
+cat executions/vault-* | awk '{ split($1, part, "-"); print part[1] }' | sort -u >vault-callers
+misrouted=$(comm -12 desk-callers vault-callers | wc -l)
+imbalance=$(for server in "${servers[@]}"; do
+    case $server in
+    desk-2 | vault-*) ;;
+    desk-*) awk '{ sum += $2 } END { print sum + 0 }' "executions/$server" ;;
+    esac
+done | awk '{ sum += $1; if ($1 > max) max = $1 } END { if (sum) printf "%.2f", max * NR / sum; else print "none" }')
+
+total() { echo $(($(summary_value callers-desk "$1") + $(summary_value callers-vault "$1"))); }
+twice=$(cat twice)
+say ""
+printf '%-42s %s\n' "flows opened" "$(total flows_opened)" "flows broken" "$(total flows_broken)" \
+    "requests answered" "$(total requests_answered)" "requests without a result" "$(total requests_unknown)" \
+    "feed records missed or repeated" "$(($(total feed_gaps) + $(total feed_repeats)))" \
+    "non-idempotent requests run twice" "$twice" "requests run at a wrong service" "$misrouted" \
+    "packets refused as of another service" "$wrong_service_drops" \
+    "imbalance (busiest server to mean, requests)" "$imbalance"
+lost=$(($(total flows_broken) + $(total requests_unknown) + $(total feed_gaps) + $(total feed_repeats) + twice + misrouted))
+answered=$(total requests_answered)
+if [ "$lost" -ne 0 ] || [ "$answered" -eq 0 ] || [ "$lagging" -ne 0 ]; then
+    say "FAILED: something was lost"
+    exit 1
+fi
+say "nothing was lost"
