--- a/bench/metrics.cpp
+++ b/bench/metrics.cpp
@@ -22,6 +22,14 @@
     return squares > 0 ? sum * sum / (static_cast<double>(values.size()) * squares) : 1;
 }
 
+double shareAbove(const std::vector<double> &values, double limit)
+{
+    const auto above = std::count_if(values.begin(), values.end(), [limit](double value) {
+        return value > limit;
+    });
+    return values.empty() ? 0 : static_cast<double>(above) / static_cast<double>(values.size());
+}
+
 double busiestToMean(const std::vector<double> &values)
 {
     const double sum = std::accumulate(values.begin(), values.end(), 0.0);
--- a/bench/metrics.h
+++ b/bench/metrics.h
@@ -22,6 +22,7 @@
     std::uint64_t attempts = 0;
     double workImbalance = 1; ///< running work of the busiest server to the mean, mean of 10 s windows, worse service
     double worstWindow = 1; ///< the same, in the worst window
+    double windowsOverGoal = 0; ///< share of the windows above 1.15, worse service
     double flowImbalance = 1; ///< open flows of the fullest server to the mean, mean of 10 s windows, worse service
     double jain = 1; ///< Jain's index of served work to fair share over customers, worse service
     double worstSmall = 1; ///< least share of its fair share that a small customer got, worse service
@@ -37,6 +38,9 @@
 /// Jain's fairness index: 1 when all values are equal, 1/n when one customer has everything.
 double jainIndex(const std::vector<double> &values);
 
+/// Share of the values above a limit; 0 for no values.
+double shareAbove(const std::vector<double> &values, double limit);
+
 /// Largest value divided by the mean; 1 if the mean is zero.
 double busiestToMean(const std::vector<double> &values);
 
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -12,11 +12,12 @@
 void printHeader()
 {
     fmt::print(
-        "| policy | broken planned | broken unplanned | wrong service | run twice | false not run | late on draining | work imbalance | worst window "
+        "| policy | broken planned | broken unplanned | wrong service | run twice | false not run | late on draining | work imbalance | worst window | windows "
+        "over 1.15 % "
         "| flow imbalance | Jain | worst small | p50 ms | p99 ms | small p99 ms | refused % | unknown | unanswered | attempts/request | MB between zones |\n");
     fmt::print("|{}\n", "---|" + std::string([] {
                             std::string columns;
-                            for (int column = 0; column < 19; ++column) {
+                            for (int column = 0; column < 20; ++column) {
                                 columns += "---:|";
                             }
                             return columns;
@@ -26,28 +27,29 @@
 void printRow(std::string_view name, const CellResult &cell)
 {
     const double requests = static_cast<double>(std::max<std::uint64_t>(cell.requests, 1));
-    fmt::print(
-        "| {} | {} | {} | {} | {} | {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.4f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {} | {:.2f} | {:.0f} |\n",
-        name,
-        cell.brokenPlanned,
-        cell.brokenUnplanned,
-        cell.wrongService,
-        cell.runTwice,
-        cell.falseNotRun,
-        cell.lateOnDraining,
-        cell.workImbalance,
-        cell.worstWindow,
-        cell.flowImbalance,
-        cell.jain,
-        cell.worstSmall,
-        cell.p50Ms,
-        cell.p99Ms,
-        cell.smallP99Ms,
-        100 * static_cast<double>(cell.refused) / requests,
-        cell.unknown,
-        cell.unanswered,
-        static_cast<double>(cell.attempts) / requests,
-        cell.megabytesBetweenZones);
+    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {:.3f} | {:.3f} | {:.0f} | {:.3f} | {:.4f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {} | "
+               "{:.2f} | {:.0f} |\n",
+               name,
+               cell.brokenPlanned,
+               cell.brokenUnplanned,
+               cell.wrongService,
+               cell.runTwice,
+               cell.falseNotRun,
+               cell.lateOnDraining,
+               cell.workImbalance,
+               cell.worstWindow,
+               100 * cell.windowsOverGoal,
+               cell.flowImbalance,
+               cell.jain,
+               cell.worstSmall,
+               cell.p50Ms,
+               cell.p99Ms,
+               cell.smallP99Ms,
+               100 * static_cast<double>(cell.refused) / requests,
+               cell.unknown,
+               cell.unanswered,
+               static_cast<double>(cell.attempts) / requests,
+               cell.megabytesBetweenZones);
 }
 
 bool isSelected(const std::vector<std::string> &selection, std::string_view name)
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -436,6 +436,7 @@
         };
         m_result.workImbalance = std::max(m_result.workImbalance, mean(m_windows[service]));
         m_result.worstWindow = std::max(m_result.worstWindow, percentile(m_windows[service], 1));
+        m_result.windowsOverGoal = std::max(m_result.windowsOverGoal, shareAbove(m_windows[service], 1.15));
         m_result.flowImbalance = std::max(m_result.flowImbalance, mean(m_flowWindows[service]));
     }
     for (const Request &request : m_requests) {
