--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -13,6 +13,7 @@
 jujubequay_program(jjq-agent SOURCES apps/jjq_agent.cpp DEPENDS jujubequay_agent_program)
 jujubequay_program(jjq-bench-consensus SOURCES bench/jjq_bench_consensus.cpp DEPENDS jujubequay_consensus_testing)
 jujubequay_program(policy-benchmark SOURCES bench/allocation_count.cpp bench/policy_benchmark.cpp DEPENDS jujubequay_policy benchmark::benchmark)
+jujubequay_program(policy-bench SOURCES bench/policy_bench.cpp DEPENDS policy_bench_run)
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
 
@@ -26,7 +27,6 @@
     bench/scenario.cpp)
 target_link_libraries(policy_bench_run PUBLIC jujubequay_policy)
 
-jujubequay_program(policy-bench SOURCES bench/policy_bench.cpp DEPENDS policy_bench_run)
 
 add_executable(policy_bench_test bench/policy_bench_test.cpp src/jujubequay/test_main.cpp)
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
