--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -208,3 +208,23 @@
         settings_test.cpp
     DEPENDS jujubequay_net)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+
+jujubequay_module(control_program
+    SOURCES
+        control_process.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(operator_program
+    SOURCES
+        bundle_commands.cpp
+        command_context.cpp
+        control_connection.cpp
+        key_commands.cpp
+        member_commands.cpp
+        operator_program.cpp
+        output.cpp
+        roll_commands.cpp
+        status_command.cpp
+    TESTS
+        operator_program_test.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -23,3 +23,5 @@
 jujubequay_program(jjq-keygen SOURCES apps/jjq_keygen.cpp DEPENDS jujubequay_daemon)
 jujubequay_program(jjq-backend SOURCES apps/jjq_backend.cpp DEPENDS jujubequay_daemon)
 
+jujubequay_program(jjq-control SOURCES apps/jjq_control.cpp DEPENDS jujubequay_control_program)
+jujubequay_program(jjq SOURCES apps/jjq.cpp DEPENDS jujubequay_operator_program)
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -14,6 +14,7 @@
     Consensus::ReplicaOptions replica;
     LeaseOptions lease;
     WatchServerOptions watch;
+    Duration registryExchange = std::chrono::milliseconds(250); ///< between deltas to other control hosts
 };
 
 /// One control host: joins the replica, the registry and the watch server to streams. Used on the control thread only;
--- a/include/jujubequay/control/control_services.h
+++ b/include/jujubequay/control/control_services.h
@@ -88,7 +88,7 @@
 class RegistryExchange
 {
 public:
-    RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports);
+    RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Duration interval);
 
     MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream);
     void setPeers(const std::map<std::string, HostAddress> &peers);
@@ -113,6 +113,7 @@
     PeerLinks m_links;
     AcceptedStreams m_streams;
     std::map<std::string, Position> m_positions;
+    const Duration m_interval;
     const TimePoint m_startedAt;
     TimePoint m_lastExchange{};
     bool m_isFilled = false;
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -45,7 +45,7 @@
                            receiveRaft(host, bytes, noReplyStream);
                        },
                    .opened = [](const std::string &) {}})
-    , m_exchange(m_environment.clock, m_environment.client, m_environment.random, m_registry, m_reports)
+    , m_exchange(m_environment.clock, m_environment.client, m_environment.random, m_registry, m_reports, m_options.registryExchange)
     , m_watch(m_environment.clock, m_driver, m_watchServer)
     , m_announce(m_environment.clock, m_environment.wallClock, m_driver.state(), m_registry)
     , m_operators(m_environment.clock,
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -11,7 +11,6 @@
 
 // Agents return within their longest retry wait; after that a registry without a complete peer counts as filled.
 constexpr Duration fillTime = std::chrono::seconds(10);
-constexpr Duration exchangeInterval = std::chrono::milliseconds(250);
 
 template<class Message>
 std::optional<Message> parsed(const Bytes &bytes)
@@ -198,7 +197,8 @@
 
 // ---- Registry ----
 
-RegistryExchange::RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports)
+RegistryExchange::RegistryExchange(
+    const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Duration interval)
     : m_clock(clock)
     , m_registry(registry)
     , m_reports(reports)
@@ -210,6 +210,7 @@
                    [this](const std::string &host) {
                        m_positions[host] = Position();
                    }})
+    , m_interval(interval)
     , m_startedAt(clock.now())
 {
 }
@@ -270,7 +271,7 @@
     const TimePoint now = m_clock.now();
     m_isFilled = m_isFilled || now - m_startedAt >= fillTime;
     m_links.tick(now);
-    if (now - m_lastExchange < exchangeInterval) {
+    if (now - m_lastExchange < m_interval) {
         return;
     }
     m_lastExchange = now;
--- /dev/null
+++ b/src/jujubequay/operator_program/output.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <jujubequay/core/name_table.h>
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubequay {
+
+enum class OutputFormat : std::uint8_t { Table, Json };
+
+constexpr NameTable<OutputFormat, 2> outputFormatNames{{{
+    {OutputFormat::Table, "table"},
+    {OutputFormat::Json, "json"},
+}}};
+
+/// Columns aligned by spaces, under a title.
+class TextTable
+{
+public:
+    explicit TextTable(std::string title, std::vector<std::string> columns);
+
+    void add(std::vector<std::string> row);
+    void print() const;
+
+private:
+    std::string m_title;
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+void printJson(const toml::table &document);
+std::string hexOf(std::string_view bytes);
+/// A number as JSON documents hold it.
+std::int64_t jsonNumber(std::uint64_t number);
+
+}
