--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -233,3 +233,23 @@
     TESTS
         backend_adapter_test.cpp
     DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(control_program
+    SOURCES
+        control_process.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(operator_program
+    SOURCES
+        bundle_commands.cpp
+        command_context.cpp
+        control_connection.cpp
+        key_commands.cpp
+        member_commands.cpp
+        operator_program.cpp
+        output.cpp
+        roll_commands.cpp
+        status_command.cpp
+    TESTS
+        operator_program_test.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -32,3 +32,6 @@
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
 add_test(NAME policy_bench COMMAND policy_bench_test)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
+
+jujubequay_program(jjq-control SOURCES apps/jjq_control.cpp DEPENDS jujubequay_control_program)
+jujubequay_program(jjq SOURCES apps/jjq.cpp DEPENDS jujubequay_operator_program)
