--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,6 +17,7 @@
         relay_header.cpp
         generated/consensus.pb.cc
         generated/control.pb.cc
+        generated/metrics.pb.cc
         generated/request.pb.cc
     TESTS
         flow_id_test.cpp
@@ -25,22 +26,6 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
-jujubequay_module(control
-    SOURCES
-        bundle.cpp
-        config_snapshot.cpp
-        control_state.cpp
-        lease_registry.cpp
-        operation_log.cpp
-        report_board.cpp
-        watch_server.cpp
-        watch_subscriber.cpp
-    TESTS
-        control_state_test.cpp
-        lease_registry_test.cpp
-        watch_test.cpp
-    DEPENDS jujubequay_wire)
-
 jujubequay_module(policy
     SOURCES
         admission_queue.cpp
@@ -55,40 +40,6 @@
         placement_test.cpp
     DEPENDS jujubequay_core)
 
-jujubequay_module(flow
-    SOURCES
-        agent_ingress.cpp
-        forwarder.cpp
-        opening_table.cpp
-        peer_loads.cpp
-        packet.cpp
-        return_paths.cpp
-        request_table.cpp
-    TESTS
-        agent_ingress_test.cpp
-        forwarder_test.cpp
-        opening_table_test.cpp
-        peer_loads_test.cpp
-        request_table_test.cpp
-        return_paths_test.cpp
-    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
-
-jujubequay_module(datapath
-    SOURCES
-        balancer_path.cpp
-        datagram_batch.cpp
-        udp_socket.cpp
-    TESTS
-        balancer_path_test.cpp
-    DEPENDS jujubequay_flow asio)
-
-jujubequay_module(agent
-    SOURCES
-        request_broker.cpp
-    TESTS
-        request_broker_test.cpp
-    DEPENDS jujubequay_flow)
-
 jujubequay_module(consensus
     SOURCES
         disk_log_storage.cpp
@@ -105,6 +56,7 @@
     TESTS
         disk_log_storage_test.cpp
         membership_test.cpp
+        replica_test.cpp
     DEPENDS jujubequay_wire)
 
 # Fakes for tests and soak runs; not part of the installed library.
@@ -117,6 +69,8 @@
         random_run.cpp
         run_label.cpp
     TESTS
+        disk_faults_test.cpp
+        fault_matrix_test.cpp
         random_run_test.cpp
     DEPENDS jujubequay_consensus)
 
@@ -136,6 +90,7 @@
 
 jujubequay_module(net
     SOURCES
+        backend_client.cpp
         certificate.cpp
         http2_callbacks.cpp
         http2_message_client.cpp
@@ -154,14 +109,116 @@
         message_stream_test.cpp
     DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
 
+jujubequay_module(control
+    SOURCES
+        bundle.cpp
+        config_snapshot.cpp
+        control_host_service.cpp
+        control_services.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        peer_links.cpp
+        replica_driver.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_host_service_test.cpp
+        control_state_test.cpp
+        lease_registry_test.cpp
+        watch_test.cpp
+    DEPENDS jujubequay_consensus)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
 jujubequay_module(client
     SOURCES
         answer_reader.cpp
         caller.cpp
         caller_flow.cpp
+        spraying_socket.cpp
     TESTS
         answer_reader_test.cpp
         caller_test.cpp
-    DEPENDS jujubequay_quic jujubequay_policy)
+    DEPENDS jujubequay_quic jujubequay_policy asio)
 # The tests run the caller against the agent's request broker.
 target_link_libraries(client_test PRIVATE jujubequay_agent)
+
+jujubequay_module(daemon
+    SOURCES
+        agent_settings.cpp
+        backend_server.cpp
+        backend_settings.cpp
+        balancer_settings.cpp
+        call_run.cpp
+        call_settings.cpp
+        call_summary.cpp
+        command_line.cpp
+        common_settings.cpp
+        control_settings.cpp
+        exit_status.cpp
+        flow_secret.cpp
+        load_report.cpp
+        metrics.cpp
+        metrics_http_server.cpp
+        metrics_service.cpp
+        operator_settings.cpp
+        prometheus_text.cpp
+        settings_documentation.cpp
+        settings_reader.cpp
+        signer_key.cpp
+        work_queue.cpp
+        work_times.cpp
+    TESTS
+        backend_test.cpp
+        call_run_test.cpp
+        command_line_test.cpp
+        key_files_test.cpp
+        metrics_test.cpp
+        settings_test.cpp
+    DEPENDS jujubequay_net jujubequay_client)
+target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- a/src/jujubequay/client/caller.cpp
+++ b/src/jujubequay/client/caller.cpp
@@ -468,13 +468,14 @@
     }
     // A server moves a request at most once, and a feed only when it drains, so these cost no token.
     const bool isMove = rule == RetryRule::Elsewhere && (isFeed(work.request) || !work.wasMoved);
-    if (!isMove && !m_budget.tryTake()) {
+    const bool isDenied = !isMove && (work.retries >= m_options.maxRetries || !m_budget.tryTake());
+    if (isDenied) {
         ++m_statistics.retriesDenied;
         finish(now, ticket, outcome.result, outcome.detail, {});
         return;
     }
     ++m_statistics.retries;
-    ++work.retries;
+    work.retries += isMove ? 0 : 1;
     work.wasMoved = work.wasMoved || rule == RetryRule::Elsewhere;
     if (rule == RetryRule::Elsewhere && work.first) {
         work.refusedBy.insert(work.first->incarnation);
@@ -485,7 +486,7 @@
     }
     work.first.reset();
     work.repeats = 0;
-    work.notBefore = isMove ? now + outcome.retryAfter : now + m_budget.delay(work.retries, outcome.retryAfter, m_random);
+    work.notBefore = isMove ? now + outcome.retryAfter : now + m_budget.delay(std::max(work.retries, 1U), outcome.retryAfter, m_random);
 }
 
 void Caller::repeatAtSameServer(TimePoint now, RequestTicket ticket, Work &work, const AttemptOutcome &outcome)
