--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -221,4 +221,5 @@
         metrics_test.cpp
         settings_test.cpp
     DEPENDS jujubequay_net jujubequay_client)
+target_link_libraries(daemon_test PRIVATE jujubequay_agent)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
--- /dev/null
+++ b/fuzz/quic_datagram_fuzz.cpp
@@ -0,0 +1,83 @@
+#include <jujubequay/quic/quic_client.h>
+#include <jujubequay/quic/quic_server.h>
+
+#include <memory>
+
+using namespace Jujubequay;
+
+namespace {
+
+/// A server and a client whose datagrams go nowhere but to the fuzzer's input.
+class Ends final : public QuicServerSink, public QuicClientSink
+{
+public:
+    Ends()
+        : m_random(1)
+    {
+        const SelfSignedCertificate certificate = makeSelfSignedCertificate("fuzz").value();
+        m_keys.set(1, FlowSecret{1});
+        QuicServerOptions options;
+        options.maxFlows = 16;
+        m_server = std::make_unique<QuicServer>(
+            options,
+            TlsCredentials::server(certificate.certificatePem, certificate.keyPem).value(),
+            [this] {
+                return encodeFlowId(m_keys, 1, {}, ++m_nonce);
+            },
+            *this,
+            m_random);
+        m_client = std::make_unique<QuicClient>(QuicClientOptions{.serviceName = "fuzz"},
+                                                TlsCredentials::client(certificate.certificatePem).value(),
+                                                std::span<const std::uint8_t>{},
+                                                *this,
+                                                m_random,
+                                                m_now);
+        m_client->flush(m_now);
+    }
+
+    void receive(std::span<const std::uint8_t> datagram)
+    {
+        m_now += std::chrono::milliseconds(50);
+        // A damaged copy of a genuine first datagram gets past the length and version checks.
+        Bytes damaged = m_first;
+        for (std::size_t index = 0; index + 1 < datagram.size() && !damaged.empty(); index += 2) {
+            damaged[datagram[index] % damaged.size()] ^= datagram[index + 1];
+        }
+        m_server->receive(m_now, {0x7f000001U, 1}, datagram);
+        m_server->receive(m_now, {0x7f000001U, 2}, damaged);
+        m_server->handleTimeout(m_now);
+        m_server->takeEvents();
+        m_client->receive(m_now, datagram);
+        m_client->handleTimeout(m_now);
+        m_client->takeEvents();
+        clientIdentifierPrefix(datagram);
+    }
+
+    void sendDatagram(FlowHandle, const HostAddress &, std::span<const std::uint8_t>) override
+    {
+    }
+    void sendDatagram(std::span<const std::uint8_t> datagram) override
+    {
+        if (m_first.empty()) {
+            m_first.assign(datagram.begin(), datagram.end());
+        }
+    }
+
+private:
+    std::mt19937_64 m_random;
+    FlowKeySet m_keys;
+    std::uint32_t m_nonce = 0;
+    TimePoint m_now{std::chrono::seconds(1)};
+    Bytes m_first;
+    std::unique_ptr<QuicServer> m_server;
+    std::unique_ptr<QuicClient> m_client;
+};
+
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    static Ends ends;
+    ends.receive({data, size});
+    return 0;
+}
