--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -188,13 +188,28 @@
         announcer_test.cpp
     DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
 
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+        spraying_socket.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy asio)
+# The tests run the caller against the agent's request broker.
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
 jujubequay_module(daemon
     SOURCES
         agent_settings.cpp
         backend_server.cpp
         backend_settings.cpp
         balancer_settings.cpp
+        call_run.cpp
         call_settings.cpp
+        call_summary.cpp
         command_line.cpp
         common_settings.cpp
         control_settings.cpp
@@ -213,11 +228,13 @@
         work_times.cpp
     TESTS
         backend_test.cpp
+        call_run_test.cpp
         command_line_test.cpp
         key_files_test.cpp
         metrics_test.cpp
         settings_test.cpp
-    DEPENDS jujubequay_net)
+    DEPENDS jujubequay_net jujubequay_client)
+target_link_libraries(daemon_test PRIVATE jujubequay_agent)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
 
 jujubequay_module(control_program
@@ -253,3 +270,4 @@
     TESTS
         backend_adapter_test.cpp
     DEPENDS jujubequay_daemon jujubequay_service)
+
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -34,3 +34,5 @@
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
 add_test(NAME policy_bench COMMAND policy_bench_test)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
+
+jujubequay_program(jjq-call SOURCES apps/jjq_call.cpp DEPENDS jujubequay_daemon)
--- a/include/jujubequay/client/caller.h
+++ b/include/jujubequay/client/caller.h
@@ -23,6 +23,7 @@
     std::size_t flows = 2; ///< flows held open, normally to different servers
     std::size_t maxAnswerBytes = 64U << 20U;
     std::uint32_t maxRepeats = 4; ///< times that one server is asked again for the answer to a request that may have run
+    std::uint32_t maxRetries = 10; ///< of one request, moves not counted
     RetryBudgetOptions retries;
     Duration idleTimeout = std::chrono::seconds(60);
     Duration handshakeTimeout = std::chrono::seconds(10);
