--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -155,10 +155,11 @@
         answer_reader.cpp
         caller.cpp
         caller_flow.cpp
+        spraying_socket.cpp
     TESTS
         answer_reader_test.cpp
         caller_test.cpp
-    DEPENDS jujubequay_quic jujubequay_policy)
+    DEPENDS jujubequay_quic jujubequay_policy asio)
 target_link_libraries(client_test PRIVATE jujubequay_agent)
 
 jujubequay_module(datapath
@@ -188,19 +189,6 @@
         announcer_test.cpp
     DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
 
-jujubequay_module(client
-    SOURCES
-        answer_reader.cpp
-        caller.cpp
-        caller_flow.cpp
-        spraying_socket.cpp
-    TESTS
-        answer_reader_test.cpp
-        caller_test.cpp
-    DEPENDS jujubequay_quic jujubequay_policy asio)
-# The tests run the caller against the agent's request broker.
-target_link_libraries(client_test PRIVATE jujubequay_agent)
-
 jujubequay_module(daemon
     SOURCES
         agent_settings.cpp
@@ -270,4 +258,3 @@
     TESTS
         backend_adapter_test.cpp
     DEPENDS jujubequay_daemon jujubequay_service)
-
