--- a/src/jujubequay/consensus/replica_test.cpp
+++ b/src/jujubequay/consensus/replica_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 using namespace Jujubequay;
 using namespace Jujubequay::Consensus;
 using jujubequay::pb::ReplicaMessage;
@@ -49,7 +51,7 @@
         handle(replica.start());
     }
 
-    void handle(Effects effects)
+    void handle(const Effects &effects)
     {
         for (const Effect &effect : effects) {
             if (const auto *send = std::get_if<Send>(&effect)) {
@@ -58,6 +60,10 @@
             if (const auto *persist = std::get_if<Persist>(&effect)) {
                 sequence = persist->sequence;
             }
+            if (const auto *save = std::get_if<SaveSnapshot>(&effect)) {
+                sequence = save->sequence;
+                ++snapshots;
+            }
             if (const auto *failed = std::get_if<ProposalFailed>(&effect)) {
                 failure = failed->code;
             }
@@ -140,6 +146,7 @@
     int confirmed = 0;
     int refused = 0;
     int committed = 0;
+    int snapshots = 0;
 };
 
 }
@@ -150,8 +157,10 @@
     CPPUNIT_TEST(voteIsSentOnlyWhenDurable);
     CPPUNIT_TEST(votesOncePerTermAlsoAfterARestart);
     CPPUNIT_TEST(entriesAreAcknowledgedOnlyWhenDurable);
+    CPPUNIT_TEST(replacedEntriesAreNotAcknowledged);
     CPPUNIT_TEST(malformedEntriesAreIgnored);
     CPPUNIT_TEST(readOnANewLeaderWaitsForItsFirstEntry);
+    CPPUNIT_TEST(snapshotWithAWrongDigestIsNotInstalled);
     CPPUNIT_TEST(entryOfAnEarlierTermDoesNotCommitByCount);
     CPPUNIT_TEST(leaderWithoutMajorityStepsDown);
     CPPUNIT_TEST(partitionedVoterDoesNotDeposeTheLeader);
@@ -203,6 +212,40 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subject.sent.back().append_reply().index());
     }
 
+    // Guards against two leaders that both count this host for the same index: the first one by an acknowledgement that
+    // was still waiting for the disk, the second one by a write of the entries that it replaced.
+    void replacedEntriesAreNotAcknowledged()
+    {
+        StoredState state = storedState("a", {"a", "b", "c", "d", "e"});
+        state.hardState = {1, "b"};
+        Subject subject(state);
+        ReplicaMessage old = subject.from("b", 1);
+        for (std::uint64_t index = 1; index <= 3; ++index) {
+            *old.mutable_append_request()->add_entries() = entry(index, 1);
+        }
+        subject.receive(old); // write 1
+        ReplicaMessage heartbeat = subject.from("c", 2);
+        heartbeat.mutable_append_request()->set_prev_index(9);
+        subject.receive(heartbeat); // write 2: the term
+        ReplicaMessage replacement = subject.from("c", 2);
+        replacement.mutable_append_request()->set_prev_index(1);
+        replacement.mutable_append_request()->set_prev_term(1);
+        *replacement.mutable_append_request()->add_entries() = entry(2, 2);
+        subject.receive(replacement); // write 3
+        CPPUNIT_ASSERT(subject.sent.empty());
+
+        subject.handle(subject.replica.stored(subject.now, 2));
+        for (const ReplicaMessage &message : subject.sent) {
+            CPPUNIT_ASSERT(message.to() == "c" && !message.append_reply().accepted());
+        }
+        heartbeat.mutable_append_request()->set_prev_index(2);
+        heartbeat.mutable_append_request()->set_prev_term(2);
+        subject.receive(heartbeat);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subject.sent.back().append_reply().index());
+        subject.store();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, subject.sent.back().append_reply().index());
+    }
+
     // Guards against a faulty peer that stops this host through an invariant of the log.
     void malformedEntriesAreIgnored()
     {
@@ -222,6 +265,25 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subject.replica.lastIndex());
     }
 
+    void snapshotWithAWrongDigestIsNotInstalled()
+    {
+        Subject subject(storedState("a", {"a", "b", "c"}));
+        ReplicaMessage message = subject.from("b", 1);
+        message.mutable_snapshot_chunk()->set_index(4);
+        message.mutable_snapshot_chunk()->set_term(1);
+        message.mutable_snapshot_chunk()->set_size(3);
+        message.mutable_snapshot_chunk()->set_data("abc");
+        message.mutable_snapshot_chunk()->set_digest(XXH3_64bits("abd", 3));
+        subject.receive(message);
+        CPPUNIT_ASSERT_EQUAL(0, subject.snapshots);
+        message.mutable_snapshot_chunk()->set_digest(XXH3_64bits("abc", 3));
+        subject.receive(message);
+        CPPUNIT_ASSERT_EQUAL(1, subject.snapshots);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("not installed before it is durable", std::uint64_t{0}, subject.replica.appliedIndex());
+        subject.store();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, subject.replica.appliedIndex());
+    }
+
     // Guards against a new leader that answers before it knows how far its predecessor committed.
     void readOnANewLeaderWaitsForItsFirstEntry()
     {
--- a/src/jujubequay/consensus_testing/fault_matrix_test.cpp
+++ b/src/jujubequay/consensus_testing/fault_matrix_test.cpp
@@ -223,10 +223,10 @@
 }};
 
 /// Runs a scenario with a fault at its step number `step`, from 1 on; 0 for none. Returns the number of steps.
-std::uint64_t run(const Scenario &scenario, const Fault &fault, std::uint64_t step)
+std::uint64_t run(const Scenario &scenario, const Fault &fault, std::uint64_t step, std::uint64_t seed)
 {
-    setRunLabel(fmt::format("scenario={} fault={} step={}", scenario.name, fault.name, step));
-    Subject subject(1);
+    setRunLabel(fmt::format("scenario={} fault={} step={} seed={}", scenario.name, fault.name, step, seed));
+    Subject subject(seed);
     subject.settle("at first");
     scenario.prepare(subject);
     std::uint64_t steps = 0;
@@ -258,14 +258,9 @@
     void everyFaultAtEveryStep()
     {
         for (const Scenario &scenario : scenarios) {
-            const std::uint64_t steps = run(scenario, faults.front(), 0);
-            CPPUNIT_ASSERT(steps > 0);
-            for (const Fault &fault : faults) {
-                for (std::uint64_t step = 1; step <= steps; ++step) {
-                    run(scenario, fault, step);
-                }
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                everyFaultAtEveryStepOf(scenario, seed);
             }
-            fmt::print("{}: {} faults at {} steps\n", scenario.name, faults.size(), steps);
         }
     }
 
@@ -280,6 +275,18 @@
     }
 
 private:
+    static void everyFaultAtEveryStepOf(const Scenario &scenario, std::uint64_t seed)
+    {
+        const std::uint64_t steps = run(scenario, faults.front(), 0, seed);
+        CPPUNIT_ASSERT(steps > 0);
+        for (const Fault &fault : faults) {
+            for (std::uint64_t step = 1; step <= steps; ++step) {
+                run(scenario, fault, step, seed);
+            }
+        }
+        fmt::print("{}, seed {}: {} faults at {} steps\n", scenario.name, seed, faults.size(), steps);
+    }
+
     static void loseDisksInSuccession(std::uint64_t seed, std::size_t voters)
     {
         setRunLabel(fmt::format("disks lost in succession seed={} voters={}", seed, voters));
