--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,6 +17,7 @@
         relay_header.cpp
         generated/consensus.pb.cc
         generated/control.pb.cc
+        generated/metrics.pb.cc
         generated/request.pb.cc
     TESTS
         flow_id_test.cpp
@@ -25,6 +26,20 @@
     DEPENDS jujubequay_core protobuf::libprotobuf-lite PkgConfig::sodium)
 target_include_directories(jujubequay_wire SYSTEM PUBLIC ${PROJECT_SOURCE_DIR}/src/jujubequay/wire/generated)
 
+jujubequay_module(policy
+    SOURCES
+        admission_queue.cpp
+        flow_choice.cpp
+        handover.cpp
+        load_estimate.cpp
+        placement.cpp
+        retry.cpp
+    TESTS
+        admission_queue_test.cpp
+        balance_test.cpp
+        placement_test.cpp
+    DEPENDS jujubequay_core)
+
 jujubequay_module(consensus
     SOURCES
         disk_log_storage.cpp
@@ -58,3 +73,183 @@
         fault_matrix_test.cpp
         random_run_test.cpp
     DEPENDS jujubequay_consensus)
+
+jujubequay_module(quic
+    SOURCES
+        quic_client.cpp
+        quic_connection.cpp
+        quic_event.cpp
+        quic_server.cpp
+        send_buffer.cpp
+        tls_credentials.cpp
+        tls_session.cpp
+    TESTS
+        quic_test.cpp
+        send_buffer_test.cpp
+    DEPENDS jujubequay_wire PkgConfig::ngtcp2 PkgConfig::gnutls)
+
+jujubequay_module(net
+    SOURCES
+        backend_client.cpp
+        certificate.cpp
+        http2_callbacks.cpp
+        http2_message_client.cpp
+        http2_message_stream.cpp
+        http2_session.cpp
+        http2_stream.cpp
+        keep_alive.cpp
+        key_file.cpp
+        message_server.cpp
+        peer_identity.cpp
+        tls_context.cpp
+        traffic.cpp
+    TESTS
+        http2_session_test.cpp
+        keep_alive_test.cpp
+        message_stream_test.cpp
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+
+jujubequay_module(control
+    SOURCES
+        bundle.cpp
+        config_snapshot.cpp
+        control_host_service.cpp
+        control_services.cpp
+        control_state.cpp
+        lease_registry.cpp
+        operation_log.cpp
+        operator_request.cpp
+        peer_links.cpp
+        replica_driver.cpp
+        report_board.cpp
+        watch_server.cpp
+        watch_subscriber.cpp
+    TESTS
+        control_host_service_test.cpp
+        control_state_test.cpp
+        lease_registry_test.cpp
+        operator_request_test.cpp
+        watch_test.cpp
+    DEPENDS jujubequay_consensus)
+
+jujubequay_module(flow
+    SOURCES
+        agent_ingress.cpp
+        forwarder.cpp
+        opening_table.cpp
+        peer_loads.cpp
+        packet.cpp
+        return_paths.cpp
+        request_table.cpp
+    TESTS
+        agent_ingress_test.cpp
+        forwarder_test.cpp
+        opening_table_test.cpp
+        peer_loads_test.cpp
+        request_table_test.cpp
+        return_paths_test.cpp
+    DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
+
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy)
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
+jujubequay_module(datapath
+    SOURCES
+        balancer_path.cpp
+        datagram_batch.cpp
+        udp_socket.cpp
+    TESTS
+        balancer_path_test.cpp
+    DEPENDS jujubequay_flow asio)
+
+jujubequay_module(agent
+    SOURCES
+        request_broker.cpp
+    TESTS
+        request_broker_test.cpp
+    DEPENDS jujubequay_flow)
+
+jujubequay_module(service
+    SOURCES
+        agent_path.cpp
+        announce_client.cpp
+        announcer.cpp
+        config_watcher.cpp
+    TESTS
+        agent_path_test.cpp
+        announcer_test.cpp
+    DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
+
+jujubequay_module(daemon
+    SOURCES
+        agent_settings.cpp
+        backend_server.cpp
+        backend_settings.cpp
+        balancer_settings.cpp
+        call_settings.cpp
+        command_line.cpp
+        common_settings.cpp
+        control_settings.cpp
+        exit_status.cpp
+        flow_secret.cpp
+        load_report.cpp
+        metrics.cpp
+        metrics_http_server.cpp
+        metrics_service.cpp
+        operator_settings.cpp
+        prometheus_text.cpp
+        settings_documentation.cpp
+        settings_reader.cpp
+        signer_key.cpp
+        work_queue.cpp
+        work_times.cpp
+    TESTS
+        backend_test.cpp
+        command_line_test.cpp
+        key_files_test.cpp
+        metrics_test.cpp
+        settings_test.cpp
+    DEPENDS jujubequay_net)
+target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+
+jujubequay_module(balancer_program
+    SOURCES
+        balancer_process.cpp
+        forwarding_table_builder.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(agent_program
+    SOURCES
+        agent_process.cpp
+        backend_adapter.cpp
+    TESTS
+        backend_adapter_test.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(control_program
+    SOURCES
+        control_process.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(operator_program
+    SOURCES
+        bundle_commands.cpp
+        command_context.cpp
+        control_connection.cpp
+        key_commands.cpp
+        member_commands.cpp
+        operator_program.cpp
+        output.cpp
+        roll_commands.cpp
+        status_command.cpp
+    TESTS
+        operator_program_test.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
--- a/include/jujubequay/wire/relay_header.h
+++ b/include/jujubequay/wire/relay_header.h
@@ -16,6 +16,7 @@
     Handover = 3, ///< agent to agent: opening passed to the second choice, which must answer it
     Reply = 4, ///< agent to balancer: datagram for the caller
     Stale = 5, ///< agent to balancer: opening refused, the balancer's configuration is older; no payload
+    Load = 6, ///< agent to agent of the same service: the sender's load; no payload
 };
 
 std::string_view relayKindName(RelayKind kind);
@@ -36,13 +37,14 @@
     std::uint64_t revision = 0; ///< revision of the service's configuration at the sender
     HostAddress caller;
     HostAddress balancer; ///< relay address of the balancer that replies go through
+    HostAddress entry; ///< address at the balancer that the caller's datagram arrived on; replies leave from it
     HostAddress secondChoice; ///< Open: zero when there is none
     Incarnation secondIncarnation;
     ServerLoad load;
     auto operator<=>(const RelayHeader &) const = default;
 };
 
-constexpr std::size_t relayHeaderLength = 54;
+constexpr std::size_t relayHeaderLength = 60;
 /// The keyed check covers the header and this many bytes of the payload.
 constexpr std::size_t relayCheckedPayload = 64;
 
