--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -126,6 +126,7 @@
         watch_subscriber.cpp
     TESTS
         control_host_service_test.cpp
+        control_random_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
         operator_request_test.cpp
--- a/src/jujubequay/operator_program/control_connection.cpp
+++ b/src/jujubequay/operator_program/control_connection.cpp
@@ -141,6 +141,9 @@
 Result<std::string> ControlConnection::newOperationId()
 {
     BOOST_LEAF_AUTO(answer, status({}));
+    if (answer.result() != 0) {
+        return fail(static_cast<ResultCode>(answer.result()), "no majority of control hosts answers; the command was not sent");
+    }
     return fmt::format("{:016x}{:016x}-{}", m_random(), m_random(), answer.operations_seen());
 }
 
--- a/src/jujubequay/operator_program/control_connection.h
+++ b/src/jujubequay/operator_program/control_connection.h
@@ -27,7 +27,7 @@
     Result<jujubequay::pb::StatusAnswer> status(const jujubequay::pb::StatusRequest &request);
 
     /// A new operation identity. It ends with the number of operations that the control hosts have applied, so that the
-    /// same command can be written again later from its identity alone. Fails like `status`.
+    /// same command can be written again later from its identity alone. Fails like `status`, and with NoQuorum.
     Result<std::string> newOperationId();
 
 private:
