--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -11,11 +11,13 @@
 
 void printHeader()
 {
-    fmt::print("| policy | broken planned | broken unplanned | wrong service | run twice | false not run | late on draining | work imbalance | worst window "
-               "| flow imbalance | Jain | worst small | p50 ms | p99 ms | small p99 ms | refused % | unknown | attempts/request | MB between zones |\n");
+    fmt::print(
+        "| policy | broken planned | broken unplanned | wrong service | run twice | false not run | late on draining | work imbalance | worst window | windows "
+        "over 1.15 % "
+        "| flow imbalance | Jain | worst small | p50 ms | p99 ms | small p99 ms | refused % | unknown | unanswered | attempts/request | MB between zones |\n");
     fmt::print("|{}\n", "---|" + std::string([] {
                             std::string columns;
-                            for (int column = 0; column < 18; ++column) {
+                            for (int column = 0; column < 20; ++column) {
                                 columns += "---:|";
                             }
                             return columns;
@@ -25,7 +27,8 @@
 void printRow(std::string_view name, const CellResult &cell)
 {
     const double requests = static_cast<double>(std::max<std::uint64_t>(cell.requests, 1));
-    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.4f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {:.2f} | {:.0f} |\n",
+    fmt::print("| {} | {} | {} | {} | {} | {} | {} | {:.3f} | {:.3f} | {:.0f} | {:.3f} | {:.4f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | {:.2f} | {} | {} | "
+               "{:.2f} | {:.0f} |\n",
                name,
                cell.brokenPlanned,
                cell.brokenUnplanned,
@@ -35,6 +38,7 @@
                cell.lateOnDraining,
                cell.workImbalance,
                cell.worstWindow,
+               100 * cell.windowsOverGoal,
                cell.flowImbalance,
                cell.jain,
                cell.worstSmall,
@@ -43,6 +47,7 @@
                cell.smallP99Ms,
                100 * static_cast<double>(cell.refused) / requests,
                cell.unknown,
+               cell.unanswered,
                static_cast<double>(cell.attempts) / requests,
                cell.megabytesBetweenZones);
 }
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -151,6 +151,18 @@
         return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+        spraying_socket.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy asio)
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
 jujubequay_module(datapath
     SOURCES
         balancer_path.cpp
@@ -184,7 +196,9 @@
         backend_server.cpp
         backend_settings.cpp
         balancer_settings.cpp
+        call_run.cpp
         call_settings.cpp
+        call_summary.cpp
         command_line.cpp
         common_settings.cpp
         control_settings.cpp
@@ -203,11 +217,13 @@
         work_times.cpp
     TESTS
         backend_test.cpp
+        call_run_test.cpp
         command_line_test.cpp
         key_files_test.cpp
         metrics_test.cpp
         settings_test.cpp
-    DEPENDS jujubequay_net)
+    DEPENDS jujubequay_net jujubequay_client)
+target_link_libraries(daemon_test PRIVATE jujubequay_agent)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
 
 jujubequay_module(control_program
@@ -229,3 +245,17 @@
     TESTS
         operator_program_test.cpp
     DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(balancer_program
+    SOURCES
+        balancer_process.cpp
+        forwarding_table_builder.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(agent_program
+    SOURCES
+        agent_process.cpp
+        backend_adapter.cpp
+    TESTS
+        backend_adapter_test.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
