Add a fuzz target for HTTP/2 sessions

nghttp2 decodes the frames, but the order of peer frames and calls of the application decides whether handlers, credit and queues stay consistent.

The target feeds frames and application calls chosen by the input to a server session over a transport in memory, and requires that a session and each accepted stream close exactly once, that nothing is delivered after that, and that unconsumed data stays within the window.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -25,3 +25,4 @@
 jujubequay_program(control-stream-bench SOURCES bench/control_stream_bench.cpp DEPENDS jujubequay_daemon)
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
+jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
--- a/include/jujubequay/net/http2_session.h
+++ b/include/jujubequay/net/http2_session.h
@@ -69,7 +69,8 @@
 public:
     /// Sends response headers (server streams only, once).
     void respond(const HttpHeaders &headers);
-    /// Queues data. Returns false, without queueing anything, if more than the limit would wait.
+    /// Queues data. Returns false, without queueing anything, if more than the limit would wait. Data for a stream that
+    /// is closed, reset or ended is dropped.
     bool send(std::span<const std::uint8_t> data);
     /// Ends the own direction once queued data is sent.
     void end(const HttpHeaders &trailers = {});
--- a/src/jujubequay/net/http2_message_stream.cpp
+++ b/src/jujubequay/net/http2_message_stream.cpp
@@ -1,5 +1,7 @@
 #include "jujubequay/net/http2_message_stream.h"
 
+#include <jujubequay/core/invariant.h>
+
 namespace Jujubequay {
 
 Http2MessageStream::Http2MessageStream(Context context)
@@ -29,6 +31,7 @@
 
 void Http2MessageStream::attach(std::shared_ptr<Http2Stream> stream)
 {
+    checkInvariant(stream != nullptr, "a session that accepts requests opens a stream");
     m_stream = std::move(stream);
 }
 
--- a/src/jujubequay/net/http2_message_stream.h
+++ b/src/jujubequay/net/http2_message_stream.h
@@ -27,7 +27,7 @@
 
     /// Handlers for the HTTP/2 stream; they keep this object until the stream is closed.
     Http2StreamHandlers http2Handlers();
-    /// `stream` is null if the connection takes no more streams; the stream then ends with ConnectionLost.
+    /// Sets the HTTP/2 stream that carries the messages; called once, before any other use.
     void attach(std::shared_ptr<Http2Stream> stream);
     void setHandlers(MessageStreamHandlers handlers);
     /// Ends the stream with `result`, whatever the peer says.
