--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -118,6 +118,7 @@
         control_state.cpp
         lease_registry.cpp
         operation_log.cpp
+        operator_request.cpp
         peer_links.cpp
         replica_driver.cpp
         report_board.cpp
@@ -127,6 +128,7 @@
         control_host_service_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
+        operator_request_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
 
@@ -148,6 +150,18 @@
         return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+        spraying_socket.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy asio)
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
 jujubequay_module(datapath
     SOURCES
         balancer_path.cpp
@@ -181,7 +195,9 @@
         backend_server.cpp
         backend_settings.cpp
         balancer_settings.cpp
+        call_run.cpp
         call_settings.cpp
+        call_summary.cpp
         command_line.cpp
         common_settings.cpp
         control_settings.cpp
@@ -200,9 +216,45 @@
         work_times.cpp
     TESTS
         backend_test.cpp
+        call_run_test.cpp
         command_line_test.cpp
         key_files_test.cpp
         metrics_test.cpp
         settings_test.cpp
-    DEPENDS jujubequay_net)
+    DEPENDS jujubequay_net jujubequay_client)
+target_link_libraries(daemon_test PRIVATE jujubequay_agent)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+
+jujubequay_module(control_program
+    SOURCES
+        control_process.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(operator_program
+    SOURCES
+        bundle_commands.cpp
+        command_context.cpp
+        control_connection.cpp
+        key_commands.cpp
+        member_commands.cpp
+        operator_program.cpp
+        output.cpp
+        roll_commands.cpp
+        status_command.cpp
+    TESTS
+        operator_program_test.cpp
+    DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(balancer_program
+    SOURCES
+        balancer_process.cpp
+        forwarding_table_builder.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(agent_program
+    SOURCES
+        agent_process.cpp
+        backend_adapter.cpp
+    TESTS
+        backend_adapter_test.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
