--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -18,6 +18,7 @@
 jujubequay_program(jjq SOURCES apps/jjq.cpp DEPENDS jujubequay_operator_program)
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
+jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
 
 # The fakes of the policy bench, shared by the program and its test.
 add_library(policy_bench_run STATIC
