Carry load figures on answers and greetings; count handshakes as flows

Cause: in the demonstration the busiest server got 1.6 times the mean of the requests. A caller counted its feed as an open request, so all its requests took the flow without the feed, and it knew nothing of the servers' load. A burst of openings was accepted on flow counts from before the burst: 0 to 4 handovers for 130 flows, 14 to 24 open flows a server.

Ruled out: a shorter fixed interval of load reports, which costs the same traffic when nothing changes.

Change: answers and greetings carry running, queued and flows of the server, and the caller keeps a LoadEstimate for each flow; feeds do not count as requests; agents count handshakes as flows and report a change of their flows at once, at most every 50 ms. Caller identities are random unless a seed is given: two processes with one seed had the same identities.

--- a/apps/jjq_backend.cpp
+++ b/apps/jjq_backend.cpp
@@ -69,7 +69,8 @@
 Result<void> run(const std::vector<std::string> &arguments)
 {
     CommandLine line(description());
-    TCLAP::ValueArg<std::string> executionsFile("", "executions-file", "write the executed request identities here at the end", false, "", "FILE", line.parser());
+    TCLAP::ValueArg<std::string> executionsFile(
+        "", "executions-file", "write the executed request identities here at the end", false, "", "FILE", line.parser());
     BOOST_LEAF_AUTO(options, line.parse(arguments));
     BOOST_LEAF_AUTO(reader, SettingsReader::open(options.settings));
     const BackendSettings settings = readBackendSettings(reader);
--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -16,6 +16,7 @@
 jujubequay_program(policy-bench SOURCES bench/policy_bench.cpp DEPENDS policy_bench_run)
 jujubequay_program(jjq-control SOURCES apps/jjq_control.cpp DEPENDS jujubequay_control_program)
 jujubequay_program(jjq SOURCES apps/jjq.cpp DEPENDS jujubequay_operator_program)
+jujubequay_program(jjq-call SOURCES apps/jjq_call.cpp DEPENDS jujubequay_daemon)
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
 jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
@@ -35,5 +36,3 @@
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
 add_test(NAME policy_bench COMMAND policy_bench_test)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
-
-jujubequay_program(jjq-call SOURCES apps/jjq_call.cpp DEPENDS jujubequay_daemon)
--- a/fuzz/quic_datagram_fuzz.cpp
+++ b/fuzz/quic_datagram_fuzz.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /// A server and a client whose datagrams go nowhere but to the fuzzer's input.
-class Ends final : public QuicServerSink, public QuicClientSink
+class Ends final
+    : public QuicServerSink
+    , public QuicClientSink
 {
 public:
     Ends()
@@ -53,9 +55,7 @@
         clientIdentifierPrefix(datagram);
     }
 
-    void sendDatagram(FlowHandle, const HostAddress &, std::span<const std::uint8_t>) override
-    {
-    }
+    void sendDatagram(FlowHandle, const HostAddress &, std::span<const std::uint8_t>) override { }
     void sendDatagram(std::span<const std::uint8_t> datagram) override
     {
         if (m_first.empty()) {
--- a/include/jujubequay/client/answer_reader.h
+++ b/include/jujubequay/client/answer_reader.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/core/clock.h>
 #include <jujubequay/core/result_code.h>
+#include <jujubequay/policy/load_estimate.h>
 #include <jujubequay/wire/digest.h>
 #include <jujubequay/wire/framing.h>
 
@@ -23,6 +24,7 @@
     std::string detail;
     Duration retryAfter{};
     std::uint64_t position = 0; ///< feeds: position at which the server ended
+    std::optional<LoadReport> load; ///< of the server at the end of the answer
 };
 
 /// A part of a feed as one attempt received it.
--- a/include/jujubequay/client/caller.h
+++ b/include/jujubequay/client/caller.h
@@ -91,6 +91,7 @@
         std::optional<Greeting> greeting; ///< set once the flow is ready
         std::optional<Greeting> resumes; ///< greeting of the lost flow that this one replaces
         std::map<StreamNumber, RequestTicket> requests;
+        LoadEstimate estimate; ///< of the server
     };
     struct Work {
         Request request;
@@ -103,6 +104,7 @@
         std::set<Incarnation> refusedBy;
         std::optional<std::uint64_t> flow; ///< where it is open
         StreamNumber stream = 0;
+        TimePoint sentAt;
         std::uint32_t attempts = 0;
         std::uint32_t retries = 0;
         std::uint32_t repeats = 0;
@@ -126,7 +128,8 @@
     // Requests.
     void sendDue(TimePoint now);
     bool settleBeforeSending(TimePoint now, RequestTicket ticket, Work &work);
-    std::optional<std::uint64_t> chooseFlowFor(const Work &work);
+    std::uint32_t openRequests(const Flow &flow) const;
+    std::optional<std::uint64_t> chooseFlowFor(TimePoint now, const Work &work);
     void send(TimePoint now, std::uint64_t flow, RequestTicket ticket, Work &work);
     void expire(TimePoint now);
     void decide(TimePoint now, RequestTicket ticket, Work &work, const AttemptOutcome &outcome, Bytes body);
--- a/include/jujubequay/client/caller_flow.h
+++ b/include/jujubequay/client/caller_flow.h
@@ -22,6 +22,7 @@
     std::uint64_t window = 0;
     Bytes resumeIdentifier; ///< destination identifier of a new flow to the same agent
     bool draining = false;
+    std::optional<LoadReport> load; ///< of the server when it sent the greeting
 };
 
 /// Reads the greetings of an agent from its stream.
--- a/include/jujubequay/service/agent_path.h
+++ b/include/jujubequay/service/agent_path.h
@@ -106,6 +106,7 @@
     void processEvents();
     void scheduleTimeout();
     void scheduleLoadReport();
+    void reportChangedLoad(TimePoint now);
     void sendLoadReports();
     ServerLoad ownLoad() const;
     static void count(std::atomic<std::uint64_t> &counter);
@@ -130,6 +131,8 @@
     asio::steady_timer m_loadTimer;
     std::set<FlowHandle> m_openFlows;
     std::vector<FlowHandle> m_endedFlows;
+    TimePoint m_lastLoadReport{};
+    std::size_t m_reportedFlows = 0;
     bool m_draining = false;
     AgentPathCounters m_counters;
 };
--- a/src/jujubequay/agent/request_broker.cpp
+++ b/src/jujubequay/agent/request_broker.cpp
@@ -64,6 +64,13 @@
     return id;
 }
 
+void setFigures(pb::LoadFigures &figures, const LoadReport &load)
+{
+    figures.set_running(load.running);
+    figures.set_queued(load.queued);
+    figures.set_flows(load.flows);
+}
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -662,6 +669,7 @@
     greeting->set_window(m_table.window());
     greeting->set_resume_id(state.resumeIdentifier.data(), state.resumeIdentifier.size());
     greeting->set_draining(m_draining);
+    setFigures(*greeting->mutable_load(), load());
     send({flow, *state.greetingStream}, message, false);
 }
 
@@ -684,6 +692,7 @@
     trailer->set_digest(digest.data(), digest.size());
     trailer->set_result(static_cast<std::uint32_t>(result));
     trailer->set_position(position);
+    setFigures(*trailer->mutable_load(), load());
     send(key, message, true);
 }
 
--- a/src/jujubequay/balancer_program/balancer_process.cpp
+++ b/src/jujubequay/balancer_program/balancer_process.cpp
@@ -12,6 +12,7 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -210,6 +211,10 @@
         thread->apply({table, points}, *m_logger);
     }
     m_metrics->setGauge("revision_in_force", static_cast<double>(config->revision));
+    const auto takesNewWork = [](const ServerSnapshot &server) {
+        return server.takesNewWork();
+    };
+    m_metrics->setGauge("serving_servers", static_cast<double>(std::count_if(config->servers.begin(), config->servers.end(), takesNewWork)));
 }
 
 std::vector<EntryPoint> BalancerProcess::entryPoints(const ConfigSnapshot &config) const
--- a/src/jujubequay/client/answer_reader.cpp
+++ b/src/jujubequay/client/answer_reader.cpp
@@ -42,7 +42,8 @@
 {
     if (message.has_header() && !m_header) {
         const pb::AnswerHeader &header = message.header();
-        m_header = AttemptOutcome{static_cast<ResultCode>(header.result()), header.detail(), std::chrono::milliseconds(header.retry_after_ms()), 0};
+        m_header
+            = AttemptOutcome{static_cast<ResultCode>(header.result()), header.detail(), std::chrono::milliseconds(header.retry_after_ms()), 0, std::nullopt};
         return;
     }
     if (message.has_body() && m_header) {
@@ -70,6 +71,9 @@
         }
         m_outcome = *m_header;
         m_outcome->position = trailer.position();
+        if (trailer.has_load()) {
+            m_outcome->load = LoadReport{trailer.load().running(), trailer.load().queued(), trailer.load().flows()};
+        }
         if (m_outcome->result == ResultCode::Ok) {
             m_outcome->result = static_cast<ResultCode>(trailer.result());
         }
--- a/src/jujubequay/client/caller.cpp
+++ b/src/jujubequay/client/caller.cpp
@@ -255,7 +255,7 @@
     }
 }
 
-void Caller::handle(TimePoint, std::uint64_t number, const FlowGreeted &event)
+void Caller::handle(TimePoint now, std::uint64_t number, const FlowGreeted &event)
 {
     Flow &flow = m_flows.at(number);
     if (!flow.greeting) {
@@ -265,6 +265,9 @@
         m_events.emplace_back(FlowOpened{event.greeting.incarnation});
     }
     flow.greeting = event.greeting;
+    if (event.greeting.load) {
+        flow.estimate.reported(now, *event.greeting.load);
+    }
     flow.resumes.reset();
 }
 
@@ -304,6 +307,12 @@
     Work &work = m_works.at(ticket);
     flow.requests.erase(found);
     work.flow.reset();
+    if (event.outcome.load) {
+        flow.estimate.reported(now, *event.outcome.load);
+    }
+    if (event.outcome.result == ResultCode::Ok && !isFeed(work.request)) {
+        flow.estimate.answered(work.request.workClass, now - work.sentAt);
+    }
     decide(now, ticket, work, event.outcome, event.body);
 }
 
@@ -369,7 +378,7 @@
         if (!settleBeforeSending(now, ticket, work)) {
             continue;
         }
-        if (const std::optional<std::uint64_t> flow = chooseFlowFor(work)) {
+        if (const std::optional<std::uint64_t> flow = chooseFlowFor(now, work)) {
             send(now, *flow, ticket, work);
         }
     }
@@ -390,7 +399,15 @@
     return false;
 }
 
-std::optional<std::uint64_t> Caller::chooseFlowFor(const Work &work)
+/// Requests on a flow without feeds, which hold no slot of the server.
+std::uint32_t Caller::openRequests(const Flow &flow) const
+{
+    return static_cast<std::uint32_t>(std::count_if(flow.requests.begin(), flow.requests.end(), [this](const auto &entry) {
+        return !isFeed(m_works.at(entry.second).request);
+    }));
+}
+
+std::optional<std::uint64_t> Caller::chooseFlowFor(TimePoint now, const Work &work)
 {
     std::vector<std::uint64_t> numbers;
     std::vector<FlowCandidate> candidates;
@@ -405,7 +422,7 @@
         const bool hasRefused = !work.first && work.refusedBy.contains(flow.greeting->incarnation);
         allRefused = allRefused && (!isOpen || hasRefused);
         numbers.push_back(number);
-        candidates.push_back({0, static_cast<std::uint32_t>(flow.requests.size()), isOpen && !hasRefused});
+        candidates.push_back({flow.estimate.work(now), openRequests(flow), isOpen && !hasRefused});
     }
     if (allRefused && !work.first) {
         // Every server that is at hand has refused the request once: ask again where it may have room by now.
@@ -448,6 +465,10 @@
     work.first = first;
     work.flow = number;
     work.stream = *stream;
+    work.sentAt = now;
+    if (!isFeed(work.request)) {
+        flow.estimate.sent();
+    }
     ++work.attempts;
     ++m_statistics.attempts;
     flow.requests.emplace(*stream, ticket);
--- a/src/jujubequay/client/caller_flow.cpp
+++ b/src/jujubequay/client/caller_flow.cpp
@@ -57,7 +57,10 @@
         }
         const pb::FlowGreeting &greeting = message.greeting();
         const std::string &resume = greeting.resume_id();
-        newest = Greeting{Incarnation{greeting.incarnation()}, greeting.window(), Bytes(resume.begin(), resume.end()), greeting.draining()};
+        newest = Greeting{Incarnation{greeting.incarnation()}, greeting.window(), Bytes(resume.begin(), resume.end()), greeting.draining(), std::nullopt};
+        if (greeting.has_load()) {
+            newest->load = LoadReport{greeting.load().running(), greeting.load().queued(), greeting.load().flows()};
+        }
     }
     return newest;
 }
--- a/src/jujubequay/daemon/call_run.cpp
+++ b/src/jujubequay/daemon/call_run.cpp
@@ -12,6 +12,13 @@
 /// Shares the 4-byte prefix of client identifiers: 2 bytes for the caller, 2 for its flow.
 constexpr std::uint32_t callerShift = 16;
 
+/// Two processes must not draw the same caller identities: an agent would take their requests for attempts of one request.
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
 std::array<std::uint8_t, 16> drawIdentity(std::mt19937_64 &random)
 {
     std::array<std::uint8_t, 16> identity{};
@@ -41,7 +48,7 @@
     , m_clock(clock)
     , m_settings(settings)
     , m_plan(std::move(plan))
-    , m_random(settings.seed)
+    , m_random(settings.seed == 0 ? randomSeed() : settings.seed)
     , m_timer(context)
 {
 }
--- a/src/jujubequay/daemon/call_run_test.cpp
+++ b/src/jujubequay/daemon/call_run_test.cpp
@@ -21,15 +21,14 @@
         , m_timer(context)
         , m_random(5)
         , m_now(m_clock.now())
-        , m_agent(
-              FlowTarget{ServiceId{3}, address(), Incarnation{1}},
-              TlsCredentials::server(certificate.certificatePem, certificate.keyPem).value(),
-              executions,
-              m_random,
-              m_now,
-              [this](const HostAddress &caller, std::span<const std::uint8_t> datagram) {
-                  m_socket.send_to(asio::buffer(datagram.data(), datagram.size()), {asio::ip::address_v4(caller.ip), caller.port});
-              })
+        , m_agent(FlowTarget{ServiceId{3}, address(), Incarnation{1}},
+                  TlsCredentials::server(certificate.certificatePem, certificate.keyPem).value(),
+                  executions,
+                  m_random,
+                  m_now,
+                  [this](const HostAddress &caller, std::span<const std::uint8_t> datagram) {
+                      m_socket.send_to(asio::buffer(datagram.data(), datagram.size()), {asio::ip::address_v4(caller.ip), caller.port});
+                  })
     {
         receive();
         tick();
--- a/src/jujubequay/daemon/call_settings.cpp
+++ b/src/jujubequay/daemon/call_settings.cpp
@@ -29,7 +29,8 @@
     settings.isIdempotent = reader.flag("idempotent", false, "whether a request may be executed more than once");
     settings.deadline = reader.duration("deadline_ms", 10s, {1ms, 24h}, "time limit of a request, with its retries");
     settings.retries = static_cast<std::uint32_t>(reader.integer("retries", 3, {0, 100}, "attempts after the first"));
-    settings.seed = static_cast<std::uint64_t>(reader.integer("seed", 1, {0, INT64_MAX}, "seed of the jitter between attempts"));
+    settings.seed = static_cast<std::uint64_t>(
+        reader.integer("seed", 0, {0, INT64_MAX}, "seed of identities and of the jitter between attempts; 0: random, equal seeds give equal identities"));
     return settings;
 }
 
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -10,6 +10,11 @@
 /// Upper bound of the time between two ticks of the request windows.
 constexpr auto tickInterval = std::chrono::milliseconds(200);
 constexpr std::uint64_t drainedCode = 0;
+/// A change of the number of flows by two and a sixteenth is reported at once, so that a burst of openings spreads, but not
+/// more often than this.
+constexpr auto minLoadInterval = std::chrono::milliseconds(50);
+constexpr std::size_t minReportedChange = 2;
+constexpr std::size_t reportedChangeShare = 16;
 
 constexpr std::uint16_t limited(std::uint32_t value)
 {
@@ -70,7 +75,7 @@
                 m_address,
                 m_options.incarnation,
                 [this](TimePoint now, const RelayHeader &header) {
-                    return m_peerLoads.decideHandover(now, {m_broker.load(), m_options.weight, 1, m_draining}, header.secondChoice);
+                    return m_peerLoads.decideHandover(now, {load(), m_options.weight, 1, m_draining}, header.secondChoice);
                 },
                 {})
     , m_returnPaths({})
@@ -160,7 +165,10 @@
 
 LoadReport AgentPath::load() const
 {
-    return m_broker.load();
+    LoadReport load = m_broker.load();
+    // Handshakes count as well; otherwise a burst of openings is accepted on the figure from before the burst.
+    load.flows = static_cast<std::uint32_t>(m_quic.flowCount());
+    return load;
 }
 
 std::vector<std::uint32_t> AgentPath::flowKeysInUse() const
@@ -351,6 +359,7 @@
         m_returnPaths.forget(flow.value);
     }
     m_endedFlows.clear();
+    reportChangedLoad(now);
     scheduleTimeout();
 }
 
@@ -384,8 +393,20 @@
     });
 }
 
+void AgentPath::reportChangedLoad(TimePoint now)
+{
+    const std::size_t flows = m_quic.flowCount();
+    const std::size_t change = std::max(flows, m_reportedFlows) - std::min(flows, m_reportedFlows);
+    const bool isDue = now - m_lastLoadReport >= minLoadInterval;
+    if (isDue && change >= std::max(minReportedChange, m_reportedFlows / reportedChangeShare)) {
+        sendLoadReports();
+    }
+}
+
 void AgentPath::sendLoadReports()
 {
+    m_lastLoadReport = m_clock.now();
+    m_reportedFlows = m_quic.flowCount();
     RelayHeader header;
     header.kind = RelayKind::Load;
     header.service = m_options.service;
@@ -401,7 +422,7 @@
 
 ServerLoad AgentPath::ownLoad() const
 {
-    const LoadReport load = m_broker.load();
+    const LoadReport load = this->load();
     return {limited(load.running), limited(load.queued), limited(load.flows)};
 }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -137,7 +137,17 @@
     jjq roll --service "$1" --bundle-version "$2" >/dev/null
 }
 
-serving_servers() { jjq status --servers --output json >status.json && [ "$(grep -c '"state" *: *"serving"' status.json)" -ge "$1" ]; }
+metrics_of() { # ADDRESS
+    exec 9<>"/dev/tcp/$1/7480"
+    printf 'GET /metrics HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n' "$1" >&9
+    cat <&9
+    exec 9>&-
+}
+
+# True if a balancer knows that many backend servers that take new work.
+knows_servers() { # NUMBER_OF_ENTRY_HOST COUNT
+    metrics_of "127.0.0.2$1" | awk -v least="$2" '/^jujubequay_serving_servers / { known = $2 } END { exit !(known >= least) }'
+}
 
 # Prints the number of connected hosts on which an older revision is in force.
 lagging_hosts() {
@@ -146,15 +156,8 @@
 
 none_lag() { [ "$(lagging_hosts)" -eq 0 ]; }
 
-metrics_of() { # ADDRESS
-    exec 9<>"/dev/tcp/$1/7480"
-    printf 'GET /metrics HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n' "$1" >&9
-    cat <&9
-    exec 9>&-
-}
-
 summary_value() { # FILE KEY
-    awk -F= -v key="$2" '$1 == key { print $2 }' "log/$1.out"
+    tr ' ' '\n' <"log/$1.out" | awk -F= -v key="$2" '$1 == key { print $2 }'
 }
 
 say "writing keys and settings"
@@ -188,8 +191,7 @@
     start "backend-$server" jjq-backend --settings "backend-$server.toml" --executions-file "executions/$server"
     start "agent-$server" jjq-agent --settings "agent-$server.toml"
 done
-wait_for 20 "all backend servers serve" serving_servers 11
-sleep 1
+for number in 1 2 3 4; do wait_for 20 "entry-$number knows all backend servers" knows_servers "$number" 11; done
 
 say "sending traffic for 12 s: findings and gauge streams to inspect-desk, downloads from cert-vault"
 start callers-desk jjq-call --settings caller-desk.toml --service inspect-desk --path /work --callers 60 --feeds 1 --rate 200 --requests 0 --duration-s 12
@@ -218,7 +220,8 @@
     desk-*) address="127.0.0.3${server#desk-}" ;;
     *) address="127.0.0.4${server#vault-}" ;;
     esac
-    drops=$(metrics_of "$address" | awk '/dropped_datagrams.*wrong-service/ { sum += $NF } END { print sum + 0 }')
+    metrics_of "$address" >"log/$server.metrics"
+    drops=$(awk '/dropped_datagrams.*wrong-service/ { sum += $NF } END { print sum + 0 }' "log/$server.metrics")
     wrong_service_drops=$((wrong_service_drops + drops))
 done
 wait_for 5 "the newest revision is in force on all connected hosts" none_lag
@@ -243,13 +246,14 @@
 twice=$(cat twice)
 say ""
 printf '%-42s %s\n' "flows opened" "$(total flows_opened)" "flows broken" "$(total flows_broken)" \
-    "requests answered" "$(total requests_answered)" "requests without a result" "$(total requests_unknown)" \
+    "requests answered" "$(total answered)" "requests refused as not run" "$(total refused)" \
+    "requests with an unknown outcome" "$(total unknown)" "answers cut short" "$(total incomplete)" \
     "feed records missed or repeated" "$(($(total feed_gaps) + $(total feed_repeats)))" \
     "non-idempotent requests run twice" "$twice" "requests run at a wrong service" "$misrouted" \
     "packets refused as of another service" "$wrong_service_drops" \
     "imbalance (busiest server to mean, requests)" "$imbalance"
-lost=$(($(total flows_broken) + $(total requests_unknown) + $(total feed_gaps) + $(total feed_repeats) + twice + misrouted))
-answered=$(total requests_answered)
+lost=$(($(total flows_broken) + $(total unknown) + $(total incomplete) + $(total feed_gaps) + $(total feed_repeats) + twice + misrouted))
+answered=$(total answered)
 if [ "$lost" -ne 0 ] || [ "$answered" -eq 0 ]; then
     say "FAILED: something was lost"
     exit 1
