--- a/apps/jjq_call.cpp
+++ b/apps/jjq_call.cpp
@@ -106,7 +106,7 @@
     BOOST_LEAF_AUTO(credentials, TlsCredentials::client(authorities));
     const SteadyClock clock;
     asio::io_context context;
-    BOOST_LEAF_AUTO(run, CallRun::start(context, clock, settings, std::move(plan), std::move(credentials)));
+    BOOST_LEAF_AUTO(run, CallRun::start(context, clock, settings, std::move(plan), credentials));
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&run](const asio::error_code &error, int) {
         if (!error) {
--- a/include/jujubequay/client/caller.h
+++ b/include/jujubequay/client/caller.h
@@ -100,7 +100,7 @@
         TimePoint notBefore;
         /// The server that has the request or may have run it, and its window of the first attempt.
         std::optional<Greeting> first;
-        std::set<Incarnation> refusedBy;
+        std::set<std::uint32_t> refusedBy; ///< incarnations of servers
         std::optional<std::uint64_t> flow; ///< where it is open
         StreamNumber stream = 0;
         std::uint32_t attempts = 0;
--- a/include/jujubequay/daemon/call_run.h
+++ b/include/jujubequay/daemon/call_run.h
@@ -37,7 +37,7 @@
 public:
     /// Fails with AddressUnavailable. All references outlive the run.
     static Result<std::unique_ptr<CallRun>> start(
-        asio::io_context &context, const Clock &clock, const CallSettings &settings, CallPlan plan, std::shared_ptr<const TlsCredentials> credentials);
+        asio::io_context &context, const Clock &clock, const CallSettings &settings, CallPlan plan, const std::shared_ptr<const TlsCredentials> &credentials);
 
     CallRun(asio::io_context &context, const Clock &clock, const CallSettings &settings, CallPlan plan);
     ~CallRun();
@@ -50,7 +50,7 @@
 private:
     struct Member;
 
-    Result<void> open(std::shared_ptr<const TlsCredentials> credentials);
+    Result<void> open(const std::shared_ptr<const TlsCredentials> &credentials);
     void receive(std::span<const std::uint8_t> datagram);
     /// Takes the events of a member, sends what is due, and enters its timeout anew.
     void advance(std::uint32_t index);
--- a/include/jujubequay/quic/quic_event.h
+++ b/include/jujubequay/quic/quic_event.h
@@ -3,7 +3,6 @@
 #include <jujubequay/core/identifiers.h>
 #include <jujubequay/wire/framing.h>
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -16,7 +15,11 @@
 /// Number of a QUIC connection within one endpoint object; never reused.
 struct FlowHandle {
     std::uint64_t value = 0;
-    auto operator<=>(const FlowHandle &) const = default;
+    bool operator==(const FlowHandle &) const = default;
+    bool operator<(const FlowHandle &other) const
+    {
+        return value < other.value;
+    }
 };
 
 /// QUIC stream number. Bidirectional streams opened by the client are 0, 4, 8, ...
--- a/src/jujubequay/client/caller.cpp
+++ b/src/jujubequay/client/caller.cpp
@@ -402,7 +402,7 @@
         const bool isFirst = work.first && work.first->incarnation == flow.greeting->incarnation;
         const bool isOpen = work.first ? isFirst : !flow.greeting->draining;
         // A request that may have run goes back to its server even if that server refused an earlier attempt.
-        const bool hasRefused = !work.first && work.refusedBy.contains(flow.greeting->incarnation);
+        const bool hasRefused = !work.first && work.refusedBy.contains(flow.greeting->incarnation.value);
         allRefused = allRefused && (!isOpen || hasRefused);
         numbers.push_back(number);
         candidates.push_back({0, static_cast<std::uint32_t>(flow.requests.size()), isOpen && !hasRefused});
@@ -425,7 +425,7 @@
                    "a non-idempotent request goes to a second server only after the first has not run it");
     const bool canMove = !work.wasMoved && std::any_of(m_flows.begin(), m_flows.end(), [&](const auto &entry) {
         const std::optional<Greeting> &other = entry.second.greeting;
-        return other && !other->draining && other->incarnation != greeting.incarnation && !work.refusedBy.contains(other->incarnation);
+        return other && !other->draining && other->incarnation != greeting.incarnation && !work.refusedBy.contains(other->incarnation.value);
     });
     const Greeting first = work.first.value_or(greeting);
     pb::RequestHeader header;
@@ -478,7 +478,7 @@
     work.retries += isMove ? 0 : 1;
     work.wasMoved = work.wasMoved || rule == RetryRule::Elsewhere;
     if (rule == RetryRule::Elsewhere && work.first) {
-        work.refusedBy.insert(work.first->incarnation);
+        work.refusedBy.insert(work.first->incarnation.value);
     }
     if (isNotRun(outcome.result)) {
         // The server keeps the refusal under the old identity and would repeat it.
--- a/src/jujubequay/daemon/call_run.cpp
+++ b/src/jujubequay/daemon/call_run.cpp
@@ -29,10 +29,10 @@
 };
 
 Result<std::unique_ptr<CallRun>> CallRun::start(
-    asio::io_context &context, const Clock &clock, const CallSettings &settings, CallPlan plan, std::shared_ptr<const TlsCredentials> credentials)
+    asio::io_context &context, const Clock &clock, const CallSettings &settings, CallPlan plan, const std::shared_ptr<const TlsCredentials> &credentials)
 {
     auto run = std::make_unique<CallRun>(context, clock, settings, std::move(plan));
-    BOOST_LEAF_CHECK(run->open(std::move(credentials)));
+    BOOST_LEAF_CHECK(run->open(credentials));
     return run;
 }
 
@@ -53,7 +53,7 @@
     }
 }
 
-Result<void> CallRun::open(std::shared_ptr<const TlsCredentials> credentials)
+Result<void> CallRun::open(const std::shared_ptr<const TlsCredentials> &credentials)
 {
     SprayingSocketOptions socketOptions{m_plan.local, m_settings.balancers, m_plan.loss};
     BOOST_LEAF_AUTO(socket, SprayingSocket::open(m_context, std::move(socketOptions), m_random, [this](std::span<const std::uint8_t> datagram) {
--- a/src/jujubequay/quic/quic_client.cpp
+++ b/src/jujubequay/quic/quic_client.cpp
@@ -162,7 +162,8 @@
 
 void QuicClient::receive(TimePoint now, std::span<const std::uint8_t> datagram)
 {
-    if (m_implementation->m_started) {
+    // ngtcp2 ends the process on an empty packet.
+    if (m_implementation->m_started && !datagram.empty()) {
         m_implementation->m_connection.receive(now, anyEntryHost, datagram);
     }
 }
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -136,6 +136,11 @@
 
 std::optional<FlowHandle> QuicServer::Implementation::receive(TimePoint now, const HostAddress &caller, std::span<const std::uint8_t> datagram)
 {
+    if (datagram.empty()) {
+        // ngtcp2 ends the process on an empty packet.
+        ++m_statistics.datagramsDropped;
+        return std::nullopt;
+    }
     ngtcp2_version_cid header;
     const int code = ngtcp2_pkt_decode_version_cid(&header, datagram.data(), datagram.size(), flowIdLength);
     if (code == NGTCP2_ERR_VERSION_NEGOTIATION) {
--- a/src/jujubequay/quic/quic_test.cpp
+++ b/src/jujubequay/quic/quic_test.cpp
@@ -163,6 +163,7 @@
     CPPUNIT_TEST(refusesNewFlowsAtLimitAndWhileDraining);
     CPPUNIT_TEST(wrongServiceNameIsRefused);
     CPPUNIT_TEST(damagedDatagramsDoNoHarm);
+    CPPUNIT_TEST(emptyDatagramsDoNoHarm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -532,6 +533,17 @@
         CPPUNIT_ASSERT(sent == exchange.bytes(0, stream));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.server->flowCount());
     }
+
+    // Guards against a UDP datagram without payload that ends the process; found by the datagram fuzzer.
+    void emptyDatagramsDoNoHarm()
+    {
+        QuicTestPair pair(14);
+        Exchange exchange(pair);
+        QuicTestPair::ClientEnd &end = pair.addClient();
+        pair.server->receive(pair.now, end.address, {});
+        end.client.receive(pair.now, {});
+        CPPUNIT_ASSERT(exchange.runUntil([&] { return exchange.established.contains(0); }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuicTest);
