--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -150,6 +150,18 @@
         return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
+jujubequay_module(client
+    SOURCES
+        answer_reader.cpp
+        caller.cpp
+        caller_flow.cpp
+        spraying_socket.cpp
+    TESTS
+        answer_reader_test.cpp
+        caller_test.cpp
+    DEPENDS jujubequay_quic jujubequay_policy asio)
+target_link_libraries(client_test PRIVATE jujubequay_agent)
+
 jujubequay_module(datapath
     SOURCES
         balancer_path.cpp
@@ -177,19 +189,6 @@
         announcer_test.cpp
     DEPENDS jujubequay_agent jujubequay_control jujubequay_datapath jujubequay_net jujubequay_quic)
 
-jujubequay_module(client
-    SOURCES
-        answer_reader.cpp
-        caller.cpp
-        caller_flow.cpp
-        spraying_socket.cpp
-    TESTS
-        answer_reader_test.cpp
-        caller_test.cpp
-    DEPENDS jujubequay_quic jujubequay_policy asio)
-# The tests run the caller against the agent's request broker.
-target_link_libraries(client_test PRIVATE jujubequay_agent)
-
 jujubequay_module(daemon
     SOURCES
         agent_settings.cpp
@@ -226,20 +225,6 @@
 target_link_libraries(daemon_test PRIVATE jujubequay_agent)
 target_compile_definitions(daemon_test PRIVATE JUJUBEQUAY_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
 
-jujubequay_module(balancer_program
-    SOURCES
-        balancer_process.cpp
-        forwarding_table_builder.cpp
-    DEPENDS jujubequay_daemon jujubequay_service)
-
-jujubequay_module(agent_program
-    SOURCES
-        agent_process.cpp
-        backend_adapter.cpp
-    TESTS
-        backend_adapter_test.cpp
-    DEPENDS jujubequay_daemon jujubequay_service)
-
 jujubequay_module(control_program
     SOURCES
         control_process.cpp
@@ -259,3 +244,17 @@
     TESTS
         operator_program_test.cpp
     DEPENDS jujubequay_control jujubequay_daemon)
+
+jujubequay_module(balancer_program
+    SOURCES
+        balancer_process.cpp
+        forwarding_table_builder.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
+
+jujubequay_module(agent_program
+    SOURCES
+        agent_process.cpp
+        backend_adapter.cpp
+    TESTS
+        backend_adapter_test.cpp
+    DEPENDS jujubequay_daemon jujubequay_service)
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -25,6 +25,8 @@
 /// RFC 9000, 6.1: smaller datagrams are not answered with a version negotiation.
 constexpr std::size_t minimumOpeningLength = 1200;
 
+constexpr std::uint8_t longHeaderBit = 0x80;
+
 /// Identifiers are keys of maps; the longest is that of the client's first destination and source together.
 using IdentifierKey = std::string;
 
@@ -151,8 +153,14 @@
         ++m_statistics.datagramsDropped;
         return std::nullopt;
     }
+    // The first bit tells the header forms apart; a long header with version 0 is a version negotiation, which only
+    // servers send and whose identifiers may have any length.
+    const bool longHeader = (datagram[0] & longHeaderBit) != 0;
+    if (longHeader && header.version == 0) {
+        ++m_statistics.datagramsDropped;
+        return std::nullopt;
+    }
     const IdentifierKey destination = keyOf(header.dcid, header.dcidlen);
-    const bool longHeader = header.version != 0;
     auto found = m_issued.find(destination);
     if (found == m_issued.end() && longHeader) {
         found = m_openings.find(destination + keyOf(header.scid, header.scidlen));
--- a/src/jujubequay/quic/quic_test.cpp
+++ b/src/jujubequay/quic/quic_test.cpp
@@ -164,6 +164,7 @@
     CPPUNIT_TEST(wrongServiceNameIsRefused);
     CPPUNIT_TEST(damagedDatagramsDoNoHarm);
     CPPUNIT_TEST(emptyDatagramsDoNoHarm);
+    CPPUNIT_TEST(versionNegotiationWithLongIdentifierDoesNoHarm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -542,7 +543,23 @@
         QuicTestPair::ClientEnd &end = pair.addClient();
         pair.server->receive(pair.now, end.address, {});
         end.client.receive(pair.now, {});
-        CPPUNIT_ASSERT(exchange.runUntil([&] { return exchange.established.contains(0); }));
+        CPPUNIT_ASSERT(exchange.runUntil([&] {
+            return exchange.established.contains(0);
+        }));
+    }
+
+    // Guards against a version negotiation packet, sent by a caller, whose identifier is longer than QUIC version 1
+    // allows; the datagram fuzzer found that it ended the process.
+    void versionNegotiationWithLongIdentifierDoesNoHarm()
+    {
+        QuicTestPair pair(15);
+        QuicTestPair::ClientEnd &end = pair.addClient();
+        Bytes datagram(300);
+        datagram[0] = 0xc0;
+        datagram[5] = 255;
+        pair.server->receive(pair.now, end.address, datagram);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, end.down.sentBytes());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pair.server->statistics().datagramsDropped);
     }
 };
 
