--- a/include/jujubequay/quic/quic_server.h
+++ b/include/jujubequay/quic/quic_server.h
@@ -105,7 +105,7 @@
     /// Ends a connection as soon as the client has acknowledged everything that was queued before.
     void closeAfterDelivery(TimePoint now, FlowHandle flow, std::uint64_t code, std::string_view reason);
 
-    /// New connections are refused from now on; live ones go on.
+    /// New connections are refused from now on, except those to a resume identifier; live ones go on.
     void refuseNewFlows();
     /// Queued and unacknowledged bytes of a connection; zero when everything has arrived.
     std::size_t unacknowledgedBytes(FlowHandle flow) const;
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -111,7 +111,7 @@
     void refuse(const HostAddress &caller, const ngtcp2_version_cid &header);
     void sendReset(const HostAddress &caller, std::span<const std::uint8_t> datagram, const ngtcp2_version_cid &header);
     void negotiateVersion(const HostAddress &caller, std::span<const std::uint8_t> datagram, const ngtcp2_version_cid &header);
-    bool hasRoom() const;
+    bool hasRoom(bool isResume) const;
     bool usesOtherKey(const Entry &entry, std::uint8_t keyNumber) const;
     void continueRotation(TimePoint now, Entry &entry);
     void count(Entry &entry);
@@ -177,9 +177,10 @@
     return flow;
 }
 
-bool QuicServer::Implementation::hasRoom() const
+bool QuicServer::Implementation::hasRoom(bool isResume) const
 {
-    return !m_refusing && m_flows.size() < m_options.maxFlows && m_handshakes < m_options.maxHandshakes && m_memory < m_options.maxTotalMemory;
+    const bool isWanted = !m_refusing || isResume;
+    return isWanted && m_flows.size() < m_options.maxFlows && m_handshakes < m_options.maxHandshakes && m_memory < m_options.maxTotalMemory;
 }
 
 std::optional<FlowHandle> QuicServer::Implementation::open(TimePoint now,
@@ -192,7 +193,9 @@
         ++m_statistics.datagramsDropped;
         return std::nullopt;
     }
-    if (!hasRoom()) {
+    // Only a resume identifier, which this agent issued, is as long as a flow identifier: the caller asks for the answers
+    // to its earlier requests.
+    if (!hasRoom(header.dcidlen == flowIdLength)) {
         refuse(caller, header);
         return std::nullopt;
     }
--- a/src/jujubequay/quic/quic_test.cpp
+++ b/src/jujubequay/quic/quic_test.cpp
@@ -489,6 +489,13 @@
             },
             1s));
         CPPUNIT_ASSERT(!exchange.clientEnds.contains(1));
+        // A caller that lost its flow still gets the answers to its earlier requests.
+        pair.addClient(encodeFlowId(pair.keys, 1, pair.target, 0xffffffU));
+        CPPUNIT_ASSERT(exchange.runUntil(
+            [&] {
+                return exchange.established.contains(4);
+            },
+            1s));
     }
 
     // Guards against a caller that talks to another service than it asked for.
