--- a/include/jujubequay/client/request.h
+++ b/include/jujubequay/client/request.h
@@ -6,7 +6,6 @@
 #include <jujubequay/quic/quic_event.h>
 #include <jujubequay/wire/framing.h>
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,7 +17,11 @@
 /// Number by which the owner of a Caller knows one of its requests.
 struct RequestTicket {
     std::uint64_t value = 0;
-    auto operator<=>(const RequestTicket &) const = default;
+    bool operator==(const RequestTicket &) const = default;
+    bool operator<(const RequestTicket &other) const
+    {
+        return value < other.value;
+    }
 };
 
 struct Request {
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -25,6 +25,8 @@
 /// RFC 9000, 6.1: smaller datagrams are not answered with a version negotiation.
 constexpr std::size_t minimumOpeningLength = 1200;
 
+constexpr std::uint8_t longHeaderBit = 0x80;
+
 /// Identifiers are keys of maps; the longest is that of the client's first destination and source together.
 using IdentifierKey = std::string;
 
@@ -109,7 +111,7 @@
     void refuse(const HostAddress &caller, const ngtcp2_version_cid &header);
     void sendReset(const HostAddress &caller, std::span<const std::uint8_t> datagram, const ngtcp2_version_cid &header);
     void negotiateVersion(const HostAddress &caller, std::span<const std::uint8_t> datagram, const ngtcp2_version_cid &header);
-    bool hasRoom() const;
+    bool hasRoom(bool isResume) const;
     bool usesOtherKey(const Entry &entry, std::uint8_t keyNumber) const;
     void continueRotation(TimePoint now, Entry &entry);
     void count(Entry &entry);
@@ -136,6 +138,11 @@
 
 std::optional<FlowHandle> QuicServer::Implementation::receive(TimePoint now, const HostAddress &caller, std::span<const std::uint8_t> datagram)
 {
+    if (datagram.empty()) {
+        // ngtcp2 ends the process on an empty packet.
+        ++m_statistics.datagramsDropped;
+        return std::nullopt;
+    }
     ngtcp2_version_cid header;
     const int code = ngtcp2_pkt_decode_version_cid(&header, datagram.data(), datagram.size(), flowIdLength);
     if (code == NGTCP2_ERR_VERSION_NEGOTIATION) {
@@ -146,8 +153,14 @@
         ++m_statistics.datagramsDropped;
         return std::nullopt;
     }
+    // The first bit tells the header forms apart; a long header with version 0 is a version negotiation, which only
+    // servers send and whose identifiers may have any length.
+    const bool longHeader = (datagram[0] & longHeaderBit) != 0;
+    if (longHeader && header.version == 0) {
+        ++m_statistics.datagramsDropped;
+        return std::nullopt;
+    }
     const IdentifierKey destination = keyOf(header.dcid, header.dcidlen);
-    const bool longHeader = header.version != 0;
     auto found = m_issued.find(destination);
     if (found == m_issued.end() && longHeader) {
         found = m_openings.find(destination + keyOf(header.scid, header.scidlen));
@@ -164,9 +177,10 @@
     return flow;
 }
 
-bool QuicServer::Implementation::hasRoom() const
+bool QuicServer::Implementation::hasRoom(bool isResume) const
 {
-    return !m_refusing && m_flows.size() < m_options.maxFlows && m_handshakes < m_options.maxHandshakes && m_memory < m_options.maxTotalMemory;
+    const bool isWanted = !m_refusing || isResume;
+    return isWanted && m_flows.size() < m_options.maxFlows && m_handshakes < m_options.maxHandshakes && m_memory < m_options.maxTotalMemory;
 }
 
 std::optional<FlowHandle> QuicServer::Implementation::open(TimePoint now,
@@ -179,7 +193,9 @@
         ++m_statistics.datagramsDropped;
         return std::nullopt;
     }
-    if (!hasRoom()) {
+    // Only a resume identifier, which this agent issued, is as long as a flow identifier: the caller asks for the answers
+    // to its earlier requests.
+    if (!hasRoom(header.dcidlen == flowIdLength)) {
         refuse(caller, header);
         return std::nullopt;
     }
--- a/src/jujubequay/quic/quic_test.cpp
+++ b/src/jujubequay/quic/quic_test.cpp
@@ -163,6 +163,8 @@
     CPPUNIT_TEST(refusesNewFlowsAtLimitAndWhileDraining);
     CPPUNIT_TEST(wrongServiceNameIsRefused);
     CPPUNIT_TEST(damagedDatagramsDoNoHarm);
+    CPPUNIT_TEST(emptyDatagramsDoNoHarm);
+    CPPUNIT_TEST(versionNegotiationWithLongIdentifierDoesNoHarm);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -487,6 +489,13 @@
             },
             1s));
         CPPUNIT_ASSERT(!exchange.clientEnds.contains(1));
+        // A caller that lost its flow still gets the answers to its earlier requests.
+        pair.addClient(encodeFlowId(pair.keys, 1, pair.target, 0xffffffU));
+        CPPUNIT_ASSERT(exchange.runUntil(
+            [&] {
+                return exchange.established.contains(4);
+            },
+            1s));
     }
 
     // Guards against a caller that talks to another service than it asked for.
@@ -532,6 +541,33 @@
         CPPUNIT_ASSERT(sent == exchange.bytes(0, stream));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.server->flowCount());
     }
+
+    // Guards against a UDP datagram without payload that ends the process; found by the datagram fuzzer.
+    void emptyDatagramsDoNoHarm()
+    {
+        QuicTestPair pair(14);
+        Exchange exchange(pair);
+        QuicTestPair::ClientEnd &end = pair.addClient();
+        pair.server->receive(pair.now, end.address, {});
+        end.client.receive(pair.now, {});
+        CPPUNIT_ASSERT(exchange.runUntil([&] {
+            return exchange.established.contains(0);
+        }));
+    }
+
+    // Guards against a version negotiation packet, sent by a caller, whose identifier is longer than QUIC version 1
+    // allows; the datagram fuzzer found that it ended the process.
+    void versionNegotiationWithLongIdentifierDoesNoHarm()
+    {
+        QuicTestPair pair(15);
+        QuicTestPair::ClientEnd &end = pair.addClient();
+        Bytes datagram(300);
+        datagram[0] = 0xc0;
+        datagram[5] = 255;
+        pair.server->receive(pair.now, end.address, datagram);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, end.down.sentBytes());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, pair.server->statistics().datagramsDropped);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuicTest);
