--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -38,7 +38,6 @@
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
 
 
-jujubequay_program(jjq-call SOURCES apps/jjq_call.cpp DEPENDS jujubequay_daemon)
 
 jujubequay_fuzz(quic-datagram-fuzz SOURCES fuzz/quic_datagram_fuzz.cpp DEPENDS jujubequay_quic)
 jujubequay_fuzz(caller-messages-fuzz SOURCES fuzz/caller_messages_fuzz.cpp DEPENDS jujubequay_client)
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -205,7 +205,8 @@
     }
     WatchSubscriberOptions watch;
     // Several agents may run on one host; a name below the host's keeps their reports apart.
-    watch.host = m_settings.common.placement.hostName + "/" + m_settings.serverName;
+    const std::string processName = m_settings.common.placement.hostName + "/" + m_settings.serverName;
+    watch.host = processName;
     watch.zone = m_settings.common.placement.availabilityZone;
     watch.role = "agent";
     watch.controlHosts = controlHosts;
@@ -220,7 +221,8 @@
     server.set_name(m_settings.serverName);
     server.set_service(m_settings.service);
     server.set_zone(m_settings.common.placement.availabilityZone);
-    server.set_host(m_settings.common.placement.hostName);
+    // The same name as in reports, so that the control hosts can tell which agents have not reported their flow keys.
+    server.set_host(processName);
     server.set_relay_address(toString(m_settings.relayAddress));
     server.set_incarnation(m_incarnation.value);
     server.set_weight(m_settings.weight);
