Drop empty datagrams and version negotiation at the QUIC server

The fuzz targets quic-datagram-fuzz and caller-messages-fuzz were not built by ./dev fuzz. Registered, the first found two ways for a stranger to stop an agent with one datagram, and the extended test found a third fault:

- an empty datagram fails an assertion in ngtcp2_pkt_decode_version_cid;
- a version negotiation packet with an identifier above 20 bytes reaches sendReset and fails an assertion in ngtcp2_cid_init;
- an empty datagram at a connection is an error for ngtcp2 and ended the flow.

All are dropped now. damagedDatagramsDoNoHarm sends them to a live flow; it failed before the change to QuicConnection::receive.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -19,6 +19,8 @@
 
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
 jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
+jujubequay_fuzz(quic-datagram-fuzz SOURCES fuzz/quic_datagram_fuzz.cpp DEPENDS jujubequay_quic)
+jujubequay_fuzz(caller-messages-fuzz SOURCES fuzz/caller_messages_fuzz.cpp DEPENDS jujubequay_client)
 
 # The fakes of the policy bench, shared by the program and its test.
 add_library(policy_bench_run STATIC
--- a/src/jujubequay/quic/quic_connection.cpp
+++ b/src/jujubequay/quic/quic_connection.cpp
@@ -311,6 +311,10 @@
 
 void QuicConnection::receive(TimePoint now, const HostAddress &remote, std::span<const std::uint8_t> datagram)
 {
+    // ngtcp2 ends the connection on an empty datagram, which any stranger can send.
+    if (datagram.empty()) {
+        return;
+    }
     if (m_ended) {
         // The peer may have missed the close; one repetition per datagram is no amplification.
         if (!m_closeDatagram.empty()) {
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -136,13 +136,19 @@
 
 std::optional<FlowHandle> QuicServer::Implementation::receive(TimePoint now, const HostAddress &caller, std::span<const std::uint8_t> datagram)
 {
+    // ngtcp2_pkt_decode_version_cid stops the process on an empty datagram, which any stranger can send.
+    if (datagram.empty()) {
+        return std::nullopt;
+    }
     ngtcp2_version_cid header;
     const int code = ngtcp2_pkt_decode_version_cid(&header, datagram.data(), datagram.size(), flowIdLength);
     if (code == NGTCP2_ERR_VERSION_NEGOTIATION) {
         negotiateVersion(caller, datagram, header);
         return std::nullopt;
     }
-    if (code != 0) {
+    // Only servers send version negotiation; its identifiers may be longer than those of QUIC version 1.
+    const bool isNegotiation = (datagram.front() & 0x80U) != 0 && header.version == 0;
+    if (code != 0 || isNegotiation) {
         ++m_statistics.datagramsDropped;
         return std::nullopt;
     }
--- a/src/jujubequay/quic/quic_test.cpp
+++ b/src/jujubequay/quic/quic_test.cpp
@@ -518,12 +518,19 @@
         const Bytes sent = pattern(60'000);
         end.client.write(stream, sent, true);
         end.client.flush(pair.now);
+        // A long header with version 0 and an identifier of 64 bytes, longer than QUIC version 1 allows.
+        Bytes negotiation(100, 0);
+        negotiation[0] = 0xFF;
+        negotiation[5] = 64;
         const TimePoint limit = pair.now + 60s;
         while (!exchange.isFinished(0, stream) && pair.step(limit)) {
             if (auto datagram = end.up.receive(pair.now + 1s)) {
                 Bytes damaged = *datagram;
                 damaged[random() % damaged.size()] ^= static_cast<std::uint8_t>(1 + random() % 255);
                 pair.server->receive(pair.now, end.address, damaged);
+                pair.server->receive(pair.now, end.address, {});
+                pair.server->receive(pair.now, end.address, negotiation);
+                end.client.receive(pair.now, {});
                 pair.server->receive(pair.now, end.address, *datagram);
             }
             exchange.handleEvents();
