--- a/src/jujubequay/daemon/command_line.cpp
+++ b/src/jujubequay/daemon/command_line.cpp
@@ -1,6 +1,8 @@
 #include <jujubequay/daemon/command_line.h>
 #include <jujubequay/daemon/exit_status.h>
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <fmt/format.h>
 
 #include <cstdio>
@@ -65,6 +67,8 @@
 
 int runProgram(std::string_view name, const std::function<Result<void>()> &body)
 {
+    // The library writes a line for each string that is not UTF-8, so a peer could fill the log.
+    google::protobuf::SetLogHandler(nullptr);
     return handleFailure(
         [&]() -> Result<int> {
             try {
