--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -19,11 +19,6 @@
 jujubequay_program(jjq SOURCES apps/jjq.cpp DEPENDS jujubequay_operator_program)
 jujubequay_program(jjq-call SOURCES apps/jjq_call.cpp DEPENDS jujubequay_daemon)
 
-jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
-jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
-jujubequay_fuzz(quic-datagram-fuzz SOURCES fuzz/quic_datagram_fuzz.cpp DEPENDS jujubequay_quic)
-jujubequay_fuzz(caller-messages-fuzz SOURCES fuzz/caller_messages_fuzz.cpp DEPENDS jujubequay_client)
-
 # The fakes of the policy bench, shared by the program and its test.
 add_library(policy_bench_run STATIC
     bench/metrics.cpp
@@ -34,14 +29,13 @@
     bench/scenario.cpp)
 target_link_libraries(policy_bench_run PUBLIC jujubequay_policy)
 
-
 add_executable(policy_bench_test bench/policy_bench_test.cpp src/jujubequay/test_main.cpp)
 target_link_libraries(policy_bench_test PRIVATE policy_bench_run PkgConfig::cppunit)
 add_test(NAME policy_bench COMMAND policy_bench_test)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
 
-
-
+jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
+jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
 jujubequay_fuzz(quic-datagram-fuzz SOURCES fuzz/quic_datagram_fuzz.cpp DEPENDS jujubequay_quic)
 jujubequay_fuzz(caller-messages-fuzz SOURCES fuzz/caller_messages_fuzz.cpp DEPENDS jujubequay_client)
 jujubequay_fuzz(forwarder-fuzz SOURCES fuzz/forwarder_fuzz.cpp DEPENDS jujubequay_flow)
