Resend at once what a drained agent never received

Change: a drained agent closes a flow whose answers were all acknowledged with its own code. A request without an answer on such a flow was never received, so the caller treats it as not run and sends it elsewhere, unless an earlier attempt at that agent lost its flow.

--- a/include/jujubequay/client/caller.h
+++ b/include/jujubequay/client/caller.h
@@ -109,6 +109,7 @@
         std::uint32_t retries = 0;
         std::uint32_t repeats = 0;
         bool wasMoved = false;
+        bool hasLostFlow = false; ///< an attempt at the server in `first` lost its flow, so it may have run
         std::optional<std::uint64_t> position; ///< feeds: after the last part given to the owner
     };
     using Works = std::map<RequestTicket, Work>;
--- a/include/jujubequay/client/caller_flow.h
+++ b/include/jujubequay/client/caller_flow.h
@@ -55,6 +55,7 @@
 /// Last event. Streams without AttemptEnded got no complete answer.
 struct CallerFlowEnded {
     FlowEnd end = FlowEnd::ClosedByPeer;
+    std::uint64_t code = 0; ///< application error code of the close
 };
 
 using CallerFlowEvent = std::variant<FlowGreeted, AttemptFeedPart, AttemptEnded, CallerFlowEnded>;
--- a/src/jujubequay/client/caller.cpp
+++ b/src/jujubequay/client/caller.cpp
@@ -1,4 +1,5 @@
 #include <jujubequay/client/caller.h>
+#include <jujubequay/wire/flow_close.h>
 
 #include <jujubequay/core/invariant.h>
 
@@ -320,7 +321,8 @@
 {
     Flow lost = std::move(m_flows.at(number));
     m_flows.erase(number);
-    const bool isPlanned = lost.greeting && lost.greeting->draining && lost.requests.empty();
+    const bool isDrained = event.end == FlowEnd::ClosedByPeer && event.code == flowDrainedCode;
+    const bool isPlanned = isDrained || (lost.greeting && lost.greeting->draining && lost.requests.empty());
     if (!lost.greeting) {
         ++m_statistics.openFailures;
         ++m_openFailures;
@@ -333,6 +335,12 @@
         Work &work = m_works.at(ticket);
         work.flow.reset();
         work.notBefore = now;
+        if (isDrained && !work.hasLostFlow) {
+            // The agent never received this request. Asking it again would wait for a process that has ended.
+            decide(now, ticket, work, {ResultCode::NotRunMoved, "the server has drained", {}, 0, std::nullopt}, {});
+            continue;
+        }
+        work.hasLostFlow = true;
     }
     const bool mustResume = lost.greeting && std::any_of(m_works.begin(), m_works.end(), [&lost](const auto &entry) {
                                 return entry.second.first && entry.second.first->incarnation == lost.greeting->incarnation;
@@ -506,6 +514,7 @@
         work.sequence = m_nextSequence++;
     }
     work.first.reset();
+    work.hasLostFlow = false;
     work.repeats = 0;
     work.notBefore = isMove ? now + outcome.retryAfter : now + m_budget.delay(std::max(work.retries, 1U), outcome.retryAfter, m_random);
 }
--- a/src/jujubequay/client/caller_test.cpp
+++ b/src/jujubequay/client/caller_test.cpp
@@ -3,6 +3,8 @@
 #include <jujubequay/client/caller.h>
 #include <jujubequay/quic/lossy_link.h>
 
+#include <jujubequay/wire/flow_close.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <fmt/format.h>
@@ -206,6 +208,7 @@
     CPPUNIT_TEST_SUITE(CallerTest);
     CPPUNIT_TEST(answersAreCompleteOnBadLinks);
     CPPUNIT_TEST(lostFlowIsResumedAndAskedAgain);
+    CPPUNIT_TEST(requestCrossingADrainGoesElsewhereAtOnce);
     CPPUNIT_TEST(restartedAgentLeavesOutcomeUnknown);
     CPPUNIT_TEST(idempotentRequestIsResentElsewhere);
     CPPUNIT_TEST(drainingMovesFeedsWithoutGapOrRepeat);
@@ -250,6 +253,32 @@
         }
     }
 
+    // Guards against a bid that waits for the handshake timeout of an agent that had drained before the bid arrived.
+    void requestCrossingADrainGoesElsewhereAtOnce()
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            World world(seed, {}, 2);
+            CPPUNIT_ASSERT(world.run(world.now + 10s, [&] {
+                return world.caller.readyFlows() == 2;
+            }));
+            for (int index = 0; index < 6; ++index) {
+                world.submit(WorkClass::Critical, false);
+            }
+            world.caller.flush(world.now);
+            world.agents[0]->drain();
+            world.agents[0]->dropFlows(flowDrainedCode);
+            CPPUNIT_ASSERT(world.run(world.now + 5s, [&] {
+                return world.answers.size() == 6;
+            }));
+            world.checkAnswers();
+            for (const auto &[ticket, answer] : world.answers) {
+                CPPUNIT_ASSERT(answer.result == ResultCode::Ok);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.caller.statistics().flowsResumed);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.caller.statistics().flowsLost);
+        }
+    }
+
     // Guards against a bid that is sent again to an agent that cannot know whether it ran.
     void restartedAgentLeavesOutcomeUnknown()
     {
--- a/src/jujubequay/client/fake_agents.h
+++ b/src/jujubequay/client/fake_agents.h
@@ -191,10 +191,10 @@
     }
 
     /// Loses all flows, as after a fault of the transport; the agent itself goes on.
-    void dropFlows()
+    void dropFlows(std::uint64_t code = 1)
     {
         for (const FlowHandle flow : std::exchange(m_flows, {})) {
-            m_server.close(m_now, flow, 1, "dropped");
+            m_server.close(m_now, flow, code, "dropped");
         }
     }
 
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -1,4 +1,5 @@
 #include <jujubequay/service/agent_path.h>
+#include <jujubequay/wire/flow_close.h>
 
 #include <algorithm>
 
@@ -9,7 +10,8 @@
 constexpr int maxBatchesPerTurn = 8;
 /// Upper bound of the time between two ticks of the request windows.
 constexpr auto tickInterval = std::chrono::milliseconds(200);
-constexpr std::uint64_t drainedCode = 0;
+/// Closes a flow whose last answers may not have arrived.
+constexpr std::uint64_t abandonedCode = 0;
 /// A change of the number of flows by two and a sixteenth is reported at once, so that a burst of openings spreads, but not
 /// more often than this.
 constexpr auto minLoadInterval = std::chrono::milliseconds(50);
@@ -141,7 +143,8 @@
 {
     const std::vector<FlowHandle> flows(m_openFlows.begin(), m_openFlows.end());
     for (const FlowHandle flow : flows) {
-        m_quic.close(m_clock.now(), flow, drainedCode, "server has drained");
+        const bool isDelivered = m_quic.unacknowledgedBytes(flow) == 0;
+        m_quic.close(m_clock.now(), flow, isDelivered ? flowDrainedCode : abandonedCode, "server has drained");
     }
     processEvents();
 }
--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -1,6 +1,7 @@
 #include <jujubequay/datapath/balancer_path.h>
 #include <jujubequay/quic/quic_client.h>
 #include <jujubequay/service/agent_path.h>
+#include <jujubequay/wire/flow_close.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -113,8 +114,9 @@
                 m_client.consume(received->stream, received->data.size());
                 readers[received->stream].add(received->data);
             }
-            if (std::holds_alternative<FlowEnded>(event)) {
+            if (const FlowEnded *ended = std::get_if<FlowEnded>(&event)) {
                 isEnded = true;
+                endCode = ended->code;
             }
         }
         m_client.flush(now);
@@ -159,6 +161,7 @@
     std::vector<HostAddress> entries;
     std::map<StreamNumber, FrameReader> readers;
     bool isEnded = false;
+    std::uint64_t endCode = 0;
 
 private:
     asio::ip::udp::socket m_socket;
@@ -318,6 +321,8 @@
         runUntil(caller, [&caller] {
             return caller.isEnded;
         });
+        // The caller may resend at once what it has not got an answer for.
+        CPPUNIT_ASSERT_EQUAL(flowDrainedCode, caller.endCode);
         CPPUNIT_ASSERT_EQUAL(1, m_backend->executions);
     }
 
