--- a/include/jujubequay/agent/request_broker.h
+++ b/include/jujubequay/agent/request_broker.h
@@ -80,6 +80,8 @@
     /// are moved with their position.
     void beginDrain(TimePoint now);
 
+    /// Uses the admission rules of a new bundle from now on.
+    void configureAdmission(TimePoint now, AdmissionOptions options);
     /// Gives every flow a new resume identifier, after a flow key was replaced.
     void renewResumeIdentifiers();
 
--- a/include/jujubequay/policy/admission_queue.h
+++ b/include/jujubequay/policy/admission_queue.h
@@ -87,6 +87,8 @@
     AdmissionEffects tick(TimePoint now);
     /// Refuses all waiting work and all new work with NotRunMoved; running work continues.
     AdmissionEffects drain(TimePoint now);
+    /// Uses other limits and weights from now on. Requests beyond a lower limit keep their slot or place.
+    AdmissionEffects configure(TimePoint now, AdmissionOptions options);
 
     std::optional<TimePoint> nextTimeout() const;
     /// Running and queued requests and open feeds; the agent adds its other flows.
@@ -126,6 +128,8 @@
     using CustomerSet = std::set<std::pair<double, Customer *>, CustomerOrder>;
 
     Customer &customerOf(const std::string &name);
+    double weightOf(const std::string &name) const;
+    void setWeight(Customer &customer, double weight);
     const Customer *findCustomer(const std::string &name) const;
     void removeIdleCustomers();
 
--- a/include/jujubequay/service/agent_path.h
+++ b/include/jujubequay/service/agent_path.h
@@ -22,6 +22,9 @@
 
 namespace Jujubequay {
 
+/// The admission rules of a bundle; zero limits leave the defaults.
+AdmissionOptions admissionOptionsOf(const ServiceAdmission &rules);
+
 struct AgentPathOptions {
     ServiceId service;
     std::string serviceName;
@@ -119,6 +122,7 @@
     asio::ip::udp::socket m_socket;
     const HostAddress m_address;
     ConfigSnapshotPointer m_config;
+    ServiceAdmission m_admission; ///< in use by the broker
     std::uint64_t m_revision = 0;
     std::uint32_t m_nextNonce;
     PeerLoads m_peerLoads;
--- a/src/jujubequay/agent/request_broker.cpp
+++ b/src/jujubequay/agent/request_broker.cpp
@@ -213,6 +213,11 @@
     sendGreetings();
 }
 
+void RequestBroker::configureAdmission(TimePoint now, AdmissionOptions options)
+{
+    apply(now, m_admission.configure(now, std::move(options)));
+}
+
 void RequestBroker::renewResumeIdentifiers()
 {
     for (auto &[flow, state] : m_openFlows) {
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -51,23 +51,6 @@
     return digest.finish();
 }
 
-AdmissionOptions admissionOf(const ServiceAdmission &rules)
-{
-    AdmissionOptions options;
-    options.slots = rules.slots;
-    options.customerWeights = rules.customerWeights;
-    if (rules.queueLimit > 0) {
-        options.queueLimit = rules.queueLimit;
-    }
-    if (rules.maxConnections > 0) {
-        options.maxFeeds = rules.maxConnections;
-    }
-    if (rules.queueTimeout.count() > 0) {
-        options.queueTimeout = rules.queueTimeout;
-    }
-    return options;
-}
-
 /// What the control thread wants to know of the traffic thread.
 struct PathStatus {
     bool isIdle = false;
@@ -309,7 +292,7 @@
     options.relayAddress = m_settings.relayAddress;
     options.incarnation = m_incarnation;
     options.weight = m_settings.weight;
-    options.broker.admission = admissionOf(service.admission);
+    options.broker.admission = admissionOptionsOf(service.admission);
     options.broker.requests.maxStoredBytes = m_settings.requestTableBytes;
     options.handOver.slots = service.admission.slots;
     if (service.admission.maxConnections > 0) {
--- a/src/jujubequay/policy/admission_queue.cpp
+++ b/src/jujubequay/policy/admission_queue.cpp
@@ -108,6 +108,17 @@
     return effects;
 }
 
+AdmissionEffects AdmissionQueue::configure(TimePoint now, AdmissionOptions options)
+{
+    m_options = std::move(options);
+    for (auto &[name, customer] : m_customers) {
+        setWeight(*customer, weightOf(name));
+    }
+    AdmissionEffects effects;
+    startWaiting(now, effects);
+    return effects;
+}
+
 AdmissionEffects AdmissionQueue::drain(TimePoint)
 {
     m_draining = true;
@@ -164,12 +175,27 @@
         customer = std::make_unique<Customer>();
         customer->number = ++m_customerNumber;
         customer->used = m_virtualTime;
-        const auto weight = m_options.customerWeights.find(name);
-        customer->weight = weight == m_options.customerWeights.end() ? 1 : std::max<std::uint32_t>(weight->second, 1);
+        customer->weight = weightOf(name);
     }
     return *customer;
 }
 
+double AdmissionQueue::weightOf(const std::string &name) const
+{
+    const auto weight = m_options.customerWeights.find(name);
+    return weight == m_options.customerWeights.end() ? 1 : std::max<std::uint32_t>(weight->second, 1);
+}
+
+void AdmissionQueue::setWeight(Customer &customer, double weight)
+{
+    if (customer.queued > 0) {
+        m_byQueue.erase({customer.queued / customer.weight, &customer});
+        m_backlogWeight += weight - customer.weight;
+        m_byQueue.emplace(customer.queued / weight, &customer);
+    }
+    customer.weight = weight;
+}
+
 const AdmissionQueue::Customer *AdmissionQueue::findCustomer(const std::string &name) const
 {
     const auto found = m_customers.find(name);
--- a/src/jujubequay/policy/admission_queue_test.cpp
+++ b/src/jujubequay/policy/admission_queue_test.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(movesToTheServerWithLessWork);
     CPPUNIT_TEST(queueOfLengthZero);
     CPPUNIT_TEST(drainRefusesWaitingAndNewWork);
+    CPPUNIT_TEST(newLimitsApplyToWaitingRequests);
     CPPUNIT_TEST(randomRunGivesEachRequestOneOutcome);
     CPPUNIT_TEST_SUITE_END();
 
@@ -253,6 +254,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, slots.queue.load().running);
     }
 
+    // Guards against a bundle whose limits and weights take effect only at servers that start later.
+    void newLimitsApplyToWaitingRequests()
+    {
+        Slots slots({.slots = 1});
+        for (std::uint64_t id = 1; id <= 40; ++id) {
+            slots.submit(makeRequest(id, id % 2 == 0 ? "even" : "odd", WorkClass::Interactive));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, slots.running.size());
+        slots.apply(slots.queue.configure(slots.now, {.slots = 4, .customerWeights = {{"even", 3}}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, slots.running.size());
+        slots.startsOf.clear();
+        slots.advance(500ms);
+        CPPUNIT_ASSERT(slots.startsOf["even"] >= 2 * slots.startsOf["odd"]);
+        slots.apply(slots.queue.configure(slots.now, {.slots = 1}));
+        slots.advance(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, slots.running.size());
+        slots.advance(10s);
+        for (const auto &[id, outcome] : slots.outcomes) {
+            CPPUNIT_ASSERT_EQUAL(1, outcome);
+        }
+    }
+
     // Guards against requests that are lost, started twice or refused after a start, under random input.
     void randomRunGivesEachRequestOneOutcome()
     {
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -37,6 +37,23 @@
 
 }
 
+AdmissionOptions admissionOptionsOf(const ServiceAdmission &rules)
+{
+    AdmissionOptions options;
+    options.slots = rules.slots;
+    options.customerWeights = rules.customerWeights;
+    if (rules.queueLimit > 0) {
+        options.queueLimit = rules.queueLimit;
+    }
+    if (rules.maxConnections > 0) {
+        options.maxFeeds = rules.maxConnections;
+    }
+    if (rules.queueTimeout.count() > 0) {
+        options.queueTimeout = rules.queueTimeout;
+    }
+    return options;
+}
+
 Result<std::unique_ptr<AgentPath>> AgentPath::create(asio::io_context &context,
                                                      const Clock &clock,
                                                      AgentPathOptions options,
@@ -105,6 +122,9 @@
     , m_timer(context)
     , m_loadTimer(context)
 {
+    if (const ServiceSnapshot *service = m_config->findService(m_options.service)) {
+        m_admission = service->admission;
+    }
 }
 
 void AgentPath::apply(ConfigSnapshotPointer config)
@@ -114,6 +134,11 @@
     if (const ServiceSnapshot *service = m_config->findService(m_options.service)) {
         m_revision = std::max(m_revision, service->revision);
         m_ingress.setRevision(m_revision);
+        if (m_admission != service->admission) {
+            m_admission = service->admission;
+            m_broker.configureAdmission(m_clock.now(), admissionOptionsOf(m_admission));
+            processEvents();
+        }
     }
     m_peerLoads.setPeers(m_clock.now(), peersOf(*m_config, m_options.serviceName, m_address));
     const auto active = m_config->flowKeys.active();
--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -186,6 +186,7 @@
     CPPUNIT_TEST(flowSurvivesItsBalancers);
     CPPUNIT_TEST(flowSurvivesKeyRotation);
     CPPUNIT_TEST(staleBalancerIsRefusedAndRecovers);
+    CPPUNIT_TEST(newBundleLimitsTakeEffect);
     CPPUNIT_TEST(resumeIdentifierReachesTheSameAgent);
     CPPUNIT_TEST(drainAnswersThenCloses);
     CPPUNIT_TEST(drainDoesNotWaitForVanishedCallers);
@@ -205,6 +206,7 @@
         options.relayAddress = {loopback, 0};
         options.incarnation = incarnation;
         options.stallLimit = std::chrono::milliseconds(200);
+        options.broker.admission.slots = 1;
         auto agent = AgentPath::create(
             *m_context,
             m_clock,
@@ -274,6 +276,28 @@
         expectEcho(caller, 1, "after the update");
     }
 
+    // Guards against a running agent that keeps the limits of a replaced bundle.
+    void newBundleLimitsTakeEffect()
+    {
+        TestCaller caller = makeCaller({m_balancers[0]->entry});
+        runUntil(caller, [&caller] {
+            return caller.isEstablished();
+        });
+        caller.request(1, "first", incarnation.value);
+        caller.request(2, "second", incarnation.value);
+        runUntil(
+            caller,
+            [this] {
+                return m_agent->load().queued == 1;
+            },
+            false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_backend->pending.size());
+        auto config = std::make_shared<ConfigSnapshot>(*configWith(keysUpTo(0), 6));
+        config->services[0].admission.slots = 2;
+        m_agent->apply(config);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_backend->pending.size());
+    }
+
     // Guards against a caller that cannot ask the agent that may have run its request.
     void resumeIdentifierReachesTheSameAgent()
     {
