--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -123,7 +123,7 @@
         pb::ServerEntry changed = entries[static_cast<std::size_t>(repeat) * 17 % servers];
         changed.set_sequence(3);
         changed.set_state(pb::SERVER_STATE_DRAINING);
-        const pb::WatchDown delta = registryMessage({changed}, false, static_cast<std::uint64_t>(2 + repeat));
+        const pb::WatchDown delta = registryMessage({changed}, false, std::uint64_t{2} + static_cast<std::uint64_t>(repeat));
         deltaBytes = delta.ByteSizeLong();
         const double start = processorMilliseconds();
         subscriber.receive(now, stream, delta);
