--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -34,6 +34,10 @@
 add_test(NAME policy_bench COMMAND policy_bench_test)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 300)
 
+jujubequay_program(example-placement SOURCES examples/placement.cpp DEPENDS jujubequay_policy)
+jujubequay_program(example-flow-identifier SOURCES examples/flow_identifier.cpp DEPENDS jujubequay_wire)
+jujubequay_program(example-admission SOURCES examples/admission.cpp DEPENDS jujubequay_policy)
+
 jujubequay_fuzz(message-frame-fuzz SOURCES fuzz/message_frame_fuzz.cpp DEPENDS jujubequay_wire)
 jujubequay_fuzz(http2-session-fuzz SOURCES fuzz/http2_session_fuzz.cpp DEPENDS jujubequay_net)
 jujubequay_fuzz(quic-datagram-fuzz SOURCES fuzz/quic_datagram_fuzz.cpp DEPENDS jujubequay_quic)
