Split the request broker: its answers have a file of their own

Change: answers move to request_broker_answers.cpp, the state of streams and jobs to a private header; no behaviour changes.

Conclusion: agent_test, 13 tests pass.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -175,6 +175,7 @@
 jujubequay_module(agent
     SOURCES
         request_broker.cpp
+        request_broker_answers.cpp
     TESTS
         request_broker_test.cpp
     DEPENDS jujubequay_flow)
