Share what balancers and agents have in common on their control thread

Cause: both processes built clock, log, metrics, certificates and control client alike, and the agent read its certificates again at the first SIGHUP only.

Change: ProcessServices in the daemon module does it once, for each SIGHUP.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -210,6 +210,7 @@
         metrics_http_server.cpp
         metrics_service.cpp
         operator_settings.cpp
+        process_services.cpp
         prometheus_text.cpp
         settings_documentation.cpp
         settings_reader.cpp
--- /dev/null
+++ b/include/jujubequay/daemon/process_services.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <jujubequay/core/kernel.h>
+#include <jujubequay/core/log.h>
+#include <jujubequay/daemon/common_settings.h>
+#include <jujubequay/daemon/metrics.h>
+#include <jujubequay/daemon/metrics_http_server.h>
+#include <jujubequay/net/http2_message_client.h>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+
+namespace Jujubequay {
+
+/// What balancers and agents have in common on their control thread: clock, log, metrics and the client of the control
+/// hosts, registered with the kernel under "clock", "logger", "metrics" and "message-client".
+class ProcessServices
+{
+public:
+    /// `context` outlives the services.
+    ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, std::size_t maxMetricsCustomers = 200);
+    ~ProcessServices();
+    ProcessServices(const ProcessServices &) = delete;
+    ProcessServices &operator=(const ProcessServices &) = delete;
+
+    /// Loads certificates, serves metrics, and reads the certificates again at each SIGHUP. Fails with BadKeyFile or
+    /// AddressUnavailable.
+    Result<void> start();
+
+    Kernel &kernel();
+    Clock &clock() const;
+    Logger &logger() const;
+    Metrics &metrics() const;
+    std::shared_ptr<const Metrics> sharedMetrics() const;
+    std::shared_ptr<TlsContext> tls() const;
+    Http2MessageClient &client() const;
+    std::mt19937_64 &random();
+    std::vector<HostAddress> controlHosts() const;
+    /// Sets a counter that is kept elsewhere.
+    void publish(std::string_view name, std::string_view cause, std::uint64_t value);
+
+private:
+    void waitForReload();
+
+    asio::io_context &m_context;
+    const CommonSettings m_settings;
+    Kernel m_kernel;
+    std::mt19937_64 m_random;
+    std::shared_ptr<Clock> m_clock;
+    std::shared_ptr<Logger> m_logger;
+    std::shared_ptr<Metrics> m_metrics;
+    std::shared_ptr<TlsContext> m_tls;
+    std::shared_ptr<Http2MessageClient> m_client;
+    std::shared_ptr<MetricsHttpServer> m_metricsServer;
+    asio::signal_set m_reloadSignals;
+};
+
+}
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -1,8 +1,6 @@
 #include <jujubequay/agent_program/agent_process.h>
 #include <jujubequay/agent_program/backend_adapter.h>
-#include <jujubequay/core/kernel.h>
-#include <jujubequay/daemon/metrics_http_server.h>
-#include <jujubequay/net/http2_message_client.h>
+#include <jujubequay/daemon/process_services.h>
 #include <jujubequay/service/agent_path.h>
 #include <jujubequay/service/announce_client.h>
 #include <jujubequay/service/config_watcher.h>
@@ -91,20 +89,13 @@
 
     const AgentSettings m_settings;
     const Incarnation m_incarnation{randomIncarnation()};
-    Kernel m_kernel;
     asio::io_context m_context;
     asio::io_context m_traffic;
     asio::executor_work_guard<asio::io_context::executor_type> m_trafficWork;
-    std::mt19937_64 m_random;
-    std::shared_ptr<Clock> m_clock;
-    std::shared_ptr<Logger> m_logger;
-    std::shared_ptr<Metrics> m_metrics;
-    std::shared_ptr<TlsContext> m_tls;
+    ProcessServices m_services;
     std::shared_ptr<const TlsCredentials> m_credentials;
-    std::shared_ptr<Http2MessageClient> m_client;
     std::shared_ptr<ConfigWatcher> m_watcher;
     std::shared_ptr<AnnounceClient> m_announcer;
-    std::shared_ptr<MetricsHttpServer> m_metricsServer;
 
     // Used on the traffic thread once it runs.
     std::shared_ptr<BackendClient> m_backendClient;
@@ -120,7 +111,6 @@
     bool m_hasLeft = false;
     int m_failedQueries = 0;
     asio::signal_set m_stopSignals;
-    asio::signal_set m_reloadSignals;
     asio::steady_timer m_statusTimer;
     asio::steady_timer m_drainTimer;
 };
@@ -128,21 +118,12 @@
 AgentProcess::AgentProcess(const AgentSettings &settings)
     : m_settings(settings)
     , m_trafficWork(asio::make_work_guard(m_traffic))
-    , m_random(std::random_device()())
-    , m_clock(std::make_shared<SteadyClock>())
-    , m_logger(std::make_shared<Logger>(*m_clock,
-                                        LogOrigin{"jjq-agent", settings.common.placement.hostName, settings.common.placement.availabilityZone},
-                                        Logger::Options{.level = settings.common.logLevel}))
-    , m_metrics(std::make_shared<Metrics>(settings.metricsCustomers))
+    , m_services(m_context, "jjq-agent", settings.common, settings.metricsCustomers)
     , m_healthTimer(m_traffic)
     , m_stopSignals(m_context, SIGTERM, SIGINT)
-    , m_reloadSignals(m_context, SIGHUP)
     , m_statusTimer(m_context)
     , m_drainTimer(m_context)
 {
-    m_kernel.add<Clock>("clock", m_clock);
-    m_kernel.add<Logger>("logger", m_logger);
-    m_kernel.add<Metrics>("metrics", m_metrics);
 }
 
 AgentProcess::~AgentProcess()
@@ -157,12 +138,6 @@
     if (m_announcer) {
         m_announcer->stop();
     }
-    if (m_client) {
-        m_client->stop();
-    }
-    if (m_metricsServer) {
-        m_metricsServer->stop();
-    }
     if (m_backendClient) {
         m_backendClient->stop();
         m_healthClient->stop();
@@ -171,36 +146,29 @@
 
 Result<void> AgentProcess::start()
 {
-    BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.common.tls));
+    BOOST_LEAF_CHECK(m_services.start());
     BOOST_LEAF_AUTO(certificate, readPemFile(m_settings.quicCertificate));
     BOOST_LEAF_AUTO(key, readPemFile(m_settings.quicKey));
     BOOST_LEAF_ASSIGN(m_credentials, TlsCredentials::server(certificate, key));
-    if (m_settings.common.metricsAddress) {
-        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.common.metricsAddress, m_metrics));
-    }
-    MessageClientOptions clientOptions;
-    clientOptions.http2.keepAlive = m_settings.common.keepAlive;
-    clientOptions.connectTimeout = m_settings.common.connectTimeout;
-    m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, clientOptions);
-    m_kernel.add<MessageClient>("message-client", m_client);
-
-    std::vector<HostAddress> controlHosts;
-    for (const ControlHost &host : m_settings.common.controlHosts) {
-        controlHosts.push_back(host.address);
-    }
     WatchSubscriberOptions watch;
     // Several agents may run on one host; a name below the host's keeps their reports apart.
     const std::string processName = m_settings.common.placement.hostName + "/" + m_settings.serverName;
     watch.host = processName;
     watch.zone = m_settings.common.placement.availabilityZone;
     watch.role = "agent";
-    watch.controlHosts = controlHosts;
+    watch.controlHosts = m_services.controlHosts();
     watch.services = {m_settings.service};
-    m_watcher = std::make_shared<ConfigWatcher>(
-        m_context, *m_clock, *m_logger, *m_client, std::move(watch), std::vector<HostAddress>{}, m_random, [this](const ConfigSnapshotPointer &config) {
-            apply(config);
-        });
-    m_kernel.add<ConfigWatcher>("config-watcher", m_watcher);
+    m_watcher = std::make_shared<ConfigWatcher>(m_context,
+                                                m_services.clock(),
+                                                m_services.logger(),
+                                                m_services.client(),
+                                                std::move(watch),
+                                                std::vector<HostAddress>{},
+                                                m_services.random(),
+                                                [this](const ConfigSnapshotPointer &config) {
+                                                    apply(config);
+                                                });
+    m_services.kernel().add<ConfigWatcher>("config-watcher", m_watcher);
 
     pb::ServerEntry server;
     server.set_name(m_settings.serverName);
@@ -212,17 +180,18 @@
     server.set_incarnation(m_incarnation.value);
     server.set_weight(m_settings.weight);
     AnnouncerOptions announce;
-    announce.controlHosts = controlHosts;
+    announce.controlHosts = m_services.controlHosts();
     announce.heartbeat = m_settings.renewInterval;
-    m_announcer = std::make_shared<AnnounceClient>(m_context, *m_clock, *m_logger, *m_client, Announcer(announce, server, m_random));
-    m_kernel.add<AnnounceClient>("announcer", m_announcer);
+    m_announcer = std::make_shared<AnnounceClient>(
+        m_context, m_services.clock(), m_services.logger(), m_services.client(), Announcer(announce, server, m_services.random()));
+    m_services.kernel().add<AnnounceClient>("announcer", m_announcer);
 
     BackendClientOptions backendOptions;
-    m_backendClient = BackendClient::create(m_traffic, *m_clock, m_settings.backendAddress, backendOptions);
-    m_healthClient = BackendClient::create(m_traffic, *m_clock, m_settings.backendAddress, backendOptions);
+    m_backendClient = BackendClient::create(m_traffic, m_services.clock(), m_settings.backendAddress, backendOptions);
+    m_healthClient = BackendClient::create(m_traffic, m_services.clock(), m_settings.backendAddress, backendOptions);
     m_backendClient->setDrainingHandler([this] {
         asio::post(m_context, [this] {
-            m_logger->info("backend-server-drains");
+            m_services.logger().info("backend-server-drains");
             beginDrain();
         });
     });
@@ -238,29 +207,24 @@
             beginDrain();
         }
     });
-    m_reloadSignals.async_wait([this](const asio::error_code &error, int) {
-        if (!error) {
-            m_logger->info("certificates-reloaded", {{"ok", static_cast<bool>(m_tls->reload())}});
-        }
-    });
     scheduleStatus();
-    m_logger->info("started",
-                   {{"server", m_settings.serverName},
-                    {"service", m_settings.service},
-                    {"relay_address", toString(m_settings.relayAddress)},
-                    {"incarnation", m_incarnation.value}});
+    m_services.logger().info("started",
+                             {{"server", m_settings.serverName},
+                              {"service", m_settings.service},
+                              {"relay_address", toString(m_settings.relayAddress)},
+                              {"incarnation", m_incarnation.value}});
     return {};
 }
 
 void AgentProcess::run()
 {
     m_context.run();
-    m_logger->info("stopped");
+    m_services.logger().info("stopped");
 }
 
 void AgentProcess::fail(const std::string &event, const std::string &detail)
 {
-    m_logger->error(event, {{"detail", detail}});
+    m_services.logger().error(event, {{"detail", detail}});
     m_context.stop();
 }
 
@@ -268,7 +232,7 @@
 
 void AgentProcess::apply(const ConfigSnapshotPointer &config)
 {
-    m_metrics->setGauge("revision_in_force", static_cast<double>(config->revision));
+    m_services.metrics().setGauge("revision_in_force", static_cast<double>(config->revision));
     if (m_hasPath) {
         asio::post(m_traffic, [this, config] {
             if (m_path) {
@@ -306,11 +270,11 @@
 void AgentProcess::createPath(const ConfigSnapshotPointer &config, const ServiceSnapshot &service)
 {
     m_hasPath = true;
-    const std::uint64_t seed = m_random();
+    const std::uint64_t seed = m_services.random()();
     asio::post(m_traffic, [this, config, seed, options = pathOptions(*config, service)] {
         auto path = AgentPath::create(
             m_traffic,
-            *m_clock,
+            m_services.clock(),
             options,
             m_credentials,
             config,
@@ -336,10 +300,10 @@
 void AgentProcess::reportRequest(const RequestReport &report)
 {
     if (isNotRun(report.result)) {
-        m_metrics->addRefusal(report.customer, report.workClass, report.result);
+        m_services.metrics().addRefusal(report.customer, report.workClass, report.result);
         return;
     }
-    m_metrics->addRequest(report.customer, report.workClass, {report.total, report.queued, report.answerBytes});
+    m_services.metrics().addRequest(report.customer, report.workClass, {report.total, report.queued, report.answerBytes});
 }
 
 // ---- Health ----
@@ -399,7 +363,7 @@
         return;
     }
     m_isDraining = true;
-    m_logger->info("draining");
+    m_services.logger().info("draining");
     m_announcer->setState(pb::SERVER_STATE_DRAINING);
     if (!m_hasPath) {
         leave();
@@ -431,7 +395,7 @@
 
 void AgentProcess::leave()
 {
-    m_logger->info("drained");
+    m_services.logger().info("drained");
     m_hasLeft = true;
     m_announcer->setState(pb::SERVER_STATE_LEFT);
     // The last report of an agent counts after it has gone; with its flows in it, their key could not be retired for hours.
@@ -492,35 +456,32 @@
     if (!m_hasLeft) {
         m_watcher->setFlowKeysInUse(status.flowKeysInUse);
     }
-    m_metrics->setGauge("open_flows", static_cast<double>(status.flows));
+    m_services.metrics().setGauge("open_flows", static_cast<double>(status.flows));
     for (std::uint32_t number = 0; number < flowKeyCount; ++number) {
         const bool isUsed = std::find(status.flowKeysInUse.begin(), status.flowKeysInUse.end(), number) != status.flowKeysInUse.end();
-        m_metrics->setGauge(fmt::format("flow_key_{}_in_use", number), isUsed ? 1 : 0);
+        m_services.metrics().setGauge(fmt::format("flow_key_{}_in_use", number), isUsed ? 1 : 0);
     }
-    m_metrics->setGauge("running_requests", status.load.running);
-    m_metrics->setGauge("queued_requests", status.load.queued);
-    const auto publish = [this](std::string_view name, std::string_view cause, std::uint64_t value) {
-        m_metrics->counter(name, cause).store(value, std::memory_order_relaxed);
-    };
+    m_services.metrics().setGauge("running_requests", status.load.running);
+    m_services.metrics().setGauge("queued_requests", status.load.queued);
     const AgentPathCounters &counters = m_path->counters();
-    publish("datagrams", "accepted", counters.accepted);
-    publish("datagrams", "handed-over", counters.handedOver);
-    publish("datagrams", "refused-stale", counters.refusedStale);
-    publish("datagrams", "replies", counters.replies);
-    publish("datagrams", "not-sent", counters.notSent);
+    m_services.publish("datagrams", "accepted", counters.accepted);
+    m_services.publish("datagrams", "handed-over", counters.handedOver);
+    m_services.publish("datagrams", "refused-stale", counters.refusedStale);
+    m_services.publish("datagrams", "replies", counters.replies);
+    m_services.publish("datagrams", "not-sent", counters.notSent);
     for (std::size_t cause = 0; cause < counters.dropped.size(); ++cause) {
-        publish("dropped_datagrams", ingressDropCauseName(static_cast<IngressDropCause>(cause)), counters.dropped[cause]);
+        m_services.publish("dropped_datagrams", ingressDropCauseName(static_cast<IngressDropCause>(cause)), counters.dropped[cause]);
     }
     for (std::size_t cause = 0; cause < counters.badRelays.size(); ++cause) {
-        publish("dropped_relays", relayErrorName(static_cast<RelayError>(cause)), counters.badRelays[cause]);
+        m_services.publish("dropped_relays", relayErrorName(static_cast<RelayError>(cause)), counters.badRelays[cause]);
     }
-    publish("requests", "started", status.requests.started);
-    publish("requests", "replayed", status.requests.replayed);
-    publish("requests", "attached", status.requests.attached);
-    publish("requests", "feeds-moved", status.requests.feedsMoved);
-    publish("requests", "malformed", status.requests.malformed);
+    m_services.publish("requests", "started", status.requests.started);
+    m_services.publish("requests", "replayed", status.requests.replayed);
+    m_services.publish("requests", "attached", status.requests.attached);
+    m_services.publish("requests", "feeds-moved", status.requests.feedsMoved);
+    m_services.publish("requests", "malformed", status.requests.malformed);
     for (const auto &[result, count] : status.requests.answered) {
-        publish("answers", resultName(result), count);
+        m_services.publish("answers", resultName(result), count);
     }
 }
 
--- a/src/jujubequay/balancer_program/balancer_process.cpp
+++ b/src/jujubequay/balancer_program/balancer_process.cpp
@@ -1,10 +1,8 @@
 #include <jujubequay/balancer_program/balancer_process.h>
 #include <jujubequay/balancer_program/forwarding_table_builder.h>
-#include <jujubequay/core/kernel.h>
-#include <jujubequay/daemon/metrics_http_server.h>
 #include <jujubequay/daemon/metrics_service.h>
+#include <jujubequay/daemon/process_services.h>
 #include <jujubequay/datapath/balancer_path.h>
-#include <jujubequay/net/http2_message_client.h>
 #include <jujubequay/net/message_server.h>
 #include <jujubequay/service/config_watcher.h>
 
@@ -86,46 +84,28 @@
     std::vector<EntryPoint> entryPoints(const ConfigSnapshot &config) const;
     void handleStale(std::uint64_t revision);
     void waitForSignals();
-    void waitForReload();
     void publishMetrics();
     std::uint64_t sum(std::atomic<std::uint64_t> BalancerPathCounters::*counter) const;
 
     const BalancerSettings m_settings;
-    Kernel m_kernel;
     asio::io_context m_context;
-    std::mt19937_64 m_random;
-    std::shared_ptr<Clock> m_clock;
-    std::shared_ptr<Logger> m_logger;
-    std::shared_ptr<Metrics> m_metrics;
-    std::shared_ptr<TlsContext> m_tls;
-    std::shared_ptr<Http2MessageClient> m_client;
+    ProcessServices m_services;
     std::shared_ptr<ConfigWatcher> m_watcher;
     std::shared_ptr<MessageServer> m_peerServer;
-    std::shared_ptr<MetricsHttpServer> m_metricsServer;
     std::vector<std::unique_ptr<TrafficThread>> m_threads;
     std::shared_ptr<const ForwardingTable> m_table;
     asio::signal_set m_stopSignals;
-    asio::signal_set m_reloadSignals;
     asio::steady_timer m_metricsTimer;
     asio::steady_timer m_drainTimer;
 };
 
 BalancerProcess::BalancerProcess(const BalancerSettings &settings)
     : m_settings(settings)
-    , m_random(std::random_device()())
-    , m_clock(std::make_shared<SteadyClock>())
-    , m_logger(std::make_shared<Logger>(*m_clock,
-                                        LogOrigin{"jjq-balancer", settings.common.placement.hostName, settings.common.placement.availabilityZone},
-                                        Logger::Options{.level = settings.common.logLevel}))
-    , m_metrics(std::make_shared<Metrics>())
+    , m_services(m_context, "jjq-balancer", settings.common)
     , m_stopSignals(m_context, SIGTERM, SIGINT)
-    , m_reloadSignals(m_context, SIGHUP)
     , m_metricsTimer(m_context)
     , m_drainTimer(m_context)
 {
-    m_kernel.add<Clock>("clock", m_clock);
-    m_kernel.add<Logger>("logger", m_logger);
-    m_kernel.add<Metrics>("metrics", m_metrics);
 }
 
 BalancerProcess::~BalancerProcess()
@@ -133,26 +113,14 @@
     if (m_watcher) {
         m_watcher->stop();
     }
-    if (m_client) {
-        m_client->stop();
-    }
     if (m_peerServer) {
         m_peerServer->stop();
     }
-    if (m_metricsServer) {
-        m_metricsServer->stop();
-    }
 }
 
 Result<void> BalancerProcess::start()
 {
-    BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.common.tls));
-    MessageClientOptions clientOptions;
-    clientOptions.http2.keepAlive = m_settings.common.keepAlive;
-    clientOptions.connectTimeout = m_settings.common.connectTimeout;
-    m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, clientOptions);
-    m_kernel.add<MessageClient>("message-client", m_client);
-
+    BOOST_LEAF_CHECK(m_services.start());
     for (std::uint32_t number = 0; number < m_settings.threads; ++number) {
         // Each thread has its own relay port, so that replies reach the thread whose sockets are known to be bound.
         HostAddress relay = m_settings.relayAddress;
@@ -170,38 +138,39 @@
     watch.host = m_settings.common.placement.hostName;
     watch.zone = m_settings.common.placement.availabilityZone;
     watch.role = "balancer";
-    for (const ControlHost &host : m_settings.common.controlHosts) {
-        watch.controlHosts.push_back(host.address);
-    }
-    m_watcher = std::make_shared<ConfigWatcher>(
-        m_context, *m_clock, *m_logger, *m_client, std::move(watch), m_settings.peers, m_random, [this](const ConfigSnapshotPointer &config) {
-            apply(config);
-        });
-    m_kernel.add<ConfigWatcher>("config-watcher", m_watcher);
+    watch.controlHosts = m_services.controlHosts();
+    m_watcher = std::make_shared<ConfigWatcher>(m_context,
+                                                m_services.clock(),
+                                                m_services.logger(),
+                                                m_services.client(),
+                                                std::move(watch),
+                                                m_settings.peers,
+                                                m_services.random(),
+                                                [this](const ConfigSnapshotPointer &config) {
+                                                    apply(config);
+                                                });
+    m_services.kernel().add<ConfigWatcher>("config-watcher", m_watcher);
 
-    const auto metricsService = std::make_shared<MetricsService>(m_metrics);
+    const auto metricsService = std::make_shared<MetricsService>(m_services.sharedMetrics());
     const auto accept = [this, metricsService](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
         if (path == "/peer" && stream->peer().role == "balancer") {
             return m_watcher->acceptPeer(stream);
         }
         return path == "/metrics" ? metricsService->accept(stream) : MessageStreamHandlers{};
     };
-    BOOST_LEAF_ASSIGN(m_peerServer, MessageServer::listen(m_context, *m_clock, *m_logger, m_tls, m_settings.peerAddress, accept));
-    if (m_settings.common.metricsAddress) {
-        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.common.metricsAddress, m_metrics));
-    }
+    BOOST_LEAF_ASSIGN(m_peerServer,
+                      MessageServer::listen(m_context, m_services.clock(), m_services.logger(), m_services.tls(), m_settings.peerAddress, accept));
     m_watcher->start();
     waitForSignals();
-    waitForReload();
     publishMetrics();
-    m_logger->info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"threads", m_settings.threads}});
+    m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"threads", m_settings.threads}});
     return {};
 }
 
 void BalancerProcess::run()
 {
     m_context.run();
-    m_logger->info("stopped");
+    m_services.logger().info("stopped");
 }
 
 void BalancerProcess::apply(const ConfigSnapshotPointer &config)
@@ -209,13 +178,13 @@
     m_table = buildForwardingTable(*config, m_table);
     const auto points = entryPoints(*config);
     for (const auto &thread : m_threads) {
-        thread->apply({m_table, points}, *m_logger);
+        thread->apply({m_table, points}, m_services.logger());
     }
-    m_metrics->setGauge("revision_in_force", static_cast<double>(config->revision));
+    m_services.metrics().setGauge("revision_in_force", static_cast<double>(config->revision));
     const auto takesNewWork = [](const ServerSnapshot &server) {
         return server.takesNewWork();
     };
-    m_metrics->setGauge("serving_servers", static_cast<double>(std::count_if(config->servers.begin(), config->servers.end(), takesNewWork)));
+    m_services.metrics().setGauge("serving_servers", static_cast<double>(std::count_if(config->servers.begin(), config->servers.end(), takesNewWork)));
 }
 
 std::vector<EntryPoint> BalancerProcess::entryPoints(const ConfigSnapshot &config) const
@@ -231,7 +200,7 @@
 
 void BalancerProcess::handleStale(std::uint64_t revision)
 {
-    m_logger->info("opening-refused-as-stale", {{"agent_revision", revision}, {"own_revision", m_watcher->subscriber().snapshot()->revision}});
+    m_services.logger().info("opening-refused-as-stale", {{"agent_revision", revision}, {"own_revision", m_watcher->subscriber().snapshot()->revision}});
     m_watcher->refresh(revision);
 }
 
@@ -241,7 +210,7 @@
         if (error) {
             return;
         }
-        m_logger->info("draining", {{"drain_ms", drainTime.count()}});
+        m_services.logger().info("draining", {{"drain_ms", drainTime.count()}});
         m_drainTimer.expires_after(drainTime);
         m_drainTimer.async_wait([this](const asio::error_code &) {
             m_context.stop();
@@ -249,45 +218,30 @@
     });
 }
 
-void BalancerProcess::waitForReload()
-{
-    m_reloadSignals.async_wait([this](const asio::error_code &error, int) {
-        if (error) {
-            return;
-        }
-        const bool isReloaded = static_cast<bool>(m_tls->reload());
-        m_logger->info("certificates-reloaded", {{"ok", isReloaded}});
-        waitForReload();
-    });
-}
-
 void BalancerProcess::publishMetrics()
 {
-    const auto publish = [this](std::string_view name, std::string_view cause, std::uint64_t value) {
-        m_metrics->counter(name, cause).store(value, std::memory_order_relaxed);
-    };
-    publish("datagrams", "forwarded", sum(&BalancerPathCounters::forwarded));
-    publish("datagrams", "opened", sum(&BalancerPathCounters::opened));
-    publish("datagrams", "replied", sum(&BalancerPathCounters::replied));
-    publish("datagrams", "not-sent", sum(&BalancerPathCounters::notSent));
-    publish("datagrams", "stale-hint", sum(&BalancerPathCounters::staleHints));
-    publish("datagrams", "unknown-entry", sum(&BalancerPathCounters::unknownEntry));
+    m_services.publish("datagrams", "forwarded", sum(&BalancerPathCounters::forwarded));
+    m_services.publish("datagrams", "opened", sum(&BalancerPathCounters::opened));
+    m_services.publish("datagrams", "replied", sum(&BalancerPathCounters::replied));
+    m_services.publish("datagrams", "not-sent", sum(&BalancerPathCounters::notSent));
+    m_services.publish("datagrams", "stale-hint", sum(&BalancerPathCounters::staleHints));
+    m_services.publish("datagrams", "unknown-entry", sum(&BalancerPathCounters::unknownEntry));
     for (std::size_t cause = 0; cause < BalancerPathCounters().dropped.size(); ++cause) {
         std::uint64_t total = 0;
         for (const auto &thread : m_threads) {
             total += thread->counters().dropped[cause].load(std::memory_order_relaxed);
         }
-        publish("dropped_datagrams", dropCauseName(static_cast<DropCause>(cause)), total);
+        m_services.publish("dropped_datagrams", dropCauseName(static_cast<DropCause>(cause)), total);
     }
     for (std::size_t cause = 0; cause < BalancerPathCounters().badReplies.size(); ++cause) {
         std::uint64_t total = 0;
         for (const auto &thread : m_threads) {
             total += thread->counters().badReplies[cause].load(std::memory_order_relaxed);
         }
-        publish("dropped_replies", relayErrorName(static_cast<RelayError>(cause)), total);
+        m_services.publish("dropped_replies", relayErrorName(static_cast<RelayError>(cause)), total);
     }
-    publish("control_bytes", "sent", m_watcher->subscriber().sentBytes());
-    publish("control_bytes", "received", m_watcher->subscriber().receivedBytes());
+    m_services.publish("control_bytes", "sent", m_watcher->subscriber().sentBytes());
+    m_services.publish("control_bytes", "received", m_watcher->subscriber().receivedBytes());
     m_metricsTimer.expires_after(metricsInterval);
     m_metricsTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
--- /dev/null
+++ b/src/jujubequay/daemon/process_services.cpp
@@ -0,0 +1,114 @@
+#include <jujubequay/daemon/process_services.h>
+
+#include <csignal>
+
+namespace Jujubequay {
+
+ProcessServices::ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, std::size_t maxMetricsCustomers)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_random(std::random_device()())
+    , m_clock(std::make_shared<SteadyClock>())
+    , m_logger(std::make_shared<Logger>(*m_clock,
+                                        LogOrigin{std::move(program), m_settings.placement.hostName, m_settings.placement.availabilityZone},
+                                        Logger::Options{.level = m_settings.logLevel}))
+    , m_metrics(std::make_shared<Metrics>(maxMetricsCustomers))
+    , m_reloadSignals(context, SIGHUP)
+{
+    m_kernel.add<Clock>("clock", m_clock);
+    m_kernel.add<Logger>("logger", m_logger);
+    m_kernel.add<Metrics>("metrics", m_metrics);
+}
+
+ProcessServices::~ProcessServices()
+{
+    if (m_client) {
+        m_client->stop();
+    }
+    if (m_metricsServer) {
+        m_metricsServer->stop();
+    }
+}
+
+Result<void> ProcessServices::start()
+{
+    BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.tls));
+    MessageClientOptions options;
+    options.http2.keepAlive = m_settings.keepAlive;
+    options.connectTimeout = m_settings.connectTimeout;
+    m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, options);
+    m_kernel.add<MessageClient>("message-client", m_client);
+    if (m_settings.metricsAddress) {
+        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.metricsAddress, m_metrics));
+    }
+    waitForReload();
+    return {};
+}
+
+Kernel &ProcessServices::kernel()
+{
+    return m_kernel;
+}
+
+Clock &ProcessServices::clock() const
+{
+    return *m_clock;
+}
+
+Logger &ProcessServices::logger() const
+{
+    return *m_logger;
+}
+
+Metrics &ProcessServices::metrics() const
+{
+    return *m_metrics;
+}
+
+std::shared_ptr<const Metrics> ProcessServices::sharedMetrics() const
+{
+    return m_metrics;
+}
+
+std::shared_ptr<TlsContext> ProcessServices::tls() const
+{
+    return m_tls;
+}
+
+Http2MessageClient &ProcessServices::client() const
+{
+    return *m_client;
+}
+
+std::mt19937_64 &ProcessServices::random()
+{
+    return m_random;
+}
+
+std::vector<HostAddress> ProcessServices::controlHosts() const
+{
+    std::vector<HostAddress> addresses;
+    for (const ControlHost &host : m_settings.controlHosts) {
+        addresses.push_back(host.address);
+    }
+    return addresses;
+}
+
+void ProcessServices::publish(std::string_view name, std::string_view cause, std::uint64_t value)
+{
+    m_metrics->counter(name, cause).store(value, std::memory_order_relaxed);
+}
+
+void ProcessServices::waitForReload()
+{
+    m_reloadSignals.async_wait([this](const asio::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        const bool isReloaded = static_cast<bool>(m_tls->reload());
+        m_logger->info("certificates-reloaded", {{"ok", isReloaded}});
+        waitForReload();
+    });
+}
+
+}
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -9,6 +9,8 @@
 
 clean_up() {
     trap - EXIT INT TERM
+    # The shell reports each killed process on standard error.
+    exec 2>/dev/null
     for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
     wait 2>/dev/null || true
     if [ -n "$keep_logs" ]; then cp -r "$work/log" "$keep_logs"; fi
