--- a/cmake/JujubequayDependencies.cmake
+++ b/cmake/JujubequayDependencies.cmake
@@ -4,6 +4,7 @@
 find_package(Protobuf REQUIRED)
 find_package(fmt REQUIRED)
 find_package(benchmark REQUIRED)
+find_package(nlohmann_json REQUIRED)
 
 pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
@@ -16,3 +17,10 @@
 add_library(asio INTERFACE)
 target_compile_definitions(asio INTERFACE ASIO_STANDALONE ASIO_NO_DEPRECATED)
 target_link_libraries(asio INTERFACE Threads::Threads OpenSSL::SSL OpenSSL::Crypto)
+
+# http_parser has neither a CMake package nor a pkg-config file.
+find_path(HTTP_PARSER_INCLUDE_DIR http_parser.h REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
+add_library(http_parser INTERFACE)
+target_include_directories(http_parser INTERFACE ${HTTP_PARSER_INCLUDE_DIR})
+target_link_libraries(http_parser INTERFACE ${HTTP_PARSER_LIBRARY})
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -31,6 +31,7 @@
         admission_queue.cpp
         flow_choice.cpp
         handover.cpp
+        least_loaded.cpp
         load_estimate.cpp
         placement.cpp
         retry.cpp
@@ -92,6 +93,7 @@
     SOURCES
         backend_client.cpp
         certificate.cpp
+        http1_server.cpp
         http2_callbacks.cpp
         http2_message_client.cpp
         http2_message_stream.cpp
@@ -107,7 +109,7 @@
         http2_session_test.cpp
         keep_alive_test.cpp
         message_stream_test.cpp
-    DEPENDS jujubequay_wire asio PkgConfig::nghttp2)
+    DEPENDS jujubequay_wire asio PkgConfig::nghttp2 http_parser)
 
 jujubequay_module(control
     SOURCES
@@ -116,12 +118,15 @@
         control_host_service.cpp
         control_services.cpp
         control_state.cpp
+        join_service.cpp
         lease_registry.cpp
+        membership_keeper.cpp
         operation_log.cpp
         operator_request.cpp
         peer_links.cpp
         replica_driver.cpp
         report_board.cpp
+        route_table.cpp
         watch_server.cpp
         watch_subscriber.cpp
     TESTS
@@ -151,6 +156,15 @@
         return_paths_test.cpp
     DEPENDS jujubequay_policy jujubequay_wire PkgConfig::ngtcp2)
 
+jujubequay_module(steering
+    SOURCES
+        agent_steering.cpp
+        balancer_steering.cpp
+        segment.cpp
+        server_directory.cpp
+        steer_message.cpp
+    DEPENDS jujubequay_control jujubequay_policy)
+
 jujubequay_module(client
     SOURCES
         answer_reader.cpp
@@ -215,6 +229,7 @@
         settings_documentation.cpp
         settings_reader.cpp
         signer_key.cpp
+        steering_settings.cpp
         work_queue.cpp
         work_times.cpp
     TESTS
@@ -233,6 +248,19 @@
         control_process.cpp
     DEPENDS jujubequay_control jujubequay_daemon)
 
+jujubequay_module(steering_program
+    SOURCES
+        agent_traffic.cpp
+        balancer_traffic.cpp
+        route_control_process.cpp
+        server_announcements.cpp
+        settings_watcher.cpp
+        steering_agent_process.cpp
+        steering_balancer_process.cpp
+        steering_services.cpp
+        traffic_loop.cpp
+    DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
+
 jujubequay_module(operator_program
     SOURCES
         bundle_commands.cpp
--- a/include/jujubequay/consensus/membership.h
+++ b/include/jujubequay/consensus/membership.h
@@ -33,6 +33,9 @@
 
 using MembershipChange = std::variant<AddLearner, PromoteLearner, RemoveMember>;
 
+/// For logs: "add-learner 3f..", "promote 3f.." or "remove 3f..".
+std::string describe(const MembershipChange &change);
+
 const jujubequay::pb::Member *findMember(const jujubequay::pb::Membership &membership, std::string_view id);
 bool isVoter(const jujubequay::pb::Membership &membership, std::string_view id);
 std::size_t voterCount(const jujubequay::pb::Membership &membership);
--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -97,6 +97,8 @@
     bool toleratesLoss() const;
     /// Leader only: a member is in contact and holds every entry that had committed at the last heartbeat.
     bool isCaughtUp(TimePoint now, const std::string &id) const;
+    /// Leader only: when a member was heard last, in this term; nothing for other identities.
+    std::optional<TimePoint> lastContact(const std::string &id) const;
 
 private:
     struct Progress {
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <jujubequay/control/route_table.h>
 #include <jujubequay/core/identifiers.h>
 #include <jujubequay/wire/flow_id.h>
 
@@ -71,6 +72,8 @@
     FlowKeySet flowKeys;
     std::vector<ServiceSnapshot> services; ///< ordered by id
     std::vector<ServerSnapshot> servers; ///< ordered by name; without those that left
+    bool isRegistryKnown = false; ///< false until a control host has sent its list of servers
+    RouteTablePointer routes = std::make_shared<RouteTable>(); ///< never null; version 0 before the first table arrived
 
     /// Null if the service is not in force.
     const ServiceSnapshot *findService(ServiceId id) const;
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <jujubequay/control/control_services.h>
+#include <jujubequay/control/join_service.h>
+#include <jujubequay/control/membership_keeper.h>
 
 #include <cstdint>
 #include <random>
@@ -15,6 +17,21 @@
     LeaseOptions lease;
     WatchServerOptions watch;
     Duration registryExchange = std::chrono::milliseconds(250); ///< between deltas to other control hosts
+    Duration registryFillTime = std::chrono::seconds(10); ///< see RegistryExchange
+    /// Servers may announce themselves for services without a bundle; deployments that use a route table need this.
+    bool acceptsAnyService = false;
+    /// Set if control hosts join and are replaced without an operator.
+    std::optional<MembershipKeeperOptions> keeper;
+    std::string address; ///< "ip:port" of the own control streams; needed by `keeper`
+    /// How long a leader waits for the wanted number of voters before it accepts changes with fewer.
+    Duration votersPatience = std::chrono::seconds(3);
+};
+
+/// Outcome of a change of the route table.
+struct RouteChangeAnswer {
+    ResultCode result = ResultCode::Ok;
+    std::string detail;
+    std::string leaderHost; ///< NotLeader: where to ask instead; empty if unknown
 };
 
 /// One control host: joins the replica, the registry and the watch server to streams. Used on the control thread only;
@@ -44,6 +61,15 @@
     /// For MessageStreamAcceptor. A role that may not use the path is refused.
     MessageStreamHandlers accept(const std::string &path, const std::shared_ptr<MessageStream> &stream);
     void tick();
+    /// Where control hosts may be found by one that is not a member.
+    void setSeeds(std::vector<HostAddress> seeds);
+    /// Puts a checked route table in force unless its version is not higher than the one in force. Answers once the change is
+    /// durable on a majority.
+    void replaceRoutes(const jujubequay::pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler);
+    /// Calls the handler with Ok once a majority has confirmed that the route table of `driver().state()` is the newest one.
+    void confirmRoutes(std::function<void(ResultCode)> handler);
+    /// Call before the process stops on request.
+    void announceLeave();
 
     const ReplicaDriver &driver() const;
     const LeaseRegistry &registry() const;
@@ -55,6 +81,10 @@
     void sendRaft(const jujubequay::pb::ReplicaMessage &message);
     void updatePeers();
     void promoteLearners();
+    void keepMembership();
+    void joinIfNeeded();
+    void handleJoin(const jujubequay::pb::JoinRequest &request);
+    bool hasEnoughVoters() const;
     std::string leaderAddress() const;
     void fillStatus(const jujubequay::pb::StatusRequest &request, jujubequay::pb::StatusAnswer &status) const;
     jujubequay::pb::ControlHostStatus statusOf(const jujubequay::pb::Member &member) const;
@@ -70,6 +100,13 @@
     WatchService m_watch;
     AnnounceService m_announce;
     OperatorService m_operators;
+    std::optional<MembershipKeeper> m_keeper;
+    JoinService m_join;
+    std::vector<HostAddress> m_seeds;
+    bool m_isChangingMembership = false;
+    TimePoint m_leaderHeardAt{};
+    TimePoint m_leadingSince{};
+    std::uint64_t m_leadingTerm = 0;
     AcceptedStreams m_raftStreams;
     std::map<std::string, std::uint64_t> m_replyStreams; // disk identity to accepted stream
     std::set<std::string> m_promoting;
--- a/include/jujubequay/control/control_services.h
+++ b/include/jujubequay/control/control_services.h
@@ -62,7 +62,12 @@
 class AnnounceService
 {
 public:
-    AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry);
+    enum class Permissions : std::uint8_t {
+        Bundles, ///< a server needs a bundle that names it
+        AnyService,
+    };
+
+    AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry, Permissions permissions);
 
     MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream);
 
@@ -80,6 +85,7 @@
     const WallClock m_wallClock;
     const ControlState &m_state;
     LeaseRegistry &m_registry;
+    const Permissions m_mode;
     AcceptedStreams m_streams;
     std::map<std::uint64_t, Permission> m_permissions; // last check of each stream
 };
@@ -88,7 +94,12 @@
 class RegistryExchange
 {
 public:
-    RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Duration interval);
+    struct Options {
+        Duration interval = std::chrono::milliseconds(250); ///< between deltas
+        Duration fillTime = std::chrono::seconds(10); ///< in which agents return; a registry without a complete peer then counts as filled
+    };
+
+    RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Options options);
 
     MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream);
     void setPeers(const std::map<std::string, HostAddress> &peers);
@@ -113,7 +124,7 @@
     PeerLinks m_links;
     AcceptedStreams m_streams;
     std::map<std::string, Position> m_positions;
-    const Duration m_interval;
+    const Options m_options;
     const TimePoint m_startedAt;
     TimePoint m_lastExchange{};
     bool m_isFilled = false;
--- a/include/jujubequay/control/control_state.h
+++ b/include/jujubequay/control/control_state.h
@@ -51,6 +51,8 @@
     /// True if a backend server of this name may announce itself for the service in force.
     bool mayAnnounce(const std::string &service, const std::string &serverName) const;
     std::vector<std::uint32_t> flowKeyNumbers() const;
+    /// The route table in force with the operator's document; version 0 before the first one.
+    const jujubequay::pb::ReplaceRoutes &routes() const;
     /// Adds services, bundles, signers and flow keys (without secrets).
     void fillStatus(jujubequay::pb::StatusAnswer &status) const;
 
@@ -75,6 +77,8 @@
     Answer activateFlowKey(const jujubequay::pb::ActivateFlowKey &command, const jujubequay::pb::LoggedCommand &logged);
     Answer retireFlowKey(const jujubequay::pb::RetireFlowKey &command, const jujubequay::pb::LoggedCommand &logged);
 
+    Answer replaceRoutes(const jujubequay::pb::ReplaceRoutes &command);
+
     Answer refuseVersion(const Service &service, const jujubequay::pb::BundleContent &content) const;
     Answer refuseRoll(const std::string &name, const Service &service, const jujubequay::pb::RollBundle &command) const;
     Answer refuseAddresses(const std::string &name, const jujubequay::pb::Bundle &bundle) const;
@@ -93,6 +97,8 @@
     std::map<SignerName, std::string> m_signers; // public keys
     std::uint64_t m_flowKeyRevision = 0;
     std::map<std::uint32_t, jujubequay::pb::FlowKeyEntry> m_flowKeys;
+    jujubequay::pb::ReplaceRoutes m_routes;
+    std::uint64_t m_routesRevision = 0;
     OperationLog m_operations;
 };
 
--- /dev/null
+++ b/include/jujubequay/control/route_table.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <jujubequay/core/error.h>
+#include <jujubequay/core/identifiers.h>
+
+#include <control.pb.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Jujubequay {
+
+/// What may be done with a request of a route after a failure.
+enum class RouteKind : std::uint8_t {
+    Idempotent, ///< may be repeated
+    NonIdempotent, ///< runs at most once
+    Download, ///< may be repeated; long answers
+};
+
+/// A service by the hash of its name. Packets between balancers and agents carry it.
+struct ServiceKey {
+    std::uint32_t value = 0;
+    bool operator==(const ServiceKey &) const = default;
+    bool operator<(const ServiceKey &other) const
+    {
+        return value < other.value;
+    }
+};
+
+ServiceKey serviceKey(const std::string &name);
+
+/// One of the services behind a route and its share of the new flows.
+struct RouteService {
+    std::string name;
+    ServiceKey key;
+    std::uint32_t weight = 1;
+};
+
+/// An address that callers use and the services that its new flows go to.
+struct Route {
+    std::string name;
+    HostAddress address;
+    RouteKind kind = RouteKind::Idempotent;
+    std::chrono::milliseconds timeout{0};
+    std::chrono::milliseconds latencyGoal{0};
+    std::uint32_t priority = 0; ///< 0 is the highest
+    std::vector<RouteService> services;
+
+    bool leadsTo(ServiceKey service) const;
+    /// The service for a flow, by its hash and the weights; the same on every host that has this route.
+    const RouteService &serviceFor(std::uint64_t flowHash) const;
+};
+
+/// All routes of one version. Immutable once built.
+class RouteTable
+{
+public:
+    RouteTable() = default;
+    explicit RouteTable(const jujubequay::pb::RouteTable &message);
+
+    std::uint64_t version() const;
+    /// Time after which a flow without packets may be forgotten; 0 if the operator did not state it.
+    std::chrono::milliseconds idleTimeout() const;
+    /// Null if no route has this address.
+    const Route *find(const HostAddress &address) const;
+    const std::vector<Route> &routes() const;
+
+private:
+    std::uint64_t m_version = 0;
+    std::chrono::milliseconds m_idleTimeout{0};
+    std::vector<Route> m_routes;
+    std::unordered_map<HostAddress, std::size_t> m_byAddress;
+};
+
+using RouteTablePointer = std::shared_ptr<const RouteTable>;
+
+/// Checks a table before it is accepted. Fails with BadBundle and the reason: a route without a known service, two routes at one
+/// address, a timeout of 0, or weights that add up to nothing.
+Result<void> checkRouteTable(const jujubequay::pb::RouteTable &table, const std::set<std::string> &services);
+
+}
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -65,6 +65,8 @@
     void notConfirmed(std::uint64_t number);
     /// False while the registry of a restarted control host is still being filled; it is not sent then.
     void setRegistryReady(bool ready);
+    /// Addresses of all control hosts; watchers are told when they change.
+    void setControlHosts(std::vector<std::string> addresses);
 
     /// Call every 50 to 200 ms and after changes.
     WatchServerEffects pump(TimePoint now);
@@ -85,6 +87,7 @@
         std::uint64_t revision = 0;
         std::uint64_t flowKeyRevision = 0;
         std::uint64_t registrySequence = 0;
+        std::uint64_t controlHostsNumber = 0; ///< last list that was sent
         std::size_t queued = 0;
         std::optional<TimePoint> stalledSince;
         TimePoint lastSent{};
@@ -96,6 +99,7 @@
     bool isStalled(TimePoint now, Watcher &watcher) const;
     void serve(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects);
     void sendConfig(WatcherId id, Watcher &watcher, WatchServerEffects &effects);
+    void sendControlHosts(WatcherId id, Watcher &watcher, WatchServerEffects &effects);
     void sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects);
     void send(WatcherId id, jujubequay::pb::WatchDown message, WatchServerEffects &effects);
 
@@ -109,6 +113,8 @@
     TimePoint m_askedAt{};
     std::optional<TimePoint> m_confirmedAt;
     bool m_isRegistryReady = false;
+    std::vector<std::string> m_controlHosts;
+    std::uint64_t m_controlHostsNumber = 0;
     std::uint64_t m_sentBytes = 0;
     std::uint64_t m_receivedBytes = 0;
 };
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -37,7 +37,11 @@
 struct PublishConfig {
     ConfigSnapshotPointer snapshot;
 };
-using WatchSubscriberEffect = std::variant<OpenWatchStream, SendToControl, CloseWatchStream, AskPeers, PublishConfig>;
+/// Effect: these are the control hosts now.
+struct PublishControlHosts {
+    std::vector<HostAddress> addresses;
+};
+using WatchSubscriberEffect = std::variant<OpenWatchStream, SendToControl, CloseWatchStream, AskPeers, PublishConfig, PublishControlHosts>;
 using WatchSubscriberEffects = std::vector<WatchSubscriberEffect>;
 
 struct WatchSubscriberOptions {
@@ -70,6 +74,8 @@
     Effects closed(TimePoint now, std::uint64_t stream);
     /// A peer's answer to AskPeers; taken if it is newer than the own state.
     Effects takePeerState(const jujubequay::pb::PeerState &state);
+    /// Replaces the control hosts of the options, for example when the settings have changed.
+    void setControlHosts(std::vector<HostAddress> addresses);
     /// Key numbers of this agent's open flows; reported when they change.
     Effects setFlowKeysInUse(std::vector<std::uint32_t> numbers);
 
@@ -90,6 +96,8 @@
 private:
     using Entries = std::map<std::string, jujubequay::pb::ServerEntry>;
 
+    void takeControlHosts(const jujubequay::pb::ControlHosts &message, Effects &effects);
+    void rankChoices();
     void open(TimePoint now, Effects &effects);
     void retryLater(TimePoint now, Effects &effects);
     void giveUp(TimePoint now, Effects &effects);
@@ -104,6 +112,8 @@
 
     const WatchSubscriberOptions m_options;
     std::mt19937_64 &m_random;
+    std::vector<HostAddress> m_configured; // from the settings
+    std::vector<HostAddress> m_learned; // from a control host
     std::vector<HostAddress> m_choices; // order in which control hosts are tried
 
     std::uint64_t m_stream = 0;
@@ -116,6 +126,7 @@
 
     std::uint64_t m_revision = 0;
     std::uint64_t m_flowKeyRevision = 0;
+    RouteTablePointer m_routes = std::make_shared<RouteTable>();
     std::map<std::string, jujubequay::pb::ServiceConfig> m_services;
     std::vector<jujubequay::pb::FlowKeyEntry> m_flowKeys;
     std::uint64_t m_registryEpoch = 0;
--- a/include/jujubequay/core/log.h
+++ b/include/jujubequay/core/log.h
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -38,7 +39,14 @@
     std::string value;
 };
 
-/// Writes one event a line to standard error, as key=value fields. Safe to use from any thread.
+enum class LogOutput : std::uint8_t {
+    StandardError,
+    /// Standard output. A line that a pipe cannot take at once is dropped and counted, so that a reader that has stopped never
+    /// blocks the process.
+    StandardOutput,
+};
+
+/// Writes one event a line to standard error or standard output, as key=value fields. Safe to use from any thread.
 ///
 ///     logger.info("lease-expired", {{"server", name}, {"age_ms", age.count()}});
 ///
@@ -49,6 +57,7 @@
 public:
     struct Options {
         LogLevel level = LogLevel::Info;
+        LogOutput output = LogOutput::StandardError;
         std::uint32_t maxRepeats = 20;
         Duration repeatWindow = std::chrono::seconds(10);
     };
@@ -56,6 +65,8 @@
     Logger(const Clock &clock, LogOrigin origin, Options options);
     virtual ~Logger() = default;
 
+    /// Lines that standard output did not take.
+    std::uint64_t droppedLines() const;
     void debug(std::string_view event, std::initializer_list<LogField> fields = {});
     void info(std::string_view event, std::initializer_list<LogField> fields = {});
     void warning(std::string_view event, std::initializer_list<LogField> fields = {});
@@ -78,6 +89,7 @@
     const Clock &m_clock;
     const LogOrigin m_origin;
     const Options m_options;
+    std::atomic<std::uint64_t> m_droppedLines = 0;
     std::mutex m_mutex;
     std::map<std::string, Repeats, std::less<>> m_repeats;
 };
--- /dev/null
+++ b/include/jujubequay/net/http1_server.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <jujubequay/core/clock.h>
+#include <jujubequay/core/error.h>
+#include <jujubequay/core/identifiers.h>
+#include <jujubequay/core/log.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Jujubequay {
+
+struct Http1Request {
+    std::string method;
+    std::string target; ///< path, with the query if there is one
+    std::string body;
+};
+
+struct Http1Response {
+    unsigned status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    std::string location; ///< for redirections
+    std::uint32_t retryAfterSeconds = 0; ///< 0: not sent
+};
+
+struct Http1ServerOptions {
+    std::size_t maxBodyBytes = 4U << 20U;
+    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxConnections = 512; ///< further connections are closed at once
+    Duration idleTimeout = std::chrono::seconds(20); ///< between bytes, also within a request
+};
+
+/// Answers HTTP/1.1 requests one after the other on each connection. The handler gets a function that sends the response, now or
+/// later; it may be called once.
+class Http1Server : public std::enable_shared_from_this<Http1Server>
+{
+public:
+    using Respond = std::function<void(Http1Response)>;
+    using Handler = std::function<void(Http1Request, Respond)>;
+
+    /// Fails with AddressUnavailable.
+    static Result<std::shared_ptr<Http1Server>>
+    listen(asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options = {});
+
+    HostAddress address() const;
+    void stop();
+
+private:
+    class Connection;
+
+    Http1Server(asio::io_context &context, Logger &logger, Handler handler, Http1ServerOptions options);
+    void acceptNext();
+
+    asio::io_context &m_context;
+    Logger &m_logger;
+    const Handler m_handler;
+    const Http1ServerOptions m_options;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptRetry;
+    std::set<std::shared_ptr<Connection>> m_connections;
+};
+
+}
--- a/include/jujubequay/net/http2_message_client.h
+++ b/include/jujubequay/net/http2_message_client.h
@@ -20,9 +20,11 @@
     Duration connectTimeout = std::chrono::seconds(5); ///< TCP connection and TLS handshake together
     bool sharesConnections = true; ///< streams to one address use one connection
     std::function<bool(const PeerIdentity &server, const std::string &path)> isExpected = isExpectedServer;
+    /// Sent with each stream of a client without TLS; the server takes it as given.
+    PeerIdentity plaintextIdentity;
 };
 
-/// Opens control streams over HTTP/2 with mutual TLS. A stream ends with Timeout, ConnectionLost, ProtocolError,
+/// Opens control streams over HTTP/2 with mutual TLS, or in plain text if `tls` is null (docs/security.md). A stream ends with Timeout, ConnectionLost, ProtocolError,
 /// MessageTooLarge, NotAuthorized (either certificate or the path was refused), or Ok when the server has ended it. The
 /// streams of a client that is destroyed end with ConnectionLost.
 class Http2MessageClient final
--- a/include/jujubequay/net/message_server.h
+++ b/include/jujubequay/net/message_server.h
@@ -9,6 +9,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <optional>
 #include <set>
 
 namespace Jujubequay {
@@ -20,7 +21,8 @@
     Duration handshakeTimeout = std::chrono::seconds(5);
 };
 
-/// Accepts control streams over HTTP/2 with mutual TLS. A peer without a certificate of the authority is refused.
+/// Accepts control streams over HTTP/2 with mutual TLS. A peer without a certificate of the authority is refused. If `tls` is
+/// null, streams are plain text and a peer is who it says it is (docs/security.md).
 ///
 ///     auto server = MessageServer::listen(context, clock, logger, tls, address, accept);
 class MessageServer : public std::enable_shared_from_this<MessageServer>
@@ -38,6 +40,8 @@
     HostAddress address() const;
     std::size_t connectionCount() const;
     TrafficCounters &traffic();
+    /// Closes all connections and goes on accepting; their streams end with ConnectionLost.
+    void closeConnections();
     /// Stops accepting and closes all connections; their streams end with ConnectionLost.
     void stop();
 
@@ -52,7 +56,9 @@
                   MessageServerOptions options);
     void acceptNext();
     void startHandshake(asio::ip::tcp::socket socket);
-    void startSession(const std::shared_ptr<Handshake> &handshake);
+    void startSecureSession(const std::shared_ptr<Handshake> &handshake);
+    /// `peer` is empty without TLS; each stream then names its sender.
+    void startSession(std::optional<PeerIdentity> peer, std::unique_ptr<ByteTransport> transport);
     Http2StreamHandlers acceptStream(const PeerIdentity &peer, const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream);
 
     asio::io_context &m_context;
--- a/include/jujubequay/service/announce_client.h
+++ b/include/jujubequay/service/announce_client.h
@@ -21,6 +21,8 @@
     void start();
     void stop();
     void setState(jujubequay::pb::ServerState state);
+    void setServer(jujubequay::pb::ServerEntry server);
+    void setControlHosts(std::vector<HostAddress> addresses);
     const Announcer &announcer() const;
 
 private:
--- a/include/jujubequay/service/announcer.h
+++ b/include/jujubequay/service/announcer.h
@@ -51,10 +51,15 @@
     AnnouncerEffects closed(TimePoint now, std::uint64_t stream);
     /// Announces another state at once.
     AnnouncerEffects setState(TimePoint now, jujubequay::pb::ServerState state);
+    /// Announces another server at once, for example a new process at the same address. Name and relay address stay.
+    AnnouncerEffects setServer(TimePoint now, jujubequay::pb::ServerEntry server);
+    /// Replaces the control hosts of the options.
+    void setControlHosts(std::vector<HostAddress> addresses);
 
     /// True once a control host has accepted the current state.
     bool isAccepted() const;
     jujubequay::pb::ServerState state() const;
+    const jujubequay::pb::ServerEntry &server() const;
 
 private:
     void open(TimePoint now, AnnouncerEffects &effects);
--- a/include/jujubequay/service/config_watcher.h
+++ b/include/jujubequay/service/config_watcher.h
@@ -25,13 +25,16 @@
                   WatchSubscriberOptions options,
                   std::vector<HostAddress> peers,
                   std::mt19937_64 &random,
-                  ConfigSnapshotHandler onConfig);
+                  ConfigSnapshotHandler onConfig,
+                  std::function<void(const std::vector<HostAddress> &)> onControlHosts = {});
 
     void start();
     void stop();
     /// A refused opening showed that a newer state exists; a stream that is slow to deliver it is replaced at once.
     void refresh(std::uint64_t revision);
     void setFlowKeysInUse(std::vector<std::uint32_t> numbers);
+    /// The control hosts of the settings, after a change.
+    void setControlHosts(std::vector<HostAddress> addresses);
 
     /// Answers "/peer" streams of other balancers.
     MessageStreamHandlers acceptPeer(const std::shared_ptr<MessageStream> &stream);
@@ -49,6 +52,7 @@
     MessageClient &m_client;
     const std::vector<HostAddress> m_peers;
     ConfigSnapshotHandler m_onConfig;
+    std::function<void(const std::vector<HostAddress> &)> m_onControlHosts;
     WatchSubscriber m_subscriber;
     asio::steady_timer m_timer;
     std::shared_ptr<MessageStream> m_stream;
--- /dev/null
+++ b/include/jujubequay/steering/agent_steering.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <jujubequay/core/clock.h>
+#include <jujubequay/steering/balancer_steering.h>
+#include <jujubequay/steering/segment.h>
+#include <jujubequay/steering/server_directory.h>
+#include <jujubequay/steering/steer_message.h>
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Jujubequay {
+
+/// The server beside an agent, as it announced itself.
+struct LocalServer {
+    ServiceKey service;
+    Incarnation incarnation; ///< differs between starts
+    bool takesNewFlows = false;
+    std::uint16_t slots = 1;
+    bool operator==(const LocalServer &) const = default;
+};
+
+/// Hand the packet to the server beside this agent.
+struct DeliverToServer {
+};
+/// Hand the packet to the caller.
+struct SendToCaller {
+};
+using AgentDecision = std::variant<DeliverToServer, SendToCaller, RelayToAgent, ResetCaller, DropPacket>;
+
+/// A notice that goes with a decision.
+struct NoticeTo {
+    HostAddress destination;
+    OwnerNotice notice;
+};
+
+struct AgentSteeringOptions {
+    HostAddress agent; ///< own address among agents
+    /// How long a flow without packets, or a pointer to another agent, is kept.
+    Duration flowMemory = std::chrono::seconds(75);
+    /// How long the end of a flow is remembered for late copies of its packets.
+    Duration endMemory = std::chrono::seconds(4);
+    /// Agents that a packet may visit after the first one.
+    std::uint8_t maxHops = 8;
+};
+
+/// The agent's decision for each packet, both ways. State machine without network.
+///
+/// The agent sees every packet of its server, so it knows which flows the server holds. Only an agent that has started after its
+/// server asks the server about unknown flows: it delivers their packets and passes on those that come back.
+class AgentSteering
+{
+public:
+    explicit AgentSteering(AgentSteeringOptions options);
+
+    void update(TimePoint now, const ConfigSnapshot &snapshot);
+    /// `isFresh`: this agent has seen all flows of the server, because the server has just started.
+    /// Returns the open flows of a server that it replaces; their callers must be told.
+    std::vector<ResetCaller> setServer(TimePoint now, const std::optional<LocalServer> &server, bool isFresh);
+
+    /// A caller's packet from a balancer or another agent. Notices are added to `notices`.
+    AgentDecision fromPeer(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
+    /// A packet of the server.
+    AgentDecision fromServer(TimePoint now, const Segment &segment, std::vector<NoticeTo> &notices);
+    void notice(TimePoint now, const OwnerNotice &notice);
+    /// Forgets flows without packets; call about once a second.
+    void expire(TimePoint now);
+
+    /// Load for balancers.
+    LoadNotice load() const;
+    /// Balancers that have sent packets within the last seconds.
+    std::vector<HostAddress> recentBalancers() const;
+    std::size_t flowCount() const;
+    const ServerDirectory &directory() const;
+
+private:
+    enum class FlowState : std::uint8_t {
+        Offered, ///< an opening packet was delivered
+        Accepted, ///< the server has answered it
+        Open,
+        Asked, ///< delivered to find out whether the server holds the flow
+        Ended,
+        Elsewhere, ///< held by the server of another agent
+        Lost, ///< the server that held it is gone
+    };
+    struct Flow {
+        FlowState state = FlowState::Offered;
+        TimePoint lastUsed{};
+        SteerHeader header; ///< of the last opening packet or question
+        std::uint32_t serverSequence = 0; ///< that the server has opened with
+        std::uint32_t callerAcknowledgement = 0;
+        HostAddress elsewhere;
+        bool isWaiting = false; ///< the caller has sent data that has not been answered yet
+        bool hasCallerEnded = false;
+        bool hasServerEnded = false;
+    };
+
+    AgentDecision open(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
+    AgentDecision forward(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
+    AgentDecision deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
+    AgentDecision passOpeningOn(const SteerHeader &header, const Segment &segment, SteerCause cause) const;
+    AgentDecision passOn(const SteerHeader &header, const FlowEnds &ends) const;
+    AgentDecision returned(TimePoint now, const Segment &segment);
+    bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
+    /// Tells the homes of a flow where it is.
+    void opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const;
+    void setWaiting(Flow &flow, bool isWaiting);
+    void end(TimePoint now, Flow &flow);
+    Flow &insert(const FlowEnds &ends, FlowState state, TimePoint now);
+    void forget(Flow &flow);
+    static bool isHeld(const Flow &flow);
+
+    const AgentSteeringOptions m_options;
+    ServerDirectory m_directory;
+    std::optional<LocalServer> m_server;
+    TimePoint m_knowsAllSince{}; ///< from then on the agent knows each flow of the server
+    std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
+    std::unordered_map<FlowEnds, Flow> m_flows;
+    std::unordered_map<HostAddress, TimePoint> m_balancers;
+    std::size_t m_waiting = 0;
+    std::size_t m_held = 0;
+};
+
+}
--- /dev/null
+++ b/include/jujubequay/steering/segment.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <jujubequay/core/identifiers.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace Jujubequay {
+
+/// The two ends of a flow. Callers and servers of other protocols put no identifier into their packets, so the ends are all that
+/// names a flow.
+struct FlowEnds {
+    HostAddress caller;
+    HostAddress service; ///< address that callers use, not that of a server
+    bool operator==(const FlowEnds &) const = default;
+};
+
+std::uint64_t hashOf(const FlowEnds &ends);
+
+/// What the system reads of a packet; the packet itself is passed on unchanged.
+struct Segment {
+    HostAddress source;
+    HostAddress destination;
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledgement = 0;
+    std::uint16_t length = 0; ///< of the data, in bytes
+    bool isOpening = false; ///< opens a flow, or accepts the opening if `isAnswer` is set too
+    bool isAnswer = false; ///< acknowledges something
+    bool isFinal = false; ///< the sender has sent everything
+    bool isReset = false;
+    bool isReturned = false; ///< the server does not hold the flow or cannot take it
+    /// Opening packets of callers: number of earlier copies.
+    std::uint32_t copy = 0;
+};
+
+/// The flow of a packet that a caller has sent.
+FlowEnds endsFromCaller(const Segment &segment);
+/// The flow of a packet that a server has sent.
+FlowEnds endsFromServer(const Segment &segment);
+
+}
+
+template<>
+struct std::hash<Jujubequay::FlowEnds> {
+    std::size_t operator()(const Jujubequay::FlowEnds &ends) const noexcept
+    {
+        return Jujubequay::hashOf(ends);
+    }
+};
--- /dev/null
+++ b/include/jujubequay/steering/steer_message.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <jujubequay/control/route_table.h>
+#include <jujubequay/core/identifiers.h>
+#include <jujubequay/steering/segment.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <variant>
+
+namespace Jujubequay {
+
+/// Precedes a caller's packet on its way between balancers and agents.
+struct SteerHeader {
+    std::uint8_t hops = 0; ///< agents that have passed the packet on
+    bool wantsOwner = false; ///< the balancer does not know who holds the flow and asks to be told
+    std::uint64_t tableVersion = 0; ///< route table of the balancer
+    ServiceKey service; ///< chosen for an opening packet
+    HostAddress balancer; ///< where notices go
+};
+
+/// Tells a balancer or an agent which agent holds a flow.
+struct OwnerNotice {
+    FlowEnds ends;
+    HostAddress owner;
+};
+
+/// Load of the server beside an agent, for balancers.
+struct LoadNotice {
+    HostAddress agent;
+    std::uint16_t waiting = 0; ///< flows with a request that has not been answered yet
+    std::uint16_t openFlows = 0;
+    std::uint16_t slots = 0; ///< requests that the server runs at the same time
+    bool takesNewFlows = false;
+};
+
+constexpr std::size_t steerHeaderLength = 22;
+constexpr std::size_t ownerNoticeLength = 20;
+constexpr std::size_t loadNoticeLength = 15;
+
+/// A datagram between balancers and agents.
+struct SteeredPacket {
+    SteerHeader header;
+    std::span<std::uint8_t> packet;
+};
+using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice>;
+
+/// Writes the header into the given bytes.
+void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
+std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice);
+std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
+/// Empty for anything that is not a complete message of this version.
+std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram);
+
+}
--- /dev/null
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <jujubequay/core/log.h>
+#include <jujubequay/daemon/steering_settings.h>
+#include <jujubequay/datapath/datagram_batch.h>
+#include <jujubequay/steering/agent_steering.h>
+#include <jujubequay/steering/packet_codec.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Jujubequay {
+
+/// Counted on the traffic thread, read by the control thread.
+struct AgentTrafficCounters {
+    std::atomic<std::uint64_t> delivered = 0;
+    std::atomic<std::uint64_t> answered = 0;
+    std::atomic<std::uint64_t> passedOn = 0;
+    std::atomic<std::uint64_t> reset = 0;
+    std::atomic<std::uint64_t> dropped = 0;
+    std::atomic<std::uint64_t> unreadable = 0;
+    std::atomic<std::uint64_t> notSent = 0;
+};
+
+/// The sockets of an agent beside a server that opens and ends flows by itself. Used on the traffic thread, apart from the counters.
+class AgentTraffic
+{
+public:
+    /// Fails with AddressUnavailable.
+    static Result<std::unique_ptr<AgentTraffic>>
+    open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings);
+
+    void start();
+    void update(const ConfigSnapshotPointer &snapshot);
+    /// Tells the callers of a server that is gone.
+    void setServer(const std::optional<LocalServer> &server, bool isFresh);
+    const AgentTrafficCounters &counters() const;
+
+private:
+    AgentTraffic(asio::io_context &context,
+                 const Clock &clock,
+                 Logger &logger,
+                 const PacketCodec &codec,
+                 const SteeringAgentSettings &settings,
+                 asio::ip::udp::socket peers,
+                 asio::ip::udp::socket server);
+    void waitForPeers();
+    void waitForServer();
+    void scheduleExpiry();
+    void scheduleLoadNotices();
+    void receiveFromPeers();
+    void receiveFromServer();
+    void handle(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram);
+    void carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
+    void relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
+    void reset(const ResetCaller &decision);
+    void logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet);
+    void sendNotices();
+    std::vector<std::uint8_t> &keep(std::span<const std::uint8_t> bytes);
+    void flush();
+
+    const Clock &m_clock;
+    Logger &m_logger;
+    const PacketCodec &m_codec;
+    const HostAddress m_serverInput;
+    AgentSteering m_steering;
+    asio::ip::udp::socket m_peers;
+    asio::ip::udp::socket m_server;
+    asio::steady_timer m_expiryTimer;
+    asio::steady_timer m_loadTimer;
+    DatagramReader m_reader;
+    DatagramWriter m_toPeers; ///< agents, balancers and callers
+    DatagramWriter m_toServer;
+    std::deque<std::vector<std::uint8_t>> m_kept; ///< bytes that wait for the next flush
+    std::vector<NoticeTo> m_notices;
+    AgentTrafficCounters m_counters;
+};
+
+}
--- /dev/null
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <jujubequay/service/announce_client.h>
+#include <jujubequay/steering_program/agent_traffic.h>
+#include <jujubequay/steering_program/server_announcements.h>
+#include <jujubequay/steering_program/settings_watcher.h>
+#include <jujubequay/steering_program/steering_balancer_process.h>
+#include <jujubequay/steering_program/steering_services.h>
+#include <jujubequay/steering_program/traffic_loop.h>
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <filesystem>
+
+namespace Jujubequay {
+
+/// An agent beside a server that opens and ends flows by itself, as a process.
+class SteeringAgentProcess
+{
+public:
+    SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec);
+    ~SteeringAgentProcess();
+    SteeringAgentProcess(const SteeringAgentProcess &) = delete;
+    SteeringAgentProcess &operator=(const SteeringAgentProcess &) = delete;
+
+    /// Fails with AddressUnavailable.
+    Result<void> start();
+    /// Returns after SIGTERM or SIGINT.
+    void run();
+    bool isReady() const;
+    asio::io_context &context();
+    Logger &logger();
+
+    /// An announcement of the server; it is in effect on return.
+    void announced(const ServerAnnouncement &announcement);
+    /// The server ends.
+    void left(const std::string &id);
+
+private:
+    void apply(const ConfigSnapshotPointer &snapshot);
+    void applyServer(bool isFresh);
+    jujubequay::pb::ServerEntry entry() const;
+    void serverEnded();
+    void reloadSeeds();
+    void waitForStop();
+    void scheduleCheck();
+    void publishMetrics();
+
+    const SteeringAgentSettings m_settings;
+    const SeedReader m_readSeeds;
+    const PacketCodec &m_codec;
+    asio::io_context m_context{1};
+    SteeringServices m_services;
+    SettingsWatcher m_settingsWatcher;
+    asio::signal_set m_stopSignals;
+    asio::steady_timer m_checkTimer;
+    asio::steady_timer m_endTimer;
+    TrafficLoop m_loop;
+    std::unique_ptr<AgentTraffic> m_traffic;
+    std::shared_ptr<ConfigWatcher> m_watcher;
+    std::shared_ptr<AnnounceClient> m_announceClient;
+    ServerAnnouncements m_announcements;
+    std::optional<LocalServer> m_local;
+    bool m_isAnnouncing = false;
+    bool m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/include/jujubequay/steering_program/steering_balancer_process.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <jujubequay/steering_program/balancer_traffic.h>
+#include <jujubequay/steering_program/settings_watcher.h>
+#include <jujubequay/steering_program/steering_services.h>
+#include <jujubequay/steering_program/traffic_loop.h>
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <filesystem>
+#include <functional>
+
+namespace Jujubequay {
+
+/// Reads the settings of a process again; fails with BadSettings.
+using SeedReader = std::function<Result<std::vector<HostAddress>>()>;
+
+/// A balancer that steers flows without identifiers, as a process.
+class SteeringBalancerProcess
+{
+public:
+    SteeringBalancerProcess(SteeringBalancerSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec);
+    ~SteeringBalancerProcess();
+    SteeringBalancerProcess(const SteeringBalancerProcess &) = delete;
+    SteeringBalancerProcess &operator=(const SteeringBalancerProcess &) = delete;
+
+    /// Fails with AddressUnavailable.
+    Result<void> start();
+    /// Returns after SIGTERM or SIGINT.
+    void run();
+    /// True while it can place and forward flows and is not about to stop.
+    bool isReady() const;
+    asio::io_context &context();
+    Logger &logger();
+
+private:
+    void apply(const ConfigSnapshotPointer &snapshot);
+    void reloadSeeds();
+    void waitForStop();
+    void publishMetrics();
+
+    const SteeringBalancerSettings m_settings;
+    const SeedReader m_readSeeds;
+    const PacketCodec &m_codec;
+    asio::io_context m_context{1};
+    SteeringServices m_services;
+    SettingsWatcher m_settingsWatcher;
+    asio::signal_set m_stopSignals;
+    asio::steady_timer m_drainTimer;
+    asio::steady_timer m_metricsTimer;
+    TrafficLoop m_loop;
+    std::unique_ptr<BalancerTraffic> m_traffic;
+    std::shared_ptr<ConfigWatcher> m_watcher;
+    bool m_hasConfig = false;
+    bool m_isStopping = false;
+};
+
+}
--- a/src/jujubequay/consensus/membership.cpp
+++ b/src/jujubequay/consensus/membership.cpp
@@ -57,6 +57,25 @@
 
 }
 
+std::string describe(const MembershipChange &change)
+{
+    struct Visitor {
+        std::string operator()(const AddLearner &change) const
+        {
+            return fmt::format("add-learner {} {}", change.id, change.address);
+        }
+        std::string operator()(const PromoteLearner &change) const
+        {
+            return fmt::format("promote {}", change.id);
+        }
+        std::string operator()(const RemoveMember &change) const
+        {
+            return fmt::format("remove {}", change.id);
+        }
+    };
+    return std::visit(Visitor{}, change);
+}
+
 const pb::Member *findMember(const pb::Membership &membership, std::string_view id)
 {
     const auto found = std::find_if(membership.members().begin(), membership.members().end(), [id](const pb::Member &member) {
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -259,6 +259,12 @@
         && progress->second.match > 0;
 }
 
+std::optional<TimePoint> Replica::lastContact(const std::string &id) const
+{
+    const auto progress = m_progress.find(id);
+    return progress == m_progress.end() ? std::nullopt : std::optional(progress->second.lastContact);
+}
+
 bool Replica::toleratesLoss() const
 {
     if (m_role != Role::Leader || m_membershipIndex > m_commit || m_termStartIndex > m_commit) {
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -1,5 +1,7 @@
 #include <jujubequay/control/control_host_service.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace Jujubequay {
@@ -12,6 +14,23 @@
 /// A tick walks all entries: 4.8 ms with 33,000 of them, so 20 ticks a second would take a tenth of a core.
 constexpr auto registryTickInterval = std::chrono::milliseconds(250);
 constexpr std::uint64_t noReplyStream = 0;
+/// A member that hears no leader for this long may have been removed while it was cut off.
+constexpr auto joinAfterSilence = std::chrono::seconds(2);
+
+pb::JoinRequest ownJoinRequest(const std::string &diskId, const ControlHostOptions &options)
+{
+    pb::JoinRequest request;
+    request.set_disk_id(diskId);
+    request.set_host(options.host);
+    request.set_address(options.address);
+    return request;
+}
+
+std::string randomOperation(std::mt19937_64 &random)
+{
+    return fmt::format("routes-{:016x}{:016x}", random(), random());
+}
+
 
 }
 
@@ -47,9 +66,9 @@
                            receiveRaft(host, bytes, noReplyStream);
                        },
                    .opened = [](const std::string &) {}})
-    , m_exchange(m_environment.clock, m_environment.client, m_environment.random, m_registry, m_reports, m_options.registryExchange)
+    , m_exchange(m_environment.clock, m_environment.client, m_environment.random, m_registry, m_reports, RegistryExchange::Options{m_options.registryExchange, m_options.registryFillTime})
     , m_watch(m_environment.clock, m_driver, m_watchServer)
-    , m_announce(m_environment.clock, m_environment.wallClock, m_driver.state(), m_registry)
+    , m_announce(m_environment.clock, m_environment.wallClock, m_driver.state(), m_registry, m_options.acceptsAnyService ? AnnounceService::Permissions::AnyService : AnnounceService::Permissions::Bundles)
     , m_operators(m_environment.clock,
                   m_environment.logger,
                   m_driver,
@@ -63,7 +82,22 @@
                        [this](const pb::StatusRequest &request, pb::StatusAnswer &status) {
                            fillStatus(request, status);
                        }})
+    , m_join(m_environment.clock,
+             m_environment.logger,
+             m_environment.client,
+             ownJoinRequest(m_driver.replica().id(), m_options),
+             {.leaderAddress =
+                  [this] {
+                      return leaderAddress();
+                  },
+              .requested =
+                  [this](const pb::JoinRequest &request) {
+                      handleJoin(request);
+                  }})
 {
+    if (m_options.keeper) {
+        m_keeper.emplace(*m_options.keeper);
+    }
 }
 
 void ControlHostService::start()
@@ -81,6 +115,9 @@
     if (path == "/registry" && role == "control") {
         return m_exchange.accept(stream);
     }
+    if (path == "/join" && role == "control" && m_keeper) {
+        return m_join.accept(stream);
+    }
     if (path == "/watch" && (role == "balancer" || role == "agent")) {
         return m_watch.accept(stream);
     }
@@ -112,7 +149,13 @@
     if (now - m_lastPromotion >= promotionInterval) {
         m_lastPromotion = now;
         updatePeers();
-        promoteLearners();
+        if (!m_keeper) {
+            promoteLearners();
+        }
+    }
+    if (m_keeper) {
+        keepMembership();
+        joinIfNeeded();
     }
 }
 
@@ -194,6 +237,11 @@
     }
     m_raftLinks.setPeers(peers);
     m_exchange.setPeers(peers);
+    std::vector<std::string> addresses;
+    for (const pb::Member &member : m_driver.replica().membership().members()) {
+        addresses.push_back(member.address());
+    }
+    m_watchServer.setControlHosts(std::move(addresses));
 }
 
 void ControlHostService::promoteLearners()
@@ -215,6 +263,138 @@
     }
 }
 
+void ControlHostService::keepMembership()
+{
+    const Consensus::Replica &replica = m_driver.replica();
+    const TimePoint now = m_environment.clock.now();
+    if (replica.role() != Consensus::Role::Leader) {
+        return;
+    }
+    if (m_leadingTerm != replica.term()) {
+        m_leadingTerm = replica.term();
+        m_leadingSince = now;
+    }
+    if (m_isChangingMembership) {
+        return;
+    }
+    std::vector<MemberStatus> members;
+    for (const pb::Member &member : replica.membership().members()) {
+        const bool isSelf = member.id() == replica.id();
+        const TimePoint heard = isSelf ? now : replica.lastContact(member.id()).value_or(now);
+        members.push_back({member.id(), member.host(), member.voter(), isSelf, replica.isCaughtUp(now, member.id()), now - heard});
+    }
+    const auto change = m_keeper->next(now, members);
+    if (!change) {
+        return;
+    }
+    m_isChangingMembership = true;
+    m_driver.changeMembership(*change, [this, change = *change](const pb::CommandAnswer &answer) {
+        m_isChangingMembership = false;
+        const auto result = static_cast<ResultCode>(answer.result());
+        m_environment.logger.info("membership-change",
+                                  {{"change", describe(change)},
+                                   {"voters", Consensus::voterCount(m_driver.replica().membership())},
+                                   {"result", resultName(result)},
+                                   {"detail", answer.detail()}});
+    });
+}
+
+void ControlHostService::joinIfNeeded()
+{
+    const Consensus::Replica &replica = m_driver.replica();
+    const TimePoint now = m_environment.clock.now();
+    const bool isMember = Consensus::findMember(replica.membership(), replica.id()) != nullptr;
+    if (!replica.leader().empty()) {
+        m_leaderHeardAt = now;
+    }
+    if (isMember && now - m_leaderHeardAt < joinAfterSilence) {
+        return;
+    }
+    std::vector<HostAddress> hosts;
+    for (const pb::Member &member : replica.membership().members()) {
+        const auto address = parseHostAddress(member.address());
+        if (member.id() != replica.id() && address) {
+            hosts.push_back(*address);
+        }
+    }
+    for (const HostAddress &seed : m_seeds) {
+        const bool isOther = toString(seed) != m_options.address && std::find(hosts.begin(), hosts.end(), seed) == hosts.end();
+        if (isOther) {
+            hosts.push_back(seed);
+        }
+    }
+    m_join.ask(hosts);
+}
+
+void ControlHostService::handleJoin(const pb::JoinRequest &request)
+{
+    if (m_driver.replica().role() != Consensus::Role::Leader) {
+        return;
+    }
+    if (request.leaving()) {
+        m_keeper->leaveAnnounced(m_environment.clock.now(), request.disk_id());
+    } else {
+        m_keeper->joinRequested(m_environment.clock.now(), {request.disk_id(), request.host(), request.address()});
+    }
+}
+
+void ControlHostService::setSeeds(std::vector<HostAddress> seeds)
+{
+    m_seeds = std::move(seeds);
+}
+
+void ControlHostService::announceLeave()
+{
+    const auto leader = parseHostAddress(leaderAddress());
+    if (m_keeper && leader && m_driver.replica().role() != Consensus::Role::Leader) {
+        m_join.announceLeave(*leader);
+    }
+}
+
+// ---- Routes ----
+
+// Until the wanted number of disks holds a change, the loss of as many as may be lost could take an accepted change with it.
+bool ControlHostService::hasEnoughVoters() const
+{
+    const bool isPatient = m_environment.clock.now() - m_leadingSince < m_options.votersPatience;
+    return !m_keeper || !isPatient || Consensus::voterCount(m_driver.replica().membership()) >= m_options.keeper->voters;
+}
+
+void ControlHostService::replaceRoutes(const pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler)
+{
+    const bool isLeader = m_driver.replica().role() == Consensus::Role::Leader;
+    if (isLeader && !hasEnoughVoters()) {
+        handler({ResultCode::NoQuorum, "too few control hosts have joined", {}});
+        return;
+    }
+    pb::Command command;
+    command.set_operation_id(randomOperation(m_environment.random));
+    command.set_operations_seen(m_driver.state().operationsApplied());
+    *command.mutable_replace_routes() = change;
+    pb::LoggedCommand logged;
+    logged.set_command(command.SerializeAsString());
+    m_driver.propose(logged, [this, version = change.table().version(), handler = std::move(handler)](const pb::CommandAnswer &answer) {
+        const auto result = static_cast<ResultCode>(answer.result());
+        std::string leaderHost;
+        if (result == ResultCode::NotLeader) {
+            const pb::Member *leader = Consensus::findMember(m_driver.replica().membership(), m_driver.replica().leader());
+            leaderHost = leader == nullptr ? std::string() : leader->host();
+        }
+        m_environment.logger.info("route-change",
+                                  {{"version", version},
+                                   {"in_force", m_driver.state().routes().table().version()},
+                                   {"result", resultName(result)},
+                                   {"detail", answer.detail()},
+                                   {"leader", leaderHost}});
+        handler({result, answer.detail(), leaderHost});
+    });
+}
+
+void ControlHostService::confirmRoutes(std::function<void(ResultCode)> handler)
+{
+    m_driver.confirm(std::move(handler));
+}
+
 // ---- Status ----
 
 std::string ControlHostService::leaderAddress() const
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Agents return within their longest retry wait; after that a registry without a complete peer counts as filled.
-constexpr Duration fillTime = std::chrono::seconds(10);
-
 template<class Message>
 std::optional<Message> parsed(const Bytes &bytes)
 {
@@ -141,11 +138,12 @@
 
 // ---- Announce ----
 
-AnnounceService::AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry)
+AnnounceService::AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry, Permissions permissions)
     : m_clock(clock)
     , m_wallClock(std::move(wallClock))
     , m_state(state)
     , m_registry(registry)
+    , m_mode(permissions)
 {
 }
 
@@ -187,7 +185,7 @@
 bool AnnounceService::isAllowed(std::uint64_t id, const std::string &peer, const pb::ServerEntry &entry)
 {
     Permission &last = m_permissions[id];
-    const bool isChecked = last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
+    const bool isChecked = m_mode == Permissions::AnyService || last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
     if (!isChecked && !m_state.mayAnnounce(entry.service(), entry.name())) {
         return false;
     }
@@ -198,7 +196,7 @@
 // ---- Registry ----
 
 RegistryExchange::RegistryExchange(
-    const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Duration interval)
+    const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportBoard &reports, Options options)
     : m_clock(clock)
     , m_registry(registry)
     , m_reports(reports)
@@ -210,7 +208,7 @@
                    [this](const std::string &host) {
                        m_positions[host] = Position();
                    }})
-    , m_interval(interval)
+    , m_options(options)
     , m_startedAt(clock.now())
 {
 }
@@ -269,9 +267,9 @@
 void RegistryExchange::tick()
 {
     const TimePoint now = m_clock.now();
-    m_isFilled = m_isFilled || now - m_startedAt >= fillTime;
+    m_isFilled = m_isFilled || now - m_startedAt >= m_options.fillTime;
     m_links.tick(now);
-    if (now - m_lastExchange < m_interval) {
+    if (now - m_lastExchange < m_options.interval) {
         return;
     }
     m_lastExchange = now;
--- a/src/jujubequay/control/control_state.cpp
+++ b/src/jujubequay/control/control_state.cpp
@@ -94,8 +94,9 @@
 
     const std::uint64_t revisionBefore = m_revision;
     Answer answer = execute(logged, command);
-    checkInvariant(m_revision == revisionBefore || (isAccepted(answer) && command.has_roll() && m_revision == revisionBefore + 1),
-                   "the revision rises by one, for an accepted roll only");
+    const bool changesConfig = command.has_roll() || command.has_replace_routes();
+    checkInvariant(m_revision == revisionBefore || (isAccepted(answer) && changesConfig && m_revision == revisionBefore + 1),
+                   "the revision rises by one, for an accepted change of configuration only");
 
     pb::OperationRecord record;
     record.set_operation_id(command.operation_id());
@@ -122,6 +123,8 @@
         return activateFlowKey(command.activate_flow_key(), logged);
     case pb::Command::kRetireFlowKey:
         return retireFlowKey(command.retire_flow_key(), logged);
+    case pb::Command::kReplaceRoutes:
+        return replaceRoutes(command.replace_routes());
     case pb::Command::kMembership:
     case pb::Command::KIND_NOT_SET:
         break;
@@ -444,6 +447,23 @@
     return accepted();
 }
 
+// ---- Routes ----
+
+// An older or equal version is accepted without effect: it is a resend, or a newer one has overtaken it.
+ControlState::Answer ControlState::replaceRoutes(const pb::ReplaceRoutes &command)
+{
+    if (command.table().version() > m_routes.table().version()) {
+        m_routes = command;
+        m_routesRevision = ++m_revision;
+    }
+    return accepted();
+}
+
+const pb::ReplaceRoutes &ControlState::routes() const
+{
+    return m_routes;
+}
+
 // ---- Queries ----
 
 std::uint64_t ControlState::revision() const
@@ -490,6 +510,9 @@
             *delta.add_services() = configOf(name, service);
         }
     }
+    if (m_routesRevision > revision) {
+        *delta.mutable_routes() = m_routes.table();
+    }
     delta.set_flow_key_revision(m_flowKeyRevision);
     if (flowKeyRevision < m_flowKeyRevision) {
         for (const auto &entry : m_flowKeys) {
@@ -577,6 +600,8 @@
     for (const auto &entry : m_flowKeys) {
         *snapshot.add_flow_keys() = entry.second;
     }
+    *snapshot.mutable_routes() = m_routes;
+    snapshot.set_routes_revision(m_routesRevision);
     m_operations.save(snapshot);
 
     Bytes bytes(snapshot.ByteSizeLong());
@@ -610,6 +635,8 @@
     for (const pb::FlowKeyEntry &key : snapshot.flow_keys()) {
         state.m_flowKeys[key.number()] = key;
     }
+    state.m_routes = snapshot.routes();
+    state.m_routesRevision = snapshot.routes_revision();
     state.m_operations.load(snapshot);
     if (!state.holdsInvariants()) {
         return fail(ResultCode::DiskDamaged, "the snapshot of the control state breaks an invariant");
@@ -619,6 +646,9 @@
 
 bool ControlState::holdsInvariants() const
 {
+    if (m_routesRevision > m_revision || (m_routesRevision == 0) != (m_routes.table().version() == 0)) {
+        return false;
+    }
     std::set<std::uint16_t> numbers;
     for (const auto &[name, service] : m_services) {
         const bool isNumberUnique = service.id.value != 0 && service.id.value <= m_lastServiceId && numbers.insert(service.id.value).second;
--- /dev/null
+++ b/src/jujubequay/control/join_service.cpp
@@ -0,0 +1,87 @@
+#include <jujubequay/control/join_service.h>
+
+#include <optional>
+#include <utility>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+// A request takes two round trips between availability zones; a lost one must not delay a repair noticeably.
+constexpr auto askInterval = std::chrono::milliseconds(300);
+
+}
+
+JoinService::JoinService(const Clock &clock, Logger &logger, MessageClient &client, pb::JoinRequest own, Handlers handlers)
+    : m_clock(clock)
+    , m_logger(logger)
+    , m_client(client)
+    , m_own(std::move(own))
+    , m_handlers(std::move(handlers))
+    , m_leaderHint(std::make_shared<std::string>())
+{
+}
+
+MessageStreamHandlers JoinService::accept(const std::shared_ptr<MessageStream> &stream)
+{
+    const std::uint64_t id = m_accepted.add(stream);
+    MessageStreamHandlers handlers;
+    handlers.message = [this, id](const Bytes &bytes) {
+        receive(id, bytes);
+    };
+    handlers.closed = [this, id](ResultCode) {
+        m_accepted.remove(id);
+    };
+    return handlers;
+}
+
+void JoinService::receive(std::uint64_t id, const Bytes &bytes)
+{
+    MessageStream *stream = m_accepted.find(id);
+    pb::JoinRequest request;
+    if (stream == nullptr || !request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        m_logger.warning("join-request-unreadable", {{"bytes", bytes.size()}});
+        return;
+    }
+    m_handlers.requested(request);
+    pb::JoinAnswer answer;
+    answer.set_leader_address(m_handlers.leaderAddress());
+    stream->send(answer);
+    stream->close();
+}
+
+void JoinService::ask(const std::vector<HostAddress> &hosts)
+{
+    const TimePoint now = m_clock.now();
+    if (now - m_lastAsked < askInterval || hosts.empty()) {
+        return;
+    }
+    m_lastAsked = now;
+    const auto leader = parseHostAddress(std::exchange(*m_leaderHint, {}));
+    send(leader.value_or(hosts[m_next++ % hosts.size()]), false);
+}
+
+void JoinService::announceLeave(const HostAddress &leader)
+{
+    send(leader, true);
+}
+
+void JoinService::send(const HostAddress &host, bool isLeaving)
+{
+    MessageStreamHandlers handlers;
+    handlers.message = [hint = m_leaderHint](const Bytes &bytes) {
+        pb::JoinAnswer answer;
+        if (answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            *hint = answer.leader_address();
+        }
+    };
+    handlers.closed = [](ResultCode) {};
+    pb::JoinRequest request = m_own;
+    request.set_leaving(isLeaving);
+    m_stream = m_client.open(host, "/join", std::move(handlers));
+    m_stream->send(request);
+}
+
+}
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -113,6 +113,15 @@
     m_isRegistryReady = ready;
 }
 
+void WatchServer::setControlHosts(std::vector<std::string> addresses)
+{
+    std::sort(addresses.begin(), addresses.end());
+    if (addresses != m_controlHosts) {
+        m_controlHosts = std::move(addresses);
+        ++m_controlHostsNumber;
+    }
+}
+
 WatchServerEffects WatchServer::pump(TimePoint now)
 {
     WatchServerEffects effects;
@@ -178,6 +187,7 @@
     const std::size_t before = effects.size();
     sendConfig(id, watcher, effects);
     sendRegistry(now, id, watcher, effects);
+    sendControlHosts(id, watcher, effects);
     if (effects.size() == before && now - watcher.lastSent >= m_options.heartbeat) {
         pb::WatchDown message;
         message.set_heartbeat(true);
@@ -200,6 +210,17 @@
     send(id, std::move(message), effects);
 }
 
+void WatchServer::sendControlHosts(WatcherId id, Watcher &watcher, WatchServerEffects &effects)
+{
+    if (watcher.controlHostsNumber == m_controlHostsNumber) {
+        return;
+    }
+    pb::WatchDown message;
+    message.mutable_control_hosts()->mutable_addresses()->Add(m_controlHosts.begin(), m_controlHosts.end());
+    watcher.controlHostsNumber = m_controlHostsNumber;
+    send(id, std::move(message), effects);
+}
+
 void WatchServer::sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
 {
     const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence;
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -21,12 +21,11 @@
 }
 
 // Rendezvous hashing spreads the watchers and moves only those of a control host that is added or removed.
-std::vector<HostAddress> rankedControlHosts(const WatchSubscriberOptions &options)
+std::vector<HostAddress> rankedControlHosts(std::vector<HostAddress> ranked, const std::string &host)
 {
-    std::vector<HostAddress> ranked = options.controlHosts;
-    std::sort(ranked.begin(), ranked.end(), [&options](const HostAddress &left, const HostAddress &right) {
-        const auto score = [&options](const HostAddress &address) {
-            return XXH3_64bits_withSeed(options.host.data(), options.host.size(), std::hash<HostAddress>()(address));
+    std::sort(ranked.begin(), ranked.end(), [&host](const HostAddress &left, const HostAddress &right) {
+        const auto score = [&host](const HostAddress &address) {
+            return XXH3_64bits_withSeed(host.data(), host.size(), std::hash<HostAddress>()(address));
         };
         return score(left) > score(right);
     });
@@ -109,9 +108,10 @@
 WatchSubscriber::WatchSubscriber(WatchSubscriberOptions options, std::mt19937_64 &random)
     : m_options(std::move(options))
     , m_random(random)
-    , m_choices(rankedControlHosts(m_options))
+    , m_configured(m_options.controlHosts)
     , m_snapshot(std::make_shared<ConfigSnapshot>())
 {
+    rankChoices();
     checkInvariant(!m_choices.empty(), "a subscriber knows a control host");
 }
 
@@ -129,6 +129,48 @@
     return effects;
 }
 
+void WatchSubscriber::setControlHosts(std::vector<HostAddress> addresses)
+{
+    if (addresses.empty() || addresses == m_configured) {
+        return;
+    }
+    m_configured = std::move(addresses);
+    rankChoices();
+}
+
+// Both lists are used: the configured one may be older than the learned one, or newer after a long cut.
+void WatchSubscriber::rankChoices()
+{
+    std::vector<HostAddress> configured;
+    std::copy_if(m_configured.begin(), m_configured.end(), std::back_inserter(configured), [this](const HostAddress &address) {
+        return std::find(m_learned.begin(), m_learned.end(), address) == m_learned.end();
+    });
+    m_choices = rankedControlHosts(m_learned, m_options.host);
+    const std::vector<HostAddress> rest = rankedControlHosts(std::move(configured), m_options.host);
+    m_choices.insert(m_choices.end(), rest.begin(), rest.end());
+    m_choice %= std::max<std::size_t>(m_choices.size(), 1);
+}
+
+void WatchSubscriber::takeControlHosts(const pb::ControlHosts &message, Effects &effects)
+{
+    std::vector<HostAddress> addresses;
+    for (const std::string &text : message.addresses()) {
+        if (const auto address = parseHostAddress(text)) {
+            addresses.push_back(*address);
+        }
+    }
+    if (addresses.empty() || addresses == m_learned) {
+        return;
+    }
+    const HostAddress current = m_choices[m_choice];
+    m_learned = addresses;
+    rankChoices();
+    // The open stream stays; a later failure goes on after this host.
+    const auto position = std::find(m_choices.begin(), m_choices.end(), current);
+    m_choice = position == m_choices.end() ? 0 : static_cast<std::size_t>(position - m_choices.begin());
+    effects.emplace_back(PublishControlHosts{std::move(addresses)});
+}
+
 void WatchSubscriber::open(TimePoint now, Effects &effects)
 {
     ++m_stream;
@@ -200,6 +242,9 @@
         m_isServed = true;
         m_failures = 0;
     }
+    if (message.has_control_hosts()) {
+        takeControlHosts(message.control_hosts(), effects);
+    }
     const bool isConfigNew = message.has_config() && takeConfig(message.config());
     const bool isRegistryNew = message.has_registry() && takeRegistry(message.registry());
     if (isConfigNew || isRegistryNew) {
@@ -227,6 +272,10 @@
     if (delta.full()) {
         m_services.clear();
     }
+    if (delta.has_routes()) {
+        checkInvariant(delta.routes().version() >= m_routes->version(), "the route table never returns to an older version");
+        m_routes = std::make_shared<RouteTable>(delta.routes());
+    }
     for (const pb::ServiceConfig &config : delta.services()) {
         const auto known = m_services.find(config.service());
         checkInvariant(known == m_services.end() || known->second.service_id() == config.service_id(), "the number of a service never changes");
@@ -283,6 +332,8 @@
     auto snapshot = std::make_shared<ConfigSnapshot>();
     snapshot->revision = m_revision;
     snapshot->flowKeyRevision = m_flowKeyRevision;
+    snapshot->routes = m_routes;
+    snapshot->isRegistryKnown = m_registrySequence != 0;
     snapshot->flowKeys = flowKeySetOf(m_flowKeys);
     for (const auto &[name, config] : m_services) {
         snapshot->services.push_back(serviceOf(config));
--- a/src/jujubequay/core/log.cpp
+++ b/src/jujubequay/core/log.cpp
@@ -3,6 +3,10 @@
 
 #include <fmt/chrono.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
 #include <cstdio>
 
 namespace Jujubequay {
@@ -80,7 +84,21 @@
 
 void Logger::write(const std::string &line)
 {
-    fmt::print(stderr, "{}", line);
+    if (m_options.output == LogOutput::StandardError) {
+        fmt::print(stderr, "{}", line);
+        return;
+    }
+    // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    const bool isWritable = line.size() <= PIPE_BUF && poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    if (!isWritable || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+        m_droppedLines.fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+std::uint64_t Logger::droppedLines() const
+{
+    return m_droppedLines.load(std::memory_order_relaxed);
 }
 
 void Logger::log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
--- /dev/null
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -0,0 +1,80 @@
+#include <jujubequay/daemon/steering_settings.h>
+
+namespace Jujubequay {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// The peers of control hosts listen on one port everywhere, while seeds are named with the port of operators' calls.
+std::vector<HostAddress> readSeeds(SettingsReader &reader)
+{
+    std::vector<HostAddress> seeds = reader.addresses("seeds", "control hosts to begin with");
+    const auto port = reader.integer("control_port", 0, {0, 65535}, "port of control streams at all control hosts; 0: as the seeds name it");
+    for (HostAddress &seed : seeds) {
+        seed.port = port == 0 ? seed.port : static_cast<std::uint16_t>(port);
+    }
+    return seeds;
+}
+
+DiscoverySettings readDiscoverySettings(SettingsReader &reader)
+{
+    DiscoverySettings settings;
+    settings.placement = readPlacement(reader);
+    settings.logLevel = readLogLevel(reader);
+    settings.seeds = readSeeds(reader);
+    settings.metricsAddress = reader.optionalAddress("metrics_address", "address that answers HTTP GET /metrics");
+    settings.keepAlive.interval = reader.duration("ping_interval_ms", 1s, {100ms, 10min}, "silence on a control connection after which the peer is probed");
+    settings.keepAlive.timeout = reader.duration("ping_timeout_ms", 700ms, {100ms, 10min}, "silence after a probe until the peer is considered dead");
+    settings.connectTimeout = reader.duration("connect_timeout_ms", 600ms, {50ms, 1min}, "time limit of a control connection attempt");
+    settings.retryLimit = reader.duration("retry_limit_ms", 500ms, {50ms, 1min}, "longest wait before another control host is tried");
+    settings.silenceLimit = reader.duration("silence_limit_ms", 1500ms, {200ms, 10min}, "silence of a control host after which another one is watched");
+    return settings;
+}
+
+}
+
+SteeringBalancerSettings readSteeringBalancerSettings(SettingsReader &reader)
+{
+    SteeringBalancerSettings settings;
+    settings.discovery = readDiscoverySettings(reader);
+    settings.callerAddress = reader.address("caller_address", "address on which callers' packets arrive (UDP)");
+    settings.peerAddress = reader.address("peer_address", "address on which notices of agents arrive (UDP)");
+    settings.readyAddress = reader.address("ready_address", "address that answers whether this balancer can forward (HTTP)");
+    settings.drainTime = reader.duration("drain_ms", 3500ms, {0ms, 10min}, "time to forward on after SIGTERM, while the fabric turns to others");
+    return settings;
+}
+
+SteeringAgentSettings readSteeringAgentSettings(SettingsReader &reader)
+{
+    SteeringAgentSettings settings;
+    settings.discovery = readDiscoverySettings(reader);
+    settings.relayAddress = reader.address("relay_address", "address on which packets of balancers and agents arrive (UDP)");
+    settings.serverOutput = reader.address("server_output", "address that the server sends its packets to (UDP)");
+    settings.serverInput = reader.address("server_input", "address on which the server receives packets (UDP)");
+    settings.readyAddress = reader.address("ready_address", "address that answers whether this agent runs (HTTP)");
+    settings.announceAddress = reader.address("announce_address", "address on which the server announces itself (HTTP)");
+    settings.callerAddress = reader.address("caller_address", "an address whose port is the one on which callers receive packets");
+    settings.announceInterval = reader.duration("announce_interval_ms", 1s, {50ms, 1min}, "interval at which the server announces itself");
+    return settings;
+}
+
+RouteControlSettings readRouteControlSettings(SettingsReader &reader)
+{
+    RouteControlSettings settings;
+    settings.discovery = readDiscoverySettings(reader);
+    settings.peerAddress = reader.address("peer_address", "address of control streams (TCP)");
+    settings.operatorAddress = reader.address("operator_address", "address of operators' calls (HTTP)");
+    settings.dataDirectory = reader.path("data_directory", "directory of the replicated log");
+    settings.isFirstStart = reader.flag("first_start", false, "the whole system starts for the first time, with empty disks");
+    settings.toleratedDiskLosses
+        = static_cast<std::size_t>(reader.integer("tolerated_disk_losses", 1, {0, 3}, "disks that may be lost at the same time without loss of state"));
+    auto consensus = reader.section("consensus");
+    settings.heartbeat = consensus.duration("heartbeat_ms", 100ms, {10ms, 10s}, "interval between messages from the leader");
+    settings.electionTimeout = consensus.duration("election_timeout_ms", 700ms, {50ms, 1min}, "shortest silence of the leader before an election");
+    settings.snapshotEntries = static_cast<std::uint64_t>(consensus.integer("snapshot_entries", 256, {16, 1'000'000}, "log entries between snapshots"));
+    settings.lease = reader.duration("lease_ms", 3s, {100ms, 10min}, "time after which an announcement that is not renewed expires");
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/net/http1_server.cpp
@@ -0,0 +1,258 @@
+#include "jujubequay/net/endpoint.h"
+
+#include <jujubequay/net/http1_server.h>
+
+#include <asio/write.hpp>
+#include <fmt/format.h>
+#include <http_parser.h>
+
+#include <array>
+#include <utility>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr std::size_t readBytes = 4096;
+// A wait after a failed accept, mostly for want of file descriptors.
+constexpr auto acceptRetryWait = std::chrono::milliseconds(100);
+
+std::string encodeResponse(const Http1Response &response, bool keepsAlive)
+{
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", response.status, http_status_str(static_cast<http_status>(response.status)));
+    if (!response.location.empty()) {
+        text += fmt::format("Location: {}\r\n", response.location);
+    }
+    if (response.retryAfterSeconds > 0) {
+        text += fmt::format("Retry-After: {}\r\n", response.retryAfterSeconds);
+    }
+    if (!keepsAlive) {
+        text += "Connection: close\r\n";
+    }
+    text += fmt::format("Content-Type: {}\r\nContent-Length: {}\r\n\r\n", response.contentType, response.body.size());
+    return text + response.body;
+}
+
+}
+
+class Http1Server::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(const std::shared_ptr<Http1Server> &server, asio::ip::tcp::socket socket)
+        : m_server(server)
+        , m_socket(std::move(socket))
+        , m_timer(server->m_context)
+    {
+        http_parser_init(&m_parser, HTTP_REQUEST);
+        m_parser.data = this;
+    }
+
+    void read()
+    {
+        restartTimer();
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &error, std::size_t bytes) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->m_pending.append(self->m_buffer.data(), bytes);
+            self->parse();
+        });
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        m_timer.cancel();
+        m_socket.close(ignored);
+        if (const auto server = m_server.lock()) {
+            server->m_connections.erase(shared_from_this());
+        }
+    }
+
+private:
+    static Connection &self(http_parser *parser)
+    {
+        return *static_cast<Connection *>(parser->data);
+    }
+
+    static http_parser_settings callbacks()
+    {
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+            return self(parser).append(self(parser).m_request.target, at, length, self(parser).options().maxHeaderBytes);
+        };
+        settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+            return self(parser).append(self(parser).m_request.body, at, length, self(parser).options().maxBodyBytes);
+        };
+        settings.on_message_complete = [](http_parser *parser) {
+            self(parser).m_isComplete = true;
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return settings;
+    }
+
+    const Http1ServerOptions &options() const
+    {
+        return m_options;
+    }
+
+    int append(std::string &text, const char *at, std::size_t length, std::size_t limit)
+    {
+        if (text.size() + length > limit) {
+            m_isTooLarge = true;
+            return 1;
+        }
+        text.append(at, length);
+        return 0;
+    }
+
+    void parse()
+    {
+        static const http_parser_settings settings = callbacks();
+        const std::size_t used = http_parser_execute(&m_parser, &settings, m_pending.data(), m_pending.size());
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        m_pending.erase(0, std::min(used, m_pending.size()));
+        if (m_isComplete) {
+            http_parser_pause(&m_parser, 0);
+            handle();
+            return;
+        }
+        if (error != HPE_OK || m_parser.upgrade != 0) {
+            m_keepsAlive = false;
+            Http1Response response;
+            response.status = m_isTooLarge ? HTTP_STATUS_PAYLOAD_TOO_LARGE : HTTP_STATUS_BAD_REQUEST;
+            write(response);
+            return;
+        }
+        read();
+    }
+
+    void handle()
+    {
+        const auto server = m_server.lock();
+        if (!server) {
+            close();
+            return;
+        }
+        m_isComplete = false;
+        m_keepsAlive = http_should_keep_alive(&m_parser) != 0;
+        m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
+        m_timer.cancel();
+        server->m_handler(std::exchange(m_request, {}), [weak = weak_from_this()](const Http1Response &response) {
+            if (const auto connection = weak.lock()) {
+                connection->write(response);
+            }
+        });
+    }
+
+    void write(const Http1Response &response)
+    {
+        restartTimer();
+        m_response = encodeResponse(response, m_keepsAlive);
+        asio::async_write(m_socket, asio::buffer(m_response), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+            if (error || !self->m_keepsAlive) {
+                self->close();
+                return;
+            }
+            self->m_response = {};
+            self->m_pending.empty() ? self->read() : self->parse();
+        });
+    }
+
+    void restartTimer()
+    {
+        m_timer.expires_after(m_options.idleTimeout);
+        m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const auto connection = weak.lock();
+            if (!error && connection) {
+                connection->close();
+            }
+        });
+    }
+
+    std::weak_ptr<Http1Server> m_server;
+    const Http1ServerOptions m_options = m_server.lock()->m_options;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    http_parser m_parser{};
+    std::array<char, readBytes> m_buffer{};
+    std::string m_pending; ///< received and not parsed yet
+    Http1Request m_request;
+    std::string m_response;
+    bool m_isComplete = false;
+    bool m_isTooLarge = false;
+    bool m_keepsAlive = true;
+};
+
+Result<std::shared_ptr<Http1Server>>
+Http1Server::listen(asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options)
+{
+    std::shared_ptr<Http1Server> server(new Http1Server(context, logger, std::move(handler), options));
+    if (const auto error = listenOn(server->m_acceptor, address)) {
+        return fail(ResultCode::AddressUnavailable, fmt::format("{}: {}", toString(address), error.message()));
+    }
+    server->acceptNext();
+    return server;
+}
+
+Http1Server::Http1Server(asio::io_context &context, Logger &logger, Handler handler, Http1ServerOptions options)
+    : m_context(context)
+    , m_logger(logger)
+    , m_handler(std::move(handler))
+    , m_options(options)
+    , m_acceptor(context)
+    , m_acceptRetry(context)
+{
+}
+
+HostAddress Http1Server::address() const
+{
+    return hostAddress(m_acceptor.local_endpoint());
+}
+
+void Http1Server::stop()
+{
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    m_acceptRetry.cancel();
+    const auto connections = m_connections;
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
+void Http1Server::acceptNext()
+{
+    m_acceptor.async_accept([weak = weak_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || !self->m_acceptor.is_open()) {
+            return;
+        }
+        if (error) {
+            self->m_logger.error("accept-failed", {{"error", error.message()}});
+            self->m_acceptRetry.expires_after(acceptRetryWait);
+            self->m_acceptRetry.async_wait([weak](const asio::error_code &timerError) {
+                const auto server = weak.lock();
+                if (!timerError && server && server->m_acceptor.is_open()) {
+                    server->acceptNext();
+                }
+            });
+            return;
+        }
+        if (self->m_connections.size() < self->m_options.maxConnections) {
+            asio::error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            const auto connection = std::make_shared<Connection>(self, std::move(socket));
+            self->m_connections.insert(connection);
+            connection->read();
+        } else {
+            self->m_logger.warning("connection-limit-reached", {{"limit", self->m_options.maxConnections}});
+        }
+        self->acceptNext();
+    });
+}
+
+}
--- a/src/jujubequay/net/http2_message_client.cpp
+++ b/src/jujubequay/net/http2_message_client.cpp
@@ -10,18 +10,28 @@
 namespace Jujubequay {
 
 struct Http2MessageClient::Connection {
-    Connection(asio::io_context &context, const HostAddress &address, const TlsContext &tls)
+    Connection(asio::io_context &context, const HostAddress &address, const TlsContext *tls)
         : address(address)
-        , generation(tls.generation())
-        , stream(std::make_shared<TlsStream>(context, *tls.client()))
+        , generation(tls == nullptr ? 0 : tls->generation())
         , timer(context)
         , peer(std::make_shared<PeerIdentity>())
     {
+        if (tls == nullptr) {
+            plain = std::make_shared<asio::ip::tcp::socket>(context);
+        } else {
+            secure = std::make_shared<TlsStream>(context, *tls->client());
+        }
+    }
+
+    asio::ip::tcp::socket::lowest_layer_type &socket()
+    {
+        return plain ? plain->lowest_layer() : secure->lowest_layer();
     }
 
     HostAddress address;
     std::uint64_t generation;
-    std::shared_ptr<TlsStream> stream;
+    std::shared_ptr<TlsStream> secure; ///< null without TLS
+    std::shared_ptr<asio::ip::tcp::socket> plain; ///< null with TLS
     asio::steady_timer timer;
     std::shared_ptr<PeerIdentity> peer; ///< empty until the handshake has ended
     std::shared_ptr<Http2Session> session;
@@ -85,8 +95,16 @@
             open->isReady ? open->session->drain() : open->session->abort(ResultCode::Ok);
         }
     };
-    messages->attach(session->request({{":method", "POST"}, {":scheme", "https"}, {":authority", toString(address)}, {":path", path}}, std::move(http2)));
+    HttpHeaders headers{{":method", "POST"}, {":scheme", m_tls ? "https" : "http"}, {":authority", toString(address)}, {":path", path}};
+    if (!m_tls) {
+        headers.push_back({std::string(plaintextNameHeader), m_options.plaintextIdentity.name});
+        headers.push_back({std::string(plaintextRoleHeader), m_options.plaintextIdentity.role});
+    }
+    messages->attach(session->request(headers, std::move(http2)));
     m_traffic.addStream(path);
+    if (!m_tls) {
+        return messages;
+    }
     if (!connection->isReady) {
         connection->earlyPaths.push_back(path);
     } else if (!m_options.isExpected(*connection->peer, path)) {
@@ -98,20 +116,20 @@
 std::shared_ptr<Http2MessageClient::Connection> Http2MessageClient::connectionTo(const HostAddress &address)
 {
     if (m_options.sharesConnections) {
-        const std::uint64_t generation = m_tls->generation();
+        const std::uint64_t generation = m_tls ? m_tls->generation() : 0;
         for (const auto &[key, connection] : m_connections) {
             if (connection->address == address && connection->generation == generation && connection->session->acceptsRequests()) {
                 return connection;
             }
         }
     }
-    auto connection = std::make_shared<Connection>(m_context, address, *m_tls);
+    auto connection = std::make_shared<Connection>(m_context, address, m_tls.get());
     Http2SessionHandlers handlers;
     handlers.closed = [weak = weak_from_this(), key = connection.get()](ResultCode) {
         if (const auto self = weak.lock()) {
             key->timer.cancel();
             asio::error_code ignored;
-            key->stream->lowest_layer().close(ignored);
+            key->socket().close(ignored);
             self->m_connections.erase(key);
         }
     };
@@ -135,7 +153,7 @@
             connection->session->abort(error.category() == asio::error::get_ssl_category() ? ResultCode::NotAuthorized : ResultCode::ConnectionLost);
             return;
         }
-        SSL *tls = connection->stream->native_handle();
+        SSL *tls = connection->secure->native_handle();
         *connection->peer = peerIdentity(tls);
         bool isExpected = hasNegotiatedHttp2(tls);
         for (const std::string &path : connection->earlyPaths) {
@@ -149,16 +167,22 @@
         }
         connection->isReady = true;
         connection->timer.cancel();
-        connection->session->start(std::make_unique<SocketTransport<TlsStream>>(connection->stream));
+        connection->session->start(std::make_unique<SocketTransport<TlsStream>>(connection->secure));
     };
-    connection->stream->lowest_layer().async_connect(tcpEndpoint(connection->address), [connection, handshaken](const asio::error_code &error) {
+    connection->socket().async_connect(tcpEndpoint(connection->address), [connection, handshaken](const asio::error_code &error) {
         if (error) {
             connection->session->abort(ResultCode::ConnectionLost);
             return;
         }
         asio::error_code ignored;
-        connection->stream->lowest_layer().set_option(asio::ip::tcp::no_delay(true), ignored);
-        connection->stream->async_handshake(asio::ssl::stream_base::client, handshaken);
+        connection->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (connection->plain) {
+            connection->isReady = true;
+            connection->timer.cancel();
+            connection->session->start(std::make_unique<SocketTransport<asio::ip::tcp::socket>>(connection->plain));
+            return;
+        }
+        connection->secure->async_handshake(asio::ssl::stream_base::client, handshaken);
     });
 }
 
--- a/src/jujubequay/net/message_server.cpp
+++ b/src/jujubequay/net/message_server.cpp
@@ -73,6 +73,11 @@
         handshake->timer.cancel();
         handshake->stream->lowest_layer().close(ignored);
     }
+    closeConnections();
+}
+
+void MessageServer::closeConnections()
+{
     for (const auto &session : m_sessions) {
         session->abort(ResultCode::ConnectionLost);
     }
@@ -109,6 +114,10 @@
     }
     asio::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (!m_tls) {
+        startSession(std::nullopt, std::make_unique<SocketTransport<asio::ip::tcp::socket>>(std::make_shared<asio::ip::tcp::socket>(std::move(socket))));
+        return;
+    }
     const auto tls = m_tls->server();
     auto handshake = std::make_shared<Handshake>(Handshake{std::make_shared<TlsStream>(std::move(socket), *tls), asio::steady_timer(m_context)});
     m_handshakes.insert(handshake);
@@ -129,23 +138,33 @@
         if (error) {
             self->m_logger.warning("handshake-failed", {{"error", error.message()}});
         } else if (!self->m_isStopped) {
-            self->startSession(handshake);
+            self->startSecureSession(handshake);
         }
     });
 }
 
-void MessageServer::startSession(const std::shared_ptr<Handshake> &handshake)
+void MessageServer::startSecureSession(const std::shared_ptr<Handshake> &handshake)
 {
     const PeerIdentity peer = peerIdentity(handshake->stream->native_handle());
     if (peer.role.empty() || !hasNegotiatedHttp2(handshake->stream->native_handle())) {
         m_logger.warning("peer-refused", {{"name", peer.name}, {"role", peer.role}});
         return;
     }
+    startSession(peer, std::make_unique<SocketTransport<TlsStream>>(handshake->stream));
+}
+
+void MessageServer::startSession(std::optional<PeerIdentity> peer, std::unique_ptr<ByteTransport> transport)
+{
     auto shared = std::make_shared<std::weak_ptr<Http2Session>>();
     Http2SessionHandlers handlers;
     handlers.accept = [weak = weak_from_this(), peer](const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream) {
         const auto self = weak.lock();
-        return self ? self->acceptStream(peer, request, stream) : Http2StreamHandlers{};
+        if (!self) {
+            return Http2StreamHandlers{};
+        }
+        const auto sender = peer.value_or(
+            PeerIdentity{std::string(headerValue(request, plaintextNameHeader)), std::string(headerValue(request, plaintextRoleHeader))});
+        return self->acceptStream(sender, request, stream);
     };
     handlers.closed = [weak = weak_from_this(), shared](ResultCode) {
         const auto self = weak.lock();
@@ -156,7 +175,7 @@
     const auto session = Http2Session::create(m_context, m_clock, Http2Session::Role::Server, m_options.http2, std::move(handlers));
     *shared = session;
     m_sessions.insert(session);
-    session->start(std::make_unique<SocketTransport<TlsStream>>(handshake->stream));
+    session->start(std::move(transport));
 }
 
 Http2StreamHandlers MessageServer::acceptStream(const PeerIdentity &peer, const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream)
--- a/src/jujubequay/service/announce_client.cpp
+++ b/src/jujubequay/service/announce_client.cpp
@@ -42,6 +42,18 @@
     apply(m_announcer.setState(m_clock.now(), state));
 }
 
+void AnnounceClient::setServer(pb::ServerEntry server)
+{
+    m_logger.info("server-announced",
+                  {{"service", server.service()}, {"incarnation", server.incarnation()}, {"state", pb::ServerState_Name(server.state())}});
+    apply(m_announcer.setServer(m_clock.now(), std::move(server)));
+}
+
+void AnnounceClient::setControlHosts(std::vector<HostAddress> addresses)
+{
+    m_announcer.setControlHosts(std::move(addresses));
+}
+
 const Announcer &AnnounceClient::announcer() const
 {
     return m_announcer;
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -111,6 +111,27 @@
     return effects;
 }
 
+AnnouncerEffects Announcer::setServer(TimePoint now, pb::ServerEntry server)
+{
+    AnnouncerEffects effects;
+    const bool isSameIncarnation = server.incarnation() == m_server.incarnation();
+    server.set_order(isSameIncarnation ? m_server.order() : 0);
+    server.set_sequence(m_server.sequence() + 1);
+    m_server = std::move(server);
+    if (m_isOpen) {
+        send(now, effects);
+    }
+    return effects;
+}
+
+void Announcer::setControlHosts(std::vector<HostAddress> addresses)
+{
+    if (!addresses.empty()) {
+        m_choices = rendezvousOrder(std::move(addresses), m_server.name());
+        m_choice %= m_choices.size();
+    }
+}
+
 bool Announcer::isAccepted() const
 {
     return m_isOpen && m_acceptedSequence == m_server.sequence();
@@ -121,6 +142,11 @@
     return m_server.state();
 }
 
+const pb::ServerEntry &Announcer::server() const
+{
+    return m_server;
+}
+
 void Announcer::open(TimePoint now, AnnouncerEffects &effects)
 {
     m_isOpen = true;
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -17,13 +17,15 @@
                              WatchSubscriberOptions options,
                              std::vector<HostAddress> peers,
                              std::mt19937_64 &random,
-                             ConfigSnapshotHandler onConfig)
+                             ConfigSnapshotHandler onConfig,
+                             std::function<void(const std::vector<HostAddress> &)> onControlHosts)
     : m_context(context)
     , m_clock(clock)
     , m_logger(logger)
     , m_client(client)
     , m_peers(std::move(peers))
     , m_onConfig(std::move(onConfig))
+    , m_onControlHosts(std::move(onControlHosts))
     , m_subscriber(std::move(options), random)
     , m_timer(context)
 {
@@ -59,6 +61,11 @@
     apply(m_subscriber.setFlowKeysInUse(std::move(numbers)));
 }
 
+void ConfigWatcher::setControlHosts(std::vector<HostAddress> addresses)
+{
+    m_subscriber.setControlHosts(std::move(addresses));
+}
+
 MessageStreamHandlers ConfigWatcher::acceptPeer(const std::shared_ptr<MessageStream> &stream)
 {
     const auto handleMessage = [weak = weak_from_this(), weakStream = std::weak_ptr(stream)](const Bytes &) {
@@ -118,9 +125,20 @@
         {
             const ConfigSnapshot &snapshot = *effect.snapshot;
             watcher.m_logger.info("config-in-force",
-                                  {{"revision", snapshot.revision}, {"services", snapshot.services.size()}, {"servers", snapshot.servers.size()}});
+                                  {{"revision", snapshot.revision},
+                                   {"routes_version", snapshot.routes->version()},
+                                   {"services", snapshot.services.size()},
+                                   {"servers", snapshot.servers.size()},
+                                   {"control_host", toString(watcher.m_subscriber.controlHost())}});
             watcher.m_onConfig(effect.snapshot);
         }
+        void operator()(const PublishControlHosts &effect) const
+        {
+            watcher.m_logger.info("control-hosts", {{"count", effect.addresses.size()}, {"first", toString(effect.addresses.front())}});
+            if (watcher.m_onControlHosts) {
+                watcher.m_onControlHosts(effect.addresses);
+            }
+        }
     };
     for (const WatchSubscriberEffect &effect : effects) {
         std::visit(Visitor{*this}, effect);
--- /dev/null
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -0,0 +1,412 @@
+#include <jujubequay/steering/agent_steering.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Jujubequay {
+
+namespace {
+
+/// A caller acknowledges at most this far beyond the start of the server's sequence: the largest answer with room to spare.
+constexpr std::uint32_t sequenceSpan = 64U << 20U;
+/// A new flow is offered to at most this many servers after the first; the copies of the packet follow after 200 ms.
+constexpr std::uint8_t maxOpeningHops = 2;
+/// Balancers that sent nothing for this long get no load notices.
+constexpr auto balancerMemory = std::chrono::seconds(3);
+
+std::uint16_t limited(std::size_t value)
+{
+    return static_cast<std::uint16_t>(std::min<std::size_t>(value, std::numeric_limits<std::uint16_t>::max()));
+}
+
+}
+
+AgentSteering::AgentSteering(AgentSteeringOptions options)
+    : m_options(options)
+    , m_directory({})
+{
+}
+
+void AgentSteering::update(TimePoint now, const ConfigSnapshot &snapshot)
+{
+    m_directory.update(now, snapshot);
+}
+
+std::vector<ResetCaller> AgentSteering::setServer(TimePoint now, const std::optional<LocalServer> &server, bool isFresh)
+{
+    std::vector<ResetCaller> resets;
+    const bool isSame = m_server && server && m_server->incarnation == server->incarnation && m_server->service == server->service;
+    if (!isSame) {
+        // The first server of this agent may have taken flows before the agent started.
+        const bool isFirst = !m_server;
+        m_knowsAllSince = isFresh || !isFirst ? now : now + m_options.flowMemory;
+        for (auto &[ends, flow] : m_flows) {
+            const bool wasOpen = flow.state == FlowState::Open;
+            if (!isFirst && isHeld(flow)) {
+                forget(flow);
+                flow.state = FlowState::Lost;
+                flow.lastUsed = now;
+            }
+            if (!isFirst && wasOpen) {
+                resets.push_back({ends, flow.callerAcknowledgement, SteerCause::ServerReplaced});
+            }
+        }
+    }
+    m_server = server;
+    return resets;
+}
+
+// ---- Packets of callers ----
+
+AgentDecision AgentSteering::fromPeer(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    m_balancers[header.balancer] = now;
+    m_highestTable = std::max(m_highestTable, header.tableVersion);
+    if (segment.isReturned || (segment.isOpening && segment.isAnswer)) {
+        return DropPacket{SteerCause::Spoofed};
+    }
+    return segment.isOpening ? open(now, header, segment, notices) : forward(now, header, segment, notices);
+}
+
+AgentDecision AgentSteering::open(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const auto known = m_flows.find(ends);
+    if (known != m_flows.end()) {
+        Flow &flow = known->second;
+        if (isHeld(flow)) {
+            return deliver(now, flow, header, segment, notices);
+        }
+        if (flow.state == FlowState::Elsewhere && header.hops < maxOpeningHops) {
+            SteerHeader next = header;
+            ++next.hops;
+            return RelayToAgent{flow.elsewhere, next, SteerCause::Known};
+        }
+    }
+    const std::uint64_t ownTable = m_directory.routes().version();
+    if (std::max(header.tableVersion, ownTable) < m_highestTable) {
+        // A copy follows soon; by then one of the two has the newer table.
+        return DropPacket{SteerCause::StaleTable};
+    }
+    if (ownTable >= header.tableVersion && m_directory.routes().find(ends.service) == nullptr) {
+        return ResetCaller{ends, segment.acknowledgement, SteerCause::NoRoute};
+    }
+    if (!m_server || header.service != m_server->service || !isRouteAllowed(header, ends)) {
+        return passOpeningOn(header, segment, SteerCause::NotAccepted);
+    }
+    if (!m_server->takesNewFlows) {
+        return passOpeningOn(header, segment, SteerCause::Draining);
+    }
+    Flow &flow = insert(ends, FlowState::Offered, now);
+    flow.header = header;
+    return DeliverToServer{};
+}
+
+bool AgentSteering::isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const
+{
+    const RouteTable &own = m_directory.routes();
+    if (header.tableVersion > own.version()) {
+        return true;
+    }
+    const Route *route = own.find(ends.service);
+    return route != nullptr && route->leadsTo(m_server->service);
+}
+
+AgentDecision AgentSteering::passOpeningOn(const SteerHeader &header, const Segment &segment, SteerCause cause) const
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const RouteTable &own = m_directory.routes();
+    const Route *route = own.find(ends.service);
+    SteerHeader next = header;
+    ++next.hops;
+    if (own.version() >= header.tableVersion && route != nullptr) {
+        next.service = route->serviceFor(hashOf(ends)).key;
+        next.tableVersion = own.version();
+    }
+    if (next.hops <= maxOpeningHops) {
+        for (const HostAddress &agent : m_directory.order(ends, std::numeric_limits<std::size_t>::max())) {
+            const SteerServer *server = m_directory.find(agent);
+            if (agent != m_options.agent && server->takesNewFlows && server->service == next.service) {
+                return RelayToAgent{agent, next, cause};
+            }
+        }
+    }
+    return ResetCaller{ends, segment.acknowledgement, SteerCause::NotAccepted};
+}
+
+AgentDecision AgentSteering::forward(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const auto known = m_flows.find(ends);
+    if (known == m_flows.end()) {
+        if (m_server && now < m_knowsAllSince) {
+            Flow &flow = insert(ends, FlowState::Asked, now);
+            flow.header = header;
+            return DeliverToServer{};
+        }
+        return passOn(header, ends);
+    }
+    Flow &flow = known->second;
+    switch (flow.state) {
+    case FlowState::Offered:
+        // The caller has taken the answer of another server.
+        return passOn(header, ends);
+    case FlowState::Accepted:
+        if (!segment.isReset && segment.acknowledgement - flow.serverSequence - 1 >= sequenceSpan) {
+            return passOn(header, ends);
+        }
+        flow.state = FlowState::Open;
+        opened(ends, notices);
+        return deliver(now, flow, header, segment, notices);
+    case FlowState::Open:
+    case FlowState::Asked:
+    case FlowState::Ended:
+        return deliver(now, flow, header, segment, notices);
+    case FlowState::Elsewhere: {
+        flow.lastUsed = now;
+        SteerHeader next = header;
+        next.wantsOwner = true;
+        ++next.hops;
+        return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
+                                             : AgentDecision(RelayToAgent{flow.elsewhere, next, SteerCause::Known});
+    }
+    case FlowState::Lost:
+        if (segment.isReset) {
+            return DropPacket{SteerCause::ServerReplaced};
+        }
+        return ResetCaller{ends, segment.acknowledgement, SteerCause::ServerReplaced};
+    }
+    return DropPacket{SteerCause::UnknownFlow};
+}
+
+AgentDecision AgentSteering::deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    flow.lastUsed = now;
+    if (flow.state == FlowState::Ended || segment.isOpening) {
+        return DeliverToServer{};
+    }
+    flow.callerAcknowledgement = segment.acknowledgement;
+    const bool isBalancerWrong = header.wantsOwner || header.hops > 0;
+    if (flow.state == FlowState::Open && isBalancerWrong) {
+        notices.push_back({header.balancer, {endsFromCaller(segment), m_options.agent}});
+    }
+    if (segment.length > 0) {
+        setWaiting(flow, true);
+    }
+    flow.hasCallerEnded = flow.hasCallerEnded || segment.isFinal;
+    if (segment.isReset || (flow.hasCallerEnded && flow.hasServerEnded)) {
+        end(now, flow);
+    }
+    return DeliverToServer{};
+}
+
+AgentDecision AgentSteering::passOn(const SteerHeader &header, const FlowEnds &ends) const
+{
+    SteerHeader next = header;
+    ++next.hops;
+    if (next.hops > m_options.maxHops) {
+        return DropPacket{SteerCause::TooManyHops};
+    }
+    std::optional<HostAddress> agent;
+    if (!header.wantsOwner) {
+        // The balancer took this agent for the holder; the search starts at the home.
+        next.wantsOwner = true;
+        agent = m_directory.home(ends);
+    }
+    if (!agent || *agent == m_options.agent) {
+        agent = m_directory.next(ends, m_options.agent);
+    }
+    return agent ? AgentDecision(RelayToAgent{*agent, next, SteerCause::Home}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
+}
+
+// ---- Packets of the server ----
+
+AgentDecision AgentSteering::fromServer(TimePoint now, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    if (segment.isReturned) {
+        return returned(now, segment);
+    }
+    const FlowEnds ends = endsFromServer(segment);
+    const auto known = m_flows.find(ends);
+    const bool isOpeningAnswer = segment.isOpening && segment.isAnswer;
+    Flow &flow = known == m_flows.end() ? insert(ends, isOpeningAnswer ? FlowState::Offered : FlowState::Asked, now) : known->second;
+    flow.lastUsed = now;
+    if (isOpeningAnswer) {
+        if (flow.state == FlowState::Offered) {
+            flow.state = FlowState::Accepted;
+            if (flow.header.hops > 0) {
+                notices.push_back({flow.header.balancer, {ends, m_options.agent}});
+            }
+        }
+        flow.serverSequence = segment.sequence;
+        return SendToCaller{};
+    }
+    if (flow.state == FlowState::Asked || flow.state == FlowState::Elsewhere) {
+        if (flow.state == FlowState::Elsewhere) {
+            ++m_held;
+        }
+        flow.state = FlowState::Open;
+        opened(ends, notices);
+        if (flow.header.wantsOwner) {
+            notices.push_back({flow.header.balancer, {ends, m_options.agent}});
+        }
+    }
+    if (segment.length > 0) {
+        setWaiting(flow, false);
+    }
+    flow.hasServerEnded = flow.hasServerEnded || segment.isFinal;
+    if (segment.isReset || (flow.hasCallerEnded && flow.hasServerEnded)) {
+        end(now, flow);
+    }
+    return SendToCaller{};
+}
+
+AgentDecision AgentSteering::returned(TimePoint now, const Segment &segment)
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const auto known = m_flows.find(ends);
+    if (known == m_flows.end()) {
+        return DropPacket{SteerCause::UnknownFlow};
+    }
+    Flow &flow = known->second;
+    const SteerHeader header = flow.header;
+    switch (flow.state) {
+    case FlowState::Offered:
+    case FlowState::Asked: {
+        forget(flow);
+        m_flows.erase(known);
+        return segment.isOpening ? passOpeningOn(header, segment, SteerCause::NotAccepted) : passOn(header, ends);
+    }
+    case FlowState::Open:
+        // The server itself says that it does not hold the flow any more.
+        end(now, flow);
+        flow.state = FlowState::Lost;
+        return segment.isReset ? AgentDecision(DropPacket{SteerCause::ServerReplaced})
+                               : AgentDecision(ResetCaller{ends, segment.acknowledgement, SteerCause::ServerReplaced});
+    default:
+        return DropPacket{SteerCause::UnknownFlow};
+    }
+}
+
+// ---- Flows ----
+
+void AgentSteering::notice(TimePoint now, const OwnerNotice &notice)
+{
+    if (notice.owner == m_options.agent) {
+        return;
+    }
+    const auto known = m_flows.find(notice.ends);
+    if (known != m_flows.end() && known->second.state == FlowState::Open) {
+        return;
+    }
+    if (known != m_flows.end()) {
+        forget(known->second);
+    }
+    Flow &flow = m_flows[notice.ends];
+    flow = {};
+    flow.state = FlowState::Elsewhere;
+    flow.elsewhere = notice.owner;
+    flow.lastUsed = now;
+}
+
+// The first two of the order are told, so that the loss of one of them, or a server that joins, does not hide the flow.
+void AgentSteering::opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const
+{
+    constexpr std::size_t homes = 2;
+    for (const HostAddress &agent : m_directory.order(ends, homes)) {
+        if (agent == m_options.agent) {
+            return;
+        }
+        notices.push_back({agent, {ends, m_options.agent}});
+    }
+}
+
+AgentSteering::Flow &AgentSteering::insert(const FlowEnds &ends, FlowState state, TimePoint now)
+{
+    const auto known = m_flows.find(ends);
+    if (known != m_flows.end()) {
+        forget(known->second);
+    }
+    Flow &flow = m_flows[ends];
+    flow = {};
+    flow.state = state;
+    flow.lastUsed = now;
+    ++m_held;
+    return flow;
+}
+
+bool AgentSteering::isHeld(const Flow &flow)
+{
+    return flow.state == FlowState::Offered || flow.state == FlowState::Accepted || flow.state == FlowState::Open || flow.state == FlowState::Asked;
+}
+
+void AgentSteering::setWaiting(Flow &flow, bool isWaiting)
+{
+    if (flow.isWaiting != isWaiting) {
+        flow.isWaiting = isWaiting;
+        m_waiting = isWaiting ? m_waiting + 1 : m_waiting - 1;
+    }
+}
+
+void AgentSteering::forget(Flow &flow)
+{
+    if (isHeld(flow)) {
+        setWaiting(flow, false);
+        --m_held;
+    }
+}
+
+void AgentSteering::end(TimePoint now, Flow &flow)
+{
+    forget(flow);
+    flow.state = FlowState::Ended;
+    flow.lastUsed = now;
+}
+
+void AgentSteering::expire(TimePoint now)
+{
+    for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+        Flow &flow = entry->second;
+        const bool isShort = flow.state == FlowState::Ended || flow.state == FlowState::Offered || flow.state == FlowState::Asked;
+        const bool isOver = now - flow.lastUsed > (isShort ? m_options.endMemory : m_options.flowMemory);
+        if (isOver) {
+            forget(flow);
+        }
+        entry = isOver ? m_flows.erase(entry) : std::next(entry);
+    }
+    std::erase_if(m_balancers, [&](const auto &entry) {
+        return now - entry.second > balancerMemory;
+    });
+}
+
+LoadNotice AgentSteering::load() const
+{
+    LoadNotice notice;
+    notice.agent = m_options.agent;
+    notice.waiting = limited(m_waiting);
+    notice.openFlows = limited(m_held);
+    notice.slots = m_server ? m_server->slots : 0;
+    notice.takesNewFlows = m_server && m_server->takesNewFlows;
+    return notice;
+}
+
+std::vector<HostAddress> AgentSteering::recentBalancers() const
+{
+    std::vector<HostAddress> balancers;
+    for (const auto &entry : m_balancers) {
+        balancers.push_back(entry.first);
+    }
+    return balancers;
+}
+
+std::size_t AgentSteering::flowCount() const
+{
+    return m_flows.size();
+}
+
+const ServerDirectory &AgentSteering::directory() const
+{
+    return m_directory;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -0,0 +1,190 @@
+#include <jujubequay/steering/balancer_steering.h>
+
+#include <jujubequay/core/name_table.h>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr NameTable<SteerCause, 13> causeNames{{{
+    {SteerCause::Placed, "placed"},
+    {SteerCause::Known, "known"},
+    {SteerCause::Home, "home"},
+    {SteerCause::NoRoute, "no-route"},
+    {SteerCause::NoServer, "no-server"},
+    {SteerCause::ServerReplaced, "server-replaced"},
+    {SteerCause::NotReady, "not-ready"},
+    {SteerCause::NotAccepted, "not-accepted"},
+    {SteerCause::Draining, "draining"},
+    {SteerCause::StaleTable, "stale-table"},
+    {SteerCause::UnknownFlow, "unknown-flow"},
+    {SteerCause::TooManyHops, "too-many-hops"},
+    {SteerCause::Spoofed, "spoofed"},
+}}};
+
+}
+
+std::string_view steerCauseName(SteerCause cause)
+{
+    return causeNames.name(cause);
+}
+
+BalancerSteering::BalancerSteering(BalancerSteeringOptions options)
+    : m_options(std::move(options))
+    , m_directory({})
+{
+}
+
+void BalancerSteering::update(TimePoint now, const ConfigSnapshot &snapshot)
+{
+    m_directory.update(now, snapshot);
+}
+
+BalancerDecision BalancerSteering::decide(TimePoint now, const Segment &segment)
+{
+    if (!isReady()) {
+        return DropPacket{SteerCause::NotReady};
+    }
+    if (segment.isReturned || (segment.isOpening && segment.isAnswer)) {
+        return DropPacket{SteerCause::Spoofed};
+    }
+    return segment.isOpening ? open(now, segment) : forward(now, segment);
+}
+
+BalancerDecision BalancerSteering::open(TimePoint now, const Segment &segment)
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const Route *route = m_directory.routes().find(ends.service);
+    if (route == nullptr) {
+        return ResetCaller{ends, segment.acknowledgement, SteerCause::NoRoute};
+    }
+    const ServiceKey service = route->serviceFor(hashOf(ends)).key;
+    const auto known = m_flows.find(ends);
+    const HostAddress *avoided = nullptr;
+    if (known != m_flows.end()) {
+        Flow &flow = known->second;
+        const SteerServer *server = m_directory.find(flow.agent);
+        const bool isUsable = server != nullptr && server->takesNewFlows && server->service == service;
+        // The first copy may make up for a lost packet; a second one means that the server does not answer.
+        if (isUsable && segment.copy <= 1 && isAlive(now, flow.agent)) {
+            flow.lastUsed = now;
+            return RelayToAgent{flow.agent, header(service, false), SteerCause::Known};
+        }
+        avoided = &flow.agent;
+    }
+    const SteerServer *server = choose(now, service, ends, avoided);
+    if (server == nullptr) {
+        return ResetCaller{ends, segment.acknowledgement, SteerCause::NoServer};
+    }
+    m_flows[ends] = {server->agent, server->incarnation, now, 1};
+    ++m_loads[server->agent].placedSince;
+    return RelayToAgent{server->agent, header(service, false), SteerCause::Placed};
+}
+
+BalancerDecision BalancerSteering::forward(TimePoint now, const Segment &segment)
+{
+    const FlowEnds ends = endsFromCaller(segment);
+    const auto known = m_flows.find(ends);
+    if (known != m_flows.end()) {
+        Flow &flow = known->second;
+        flow.lastUsed = now;
+        const SteerServer *server = m_directory.find(flow.agent);
+        if (server != nullptr && server->incarnation != flow.incarnation && !server->goneSince) {
+            if (segment.isReset) {
+                return DropPacket{SteerCause::ServerReplaced};
+            }
+            return ResetCaller{ends, segment.acknowledgement, SteerCause::ServerReplaced};
+        }
+        return RelayToAgent{flow.agent, header({}, false), SteerCause::Known};
+    }
+    if (const auto home = m_directory.home(ends)) {
+        return RelayToAgent{*home, header({}, true), SteerCause::Home};
+    }
+    if (segment.isReset || m_directory.isKnownAddress(ends.service)) {
+        return DropPacket{SteerCause::NoServer};
+    }
+    return ResetCaller{ends, segment.acknowledgement, SteerCause::NoRoute};
+}
+
+const SteerServer *BalancerSteering::choose(TimePoint now, ServiceKey service, const FlowEnds &ends, const HostAddress *avoided)
+{
+    std::vector<const SteerServer *> servers;
+    std::vector<ServerLoad> loads;
+    for (const SteerServer &server : m_directory.servers(service)) {
+        const bool isAvoided = avoided != nullptr && server.agent == *avoided;
+        if (server.takesNewFlows && !isAvoided) {
+            servers.push_back(&server);
+            loads.push_back(loadOf(now, server));
+        }
+    }
+    const auto chosen = chooseLeastLoaded(loads, m_options.choice, hashOf(ends));
+    if (chosen) {
+        return servers[*chosen];
+    }
+    const SteerServer *last = avoided == nullptr ? nullptr : m_directory.find(*avoided);
+    return last != nullptr && last->takesNewFlows && last->service == service ? last : nullptr;
+}
+
+ServerLoad BalancerSteering::loadOf(TimePoint now, const SteerServer &server) const
+{
+    ServerLoad load;
+    load.isLocal = server.zone == m_options.zone;
+    load.isCold = server.isCold;
+    const auto found = m_loads.find(server.agent);
+    if (found != m_loads.end()) {
+        const bool isRecent = now - found->second.at < m_options.loadValidity;
+        load.waiting = isRecent ? found->second.notice.waiting : 0;
+        load.openFlows = found->second.notice.openFlows + found->second.placedSince;
+        load.slots = found->second.notice.slots;
+    }
+    return load;
+}
+
+bool BalancerSteering::isAlive(TimePoint now, const HostAddress &agent) const
+{
+    const auto found = m_loads.find(agent);
+    return found != m_loads.end() && now - found->second.at < m_options.loadValidity;
+}
+
+SteerHeader BalancerSteering::header(ServiceKey service, bool wantsOwner) const
+{
+    return {0, wantsOwner, m_directory.routes().version(), service, m_options.noticeAddress};
+}
+
+void BalancerSteering::notice(TimePoint now, const OwnerNotice &notice)
+{
+    const SteerServer *server = m_directory.find(notice.owner);
+    m_flows[notice.ends] = {notice.owner, server == nullptr ? Incarnation() : server->incarnation, now, 0};
+}
+
+void BalancerSteering::notice(TimePoint now, const LoadNotice &notice)
+{
+    m_loads[notice.agent] = {notice, now, 0};
+}
+
+void BalancerSteering::expire(TimePoint now)
+{
+    std::erase_if(m_flows, [&](const auto &entry) {
+        return now - entry.second.lastUsed > m_options.flowMemory;
+    });
+    std::erase_if(m_loads, [&](const auto &entry) {
+        return now - entry.second.at > m_options.flowMemory && m_directory.find(entry.first) == nullptr;
+    });
+}
+
+bool BalancerSteering::isReady() const
+{
+    return m_directory.isReady();
+}
+
+std::size_t BalancerSteering::flowCount() const
+{
+    return m_flows.size();
+}
+
+const ServerDirectory &BalancerSteering::directory() const
+{
+    return m_directory;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -0,0 +1,153 @@
+#include <jujubequay/steering/server_directory.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Jujubequay {
+
+namespace {
+
+std::uint64_t scoreOf(std::uint64_t flowHash, const HostAddress &agent)
+{
+    const std::uint64_t key = (std::uint64_t{agent.ip} << 16U) | agent.port;
+    return XXH3_64bits_withSeed(&key, sizeof(key), flowHash);
+}
+
+SteerServer steerServerOf(const ServerSnapshot &server)
+{
+    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.takesNewWork(), server.state == ServerAvailability::Starting, std::nullopt};
+}
+
+}
+
+ServerDirectory::ServerDirectory(ServerDirectoryOptions options)
+    : m_options(options)
+{
+}
+
+void ServerDirectory::update(TimePoint now, const ConfigSnapshot &snapshot)
+{
+    // What was in force until now counts from now on as left.
+    rememberServices(now, *m_routes);
+    m_routes = snapshot.routes;
+    rememberServices(now, *m_routes);
+    if (snapshot.isRegistryKnown) {
+        m_isRegistryKnown = true;
+        updateServers(now, snapshot);
+    }
+}
+
+void ServerDirectory::rememberServices(TimePoint now, const RouteTable &table)
+{
+    for (const Route &route : table.routes()) {
+        for (const RouteService &service : route.services) {
+            m_services[route.address][service.key] = now;
+        }
+    }
+    for (auto entry = m_services.begin(); entry != m_services.end();) {
+        std::erase_if(entry->second, [&](const auto &service) {
+            return now - service.second > m_options.memory;
+        });
+        entry = entry->second.empty() ? m_services.erase(entry) : std::next(entry);
+    }
+}
+
+void ServerDirectory::updateServers(TimePoint now, const ConfigSnapshot &snapshot)
+{
+    std::map<HostAddress, SteerServer> listed;
+    for (const ServerSnapshot &server : snapshot.servers) {
+        listed[server.relayAddress] = steerServerOf(server);
+    }
+    std::map<ServiceKey, std::vector<SteerServer>> servers;
+    for (const auto &[agent, server] : listed) {
+        servers[server.service].push_back(server);
+    }
+    for (const auto &[service, known] : m_servers) {
+        for (SteerServer server : known) {
+            if (listed.contains(server.agent)) {
+                continue;
+            }
+            server.takesNewFlows = false;
+            server.goneSince = server.goneSince.value_or(now);
+            if (now - *server.goneSince < m_options.memory) {
+                servers[service].push_back(std::move(server));
+            }
+        }
+    }
+    m_servers = std::move(servers);
+}
+
+const RouteTable &ServerDirectory::routes() const
+{
+    return *m_routes;
+}
+
+bool ServerDirectory::isReady() const
+{
+    return m_isRegistryKnown && m_routes->version() != 0;
+}
+
+const SteerServer *ServerDirectory::find(const HostAddress &agent) const
+{
+    for (const auto &[service, servers] : m_servers) {
+        const auto found = std::find_if(servers.begin(), servers.end(), [&agent](const SteerServer &server) {
+            return server.agent == agent;
+        });
+        if (found != servers.end()) {
+            return &*found;
+        }
+    }
+    return nullptr;
+}
+
+std::span<const SteerServer> ServerDirectory::servers(ServiceKey service) const
+{
+    const auto found = m_servers.find(service);
+    return found == m_servers.end() ? std::span<const SteerServer>() : std::span<const SteerServer>(found->second);
+}
+
+bool ServerDirectory::isKnownAddress(const HostAddress &address) const
+{
+    return m_services.contains(address);
+}
+
+std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
+{
+    const auto services = m_services.find(ends.service);
+    if (services == m_services.end()) {
+        return {};
+    }
+    const std::uint64_t hash = hashOf(ends);
+    const std::uint64_t bound = after ? scoreOf(hash, *after) : 0;
+    std::vector<std::pair<std::uint64_t, HostAddress>> ranked;
+    for (const auto &entry : services->second) {
+        for (const SteerServer &server : this->servers(entry.first)) {
+            const std::uint64_t score = scoreOf(hash, server.agent);
+            if (!after || score < bound) {
+                ranked.emplace_back(score, server.agent);
+            }
+        }
+    }
+    const std::size_t count = std::min(limit, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), std::greater<>());
+    std::vector<HostAddress> agents;
+    for (std::size_t index = 0; index < count; ++index) {
+        agents.push_back(ranked[index].second);
+    }
+    return agents;
+}
+
+std::optional<HostAddress> ServerDirectory::home(const FlowEnds &ends) const
+{
+    const auto first = order(ends, 1);
+    return first.empty() ? std::nullopt : std::optional(first.front());
+}
+
+std::optional<HostAddress> ServerDirectory::next(const FlowEnds &ends, const HostAddress &after) const
+{
+    const auto following = order(ends, 1, after);
+    return following.empty() ? std::nullopt : std::optional(following.front());
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -0,0 +1,116 @@
+#include <jujubequay/steering/steer_message.h>
+
+#include <jujubequay/wire/byte_order.h>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr std::uint8_t messageVersion = 0xA1;
+constexpr std::uint8_t wantsOwnerFlag = 1;
+constexpr std::size_t startLength = 2; // version and kind
+
+enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3 };
+
+std::uint8_t *putStart(std::uint8_t *out, MessageKind kind)
+{
+    return putInteger(putInteger(out, messageVersion), static_cast<std::uint8_t>(kind));
+}
+
+std::uint8_t *putAddress(std::uint8_t *out, const HostAddress &address)
+{
+    return putInteger(putInteger(out, address.ip), address.port);
+}
+
+HostAddress takeAddress(const std::uint8_t *&in)
+{
+    const auto ip = takeInteger<std::uint32_t>(in);
+    return {ip, takeInteger<std::uint16_t>(in)};
+}
+
+SteeredPacket decodePacket(std::span<std::uint8_t> datagram)
+{
+    SteeredPacket message;
+    const std::uint8_t *in = datagram.data() + startLength;
+    message.header.hops = takeInteger<std::uint8_t>(in);
+    message.header.wantsOwner = (takeInteger<std::uint8_t>(in) & wantsOwnerFlag) != 0;
+    message.header.tableVersion = takeInteger<std::uint64_t>(in);
+    message.header.service = {takeInteger<std::uint32_t>(in)};
+    message.header.balancer = takeAddress(in);
+    message.packet = datagram.subspan(steerHeaderLength);
+    return message;
+}
+
+OwnerNotice decodeOwner(std::span<const std::uint8_t> datagram)
+{
+    const std::uint8_t *in = datagram.data() + startLength;
+    OwnerNotice notice;
+    notice.ends.caller = takeAddress(in);
+    notice.ends.service = takeAddress(in);
+    notice.owner = takeAddress(in);
+    return notice;
+}
+
+LoadNotice decodeLoad(std::span<const std::uint8_t> datagram)
+{
+    const std::uint8_t *in = datagram.data() + startLength;
+    LoadNotice notice;
+    notice.agent = takeAddress(in);
+    notice.waiting = takeInteger<std::uint16_t>(in);
+    notice.openFlows = takeInteger<std::uint16_t>(in);
+    notice.slots = takeInteger<std::uint16_t>(in);
+    notice.takesNewFlows = takeInteger<std::uint8_t>(in) != 0;
+    return notice;
+}
+
+}
+
+void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out)
+{
+    std::uint8_t *at = putStart(out.data(), MessageKind::Packet);
+    at = putInteger(at, header.hops);
+    at = putInteger(at, static_cast<std::uint8_t>(header.wantsOwner ? wantsOwnerFlag : 0));
+    at = putInteger(at, header.tableVersion);
+    at = putInteger(at, header.service.value);
+    putAddress(at, header.balancer);
+}
+
+std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice)
+{
+    std::array<std::uint8_t, ownerNoticeLength> out{};
+    std::uint8_t *at = putStart(out.data(), MessageKind::Owner);
+    at = putAddress(at, notice.ends.caller);
+    at = putAddress(at, notice.ends.service);
+    putAddress(at, notice.owner);
+    return out;
+}
+
+std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice)
+{
+    std::array<std::uint8_t, loadNoticeLength> out{};
+    std::uint8_t *at = putStart(out.data(), MessageKind::Load);
+    at = putAddress(at, notice.agent);
+    at = putInteger(at, notice.waiting);
+    at = putInteger(at, notice.openFlows);
+    at = putInteger(at, notice.slots);
+    putInteger(at, static_cast<std::uint8_t>(notice.takesNewFlows ? 1 : 0));
+    return out;
+}
+
+std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram)
+{
+    if (datagram.size() < startLength || datagram[0] != messageVersion) {
+        return std::nullopt;
+    }
+    switch (static_cast<MessageKind>(datagram[1])) {
+    case MessageKind::Packet:
+        return datagram.size() >= steerHeaderLength ? std::optional<SteerMessage>(decodePacket(datagram)) : std::nullopt;
+    case MessageKind::Owner:
+        return datagram.size() == ownerNoticeLength ? std::optional<SteerMessage>(decodeOwner(datagram)) : std::nullopt;
+    case MessageKind::Load:
+        return datagram.size() == loadNoticeLength ? std::optional<SteerMessage>(decodeLoad(datagram)) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -0,0 +1,279 @@
+#include <jujubequay/steering_program/agent_traffic.h>
+
+#include <jujubequay/datapath/udp_socket.h>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr auto expiryInterval = std::chrono::seconds(1);
+/// Half the time in which a caller repeats an opening packet, so that balancers see a burst before its copies.
+constexpr auto loadNoticeInterval = std::chrono::milliseconds(250);
+/// Receive and send buffers: half a second of packets at the packet rate of one small host.
+constexpr int socketBufferBytes = 1 << 20;
+
+void count(std::atomic<std::uint64_t> &counter)
+{
+    counter.fetch_add(1, std::memory_order_relaxed);
+}
+
+AgentSteeringOptions steeringOptions(const SteeringAgentSettings &settings)
+{
+    AgentSteeringOptions options;
+    options.agent = settings.relayAddress;
+    return options;
+}
+
+}
+
+Result<std::unique_ptr<AgentTraffic>>
+AgentTraffic::open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings)
+{
+    BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.relayAddress, {.bufferBytes = socketBufferBytes}));
+    BOOST_LEAF_AUTO(server, bindUdpSocket(context, settings.serverOutput, {.bufferBytes = socketBufferBytes}));
+    return std::unique_ptr<AgentTraffic>(new AgentTraffic(context, clock, logger, codec, settings, std::move(peers), std::move(server)));
+}
+
+AgentTraffic::AgentTraffic(asio::io_context &context,
+                           const Clock &clock,
+                           Logger &logger,
+                           const PacketCodec &codec,
+                           const SteeringAgentSettings &settings,
+                           asio::ip::udp::socket peers,
+                           asio::ip::udp::socket server)
+    : m_clock(clock)
+    , m_logger(logger)
+    , m_codec(codec)
+    , m_serverInput(settings.serverInput)
+    , m_steering(steeringOptions(settings))
+    , m_peers(std::move(peers))
+    , m_server(std::move(server))
+    , m_expiryTimer(context)
+    , m_loadTimer(context)
+    , m_reader(steerHeaderLength)
+{
+}
+
+void AgentTraffic::start()
+{
+    waitForPeers();
+    waitForServer();
+    scheduleExpiry();
+    scheduleLoadNotices();
+}
+
+void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
+{
+    m_steering.update(m_clock.now(), *snapshot);
+}
+
+void AgentTraffic::setServer(const std::optional<LocalServer> &server, bool isFresh)
+{
+    for (const ResetCaller &decision : m_steering.setServer(m_clock.now(), server, isFresh)) {
+        reset(decision);
+    }
+    flush();
+}
+
+const AgentTrafficCounters &AgentTraffic::counters() const
+{
+    return m_counters;
+}
+
+void AgentTraffic::waitForPeers()
+{
+    m_peers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
+        if (!error) {
+            receiveFromPeers();
+            waitForPeers();
+        }
+    });
+}
+
+void AgentTraffic::waitForServer()
+{
+    m_server.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
+        if (!error) {
+            receiveFromServer();
+            waitForServer();
+        }
+    });
+}
+
+void AgentTraffic::scheduleExpiry()
+{
+    m_expiryTimer.expires_after(expiryInterval);
+    m_expiryTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            m_steering.expire(m_clock.now());
+            scheduleExpiry();
+        }
+    });
+}
+
+void AgentTraffic::scheduleLoadNotices()
+{
+    m_loadTimer.expires_after(loadNoticeInterval);
+    m_loadTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        const auto notice = encode(m_steering.load());
+        for (const HostAddress &balancer : m_steering.recentBalancers()) {
+            m_toPeers.add(balancer, keep(notice));
+            if (m_toPeers.isFull()) {
+                flush();
+            }
+        }
+        flush();
+        scheduleLoadNotices();
+    });
+}
+
+void AgentTraffic::receiveFromPeers()
+{
+    const std::size_t received = m_reader.read(m_peers.native_handle());
+    const TimePoint now = m_clock.now();
+    for (std::size_t index = 0; index < received; ++index) {
+        const auto datagram = m_reader.datagram(index);
+        const auto message = decodeSteerMessage(datagram);
+        if (!message) {
+            count(m_counters.unreadable);
+        } else if (const auto *packet = std::get_if<SteeredPacket>(&*message)) {
+            handle(now, *packet, datagram);
+        } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
+            m_steering.notice(now, *owner);
+        }
+    }
+    flush();
+}
+
+void AgentTraffic::handle(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram)
+{
+    const auto segment = m_codec.decode(packet.packet);
+    if (!segment) {
+        count(m_counters.unreadable);
+        return;
+    }
+    carryOut(m_steering.fromPeer(now, packet.header, *segment, m_notices), packet.packet, datagram);
+    sendNotices();
+}
+
+void AgentTraffic::receiveFromServer()
+{
+    const std::size_t received = m_reader.read(m_server.native_handle());
+    const TimePoint now = m_clock.now();
+    for (std::size_t index = 0; index < received; ++index) {
+        const auto packet = m_reader.datagram(index);
+        const auto segment = m_codec.decode(packet);
+        if (!segment) {
+            count(m_counters.unreadable);
+            continue;
+        }
+        const AgentDecision decision = m_steering.fromServer(now, *segment, m_notices);
+        if (segment->isReturned) {
+            m_codec.clearMarks(packet);
+        }
+        if (std::holds_alternative<SendToCaller>(decision)) {
+            m_toPeers.add(m_codec.callerEndpoint(endsFromServer(*segment)), packet);
+            count(m_counters.answered);
+        } else {
+            carryOut(decision, packet, m_reader.withHeadroom(index));
+        }
+        sendNotices();
+    }
+    flush();
+}
+
+void AgentTraffic::carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
+{
+    struct Visitor {
+        AgentTraffic &traffic;
+        std::span<std::uint8_t> packet;
+        std::span<std::uint8_t> withHeadroom;
+
+        void operator()(const DeliverToServer &) const
+        {
+            traffic.m_toServer.add(traffic.m_serverInput, packet);
+            count(traffic.m_counters.delivered);
+        }
+        void operator()(const SendToCaller &) const
+        {
+        }
+        void operator()(const RelayToAgent &relayed) const
+        {
+            traffic.relay(relayed, packet, withHeadroom);
+        }
+        void operator()(const ResetCaller &refused) const
+        {
+            traffic.reset(refused);
+        }
+        void operator()(const DropPacket &) const
+        {
+            count(traffic.m_counters.dropped);
+        }
+    };
+    std::visit(Visitor{*this, packet, withHeadroom}, decision);
+}
+
+void AgentTraffic::relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
+{
+    encodeSteerHeader(decision.header, withHeadroom.first<steerHeaderLength>());
+    m_toPeers.add(decision.agent, withHeadroom);
+    count(m_counters.passedOn);
+    logPass(decision, packet);
+}
+
+void AgentTraffic::logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet)
+{
+    const auto segment = m_codec.decode(packet);
+    m_logger.info("packet-passed-on",
+                  {{"caller", toString(segment->source)},
+                   {"address", toString(segment->destination)},
+                   {"agent", toString(decision.agent)},
+                   {"opening", segment->isOpening},
+                   {"hops", decision.header.hops},
+                   {"cause", steerCauseName(decision.cause)}});
+}
+
+void AgentTraffic::reset(const ResetCaller &decision)
+{
+    m_toPeers.add(m_codec.callerEndpoint(decision.ends), keep(m_codec.encodeReset(decision)));
+    count(m_counters.reset);
+    m_logger.info("flow-reset",
+                  {{"caller", toString(decision.ends.caller)},
+                   {"address", toString(decision.ends.service)},
+                   {"cause", steerCauseName(decision.cause)},
+                   {"routes_version", m_steering.directory().routes().version()}});
+    if (m_toPeers.isFull()) {
+        flush();
+    }
+}
+
+void AgentTraffic::sendNotices()
+{
+    for (const NoticeTo &notice : m_notices) {
+        if (m_toPeers.isFull()) {
+            flush();
+        }
+        m_toPeers.add(notice.destination, keep(encode(notice.notice)));
+    }
+    m_notices.clear();
+    if (m_toPeers.isFull()) {
+        flush();
+    }
+}
+
+std::vector<std::uint8_t> &AgentTraffic::keep(std::span<const std::uint8_t> bytes)
+{
+    return m_kept.emplace_back(bytes.begin(), bytes.end());
+}
+
+void AgentTraffic::flush()
+{
+    const std::size_t lost = m_toPeers.flush(m_peers.native_handle()) + m_toServer.flush(m_server.native_handle());
+    m_counters.notSent.fetch_add(lost, std::memory_order_relaxed);
+    m_kept.clear();
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -0,0 +1,199 @@
+#include <jujubequay/steering_program/balancer_traffic.h>
+
+#include <jujubequay/datapath/udp_socket.h>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr auto expiryInterval = std::chrono::seconds(1);
+/// Receive and send buffers: half a second of packets at the packet rate of one small host.
+constexpr int socketBufferBytes = 1 << 20;
+
+void count(std::atomic<std::uint64_t> &counter)
+{
+    counter.fetch_add(1, std::memory_order_relaxed);
+}
+
+BalancerSteeringOptions steeringOptions(const SteeringBalancerSettings &settings)
+{
+    BalancerSteeringOptions options;
+    options.zone = settings.discovery.placement.availabilityZone;
+    options.noticeAddress = settings.peerAddress;
+    return options;
+}
+
+}
+
+Result<std::unique_ptr<BalancerTraffic>>
+BalancerTraffic::open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings)
+{
+    BOOST_LEAF_AUTO(callers, bindUdpSocket(context, settings.callerAddress, {.bufferBytes = socketBufferBytes}));
+    BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.peerAddress, {.bufferBytes = socketBufferBytes}));
+    return std::unique_ptr<BalancerTraffic>(new BalancerTraffic(context, clock, logger, codec, settings, std::move(callers), std::move(peers)));
+}
+
+BalancerTraffic::BalancerTraffic(asio::io_context &context,
+                                 const Clock &clock,
+                                 Logger &logger,
+                                 const PacketCodec &codec,
+                                 const SteeringBalancerSettings &settings,
+                                 asio::ip::udp::socket callers,
+                                 asio::ip::udp::socket peers)
+    : m_clock(clock)
+    , m_logger(logger)
+    , m_codec(codec)
+    , m_steering(steeringOptions(settings))
+    , m_callers(std::move(callers))
+    , m_peers(std::move(peers))
+    , m_expiryTimer(context)
+    , m_reader(steerHeaderLength)
+{
+}
+
+void BalancerTraffic::start()
+{
+    waitForCallers();
+    waitForPeers();
+    scheduleExpiry();
+}
+
+void BalancerTraffic::update(const ConfigSnapshotPointer &snapshot)
+{
+    m_steering.update(m_clock.now(), *snapshot);
+}
+
+bool BalancerTraffic::isReady() const
+{
+    return m_steering.isReady();
+}
+
+const BalancerTrafficCounters &BalancerTraffic::counters() const
+{
+    return m_counters;
+}
+
+void BalancerTraffic::waitForCallers()
+{
+    m_callers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
+        if (!error) {
+            receiveFromCallers();
+            waitForCallers();
+        }
+    });
+}
+
+void BalancerTraffic::waitForPeers()
+{
+    m_peers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
+        if (!error) {
+            receiveFromPeers();
+            waitForPeers();
+        }
+    });
+}
+
+void BalancerTraffic::scheduleExpiry()
+{
+    m_expiryTimer.expires_after(expiryInterval);
+    m_expiryTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            m_steering.expire(m_clock.now());
+            scheduleExpiry();
+        }
+    });
+}
+
+void BalancerTraffic::receiveFromCallers()
+{
+    const std::size_t count = m_reader.read(m_callers.native_handle());
+    const TimePoint now = m_clock.now();
+    for (std::size_t index = 0; index < count; ++index) {
+        handle(now, index);
+    }
+    flush();
+}
+
+void BalancerTraffic::handle(TimePoint now, std::size_t index)
+{
+    const auto segment = m_codec.decode(m_reader.datagram(index));
+    if (!segment) {
+        count(m_counters.unreadable);
+        return;
+    }
+    struct Visitor {
+        BalancerTraffic &traffic;
+        std::size_t index;
+
+        void operator()(const RelayToAgent &decision) const
+        {
+            traffic.carryOut(decision, index);
+        }
+        void operator()(const ResetCaller &decision) const
+        {
+            traffic.carryOut(decision);
+        }
+        void operator()(const DropPacket &) const
+        {
+            count(traffic.m_counters.dropped);
+        }
+    };
+    std::visit(Visitor{*this, index}, m_steering.decide(now, *segment));
+}
+
+void BalancerTraffic::carryOut(const RelayToAgent &decision, std::size_t index)
+{
+    const auto datagram = m_reader.withHeadroom(index);
+    encodeSteerHeader(decision.header, datagram.first<steerHeaderLength>());
+    m_toAgents.add(decision.agent, datagram);
+    count(m_counters.relayed);
+    if (decision.cause == SteerCause::Placed) {
+        count(m_counters.placed);
+        const auto segment = m_codec.decode(m_reader.datagram(index));
+        m_logger.info("flow-placed",
+                      {{"caller", toString(segment->source)},
+                       {"address", toString(segment->destination)},
+                       {"agent", toString(decision.agent)},
+                       {"copy", segment->copy},
+                       {"routes_version", decision.header.tableVersion}});
+    } else if (decision.cause == SteerCause::Home) {
+        count(m_counters.askedHome);
+    }
+}
+
+void BalancerTraffic::carryOut(const ResetCaller &decision)
+{
+    m_resets.push_back(m_codec.encodeReset(decision));
+    m_toCallers.add(m_codec.callerEndpoint(decision.ends), m_resets.back());
+    count(m_counters.reset);
+    m_logger.info("flow-reset",
+                  {{"caller", toString(decision.ends.caller)},
+                   {"address", toString(decision.ends.service)},
+                   {"cause", steerCauseName(decision.cause)},
+                   {"routes_version", m_steering.directory().routes().version()}});
+}
+
+void BalancerTraffic::flush()
+{
+    const std::size_t lost = m_toAgents.flush(m_peers.native_handle()) + m_toCallers.flush(m_callers.native_handle());
+    m_counters.notSent.fetch_add(lost, std::memory_order_relaxed);
+    m_resets.clear();
+}
+
+void BalancerTraffic::receiveFromPeers()
+{
+    const std::size_t received = m_reader.read(m_peers.native_handle());
+    const TimePoint now = m_clock.now();
+    for (std::size_t index = 0; index < received; ++index) {
+        const auto message = decodeSteerMessage(m_reader.datagram(index));
+        if (!message || std::holds_alternative<SteeredPacket>(*message)) {
+            count(m_counters.unreadable);
+        } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
+            m_steering.notice(now, *owner);
+        } else {
+            m_steering.notice(now, std::get<LoadNotice>(*message));
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -0,0 +1,321 @@
+#include <jujubequay/steering_program/route_control_process.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+/// A disk that is full or stalled gets better within seconds.
+constexpr auto reopenInterval = std::chrono::milliseconds(500);
+/// Lets the notice that this host leaves reach the leader, one way between availability zones.
+constexpr auto stopDelay = std::chrono::milliseconds(60);
+constexpr int heartbeatsPerLease = 3;
+
+std::uint64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+std::string hostOf(const HostAddress &address)
+{
+    const std::string text = toString(address);
+    return text.substr(0, text.find(':'));
+}
+
+/// The disk identity of a founder. It is used once: a disk that was lost gets a random one.
+std::string founderIdentity(const HostAddress &seed, std::uint64_t cluster)
+{
+    return fmt::format("{:016x}{:08x}{:08x}", cluster, seed.ip, seed.port);
+}
+
+/// The members that found the cluster: all seeds, in one order, so that every seed writes the same.
+pb::Membership founders(std::vector<HostAddress> seeds)
+{
+    std::sort(seeds.begin(), seeds.end());
+    std::string names;
+    for (const HostAddress &seed : seeds) {
+        names += toString(seed) + " ";
+    }
+    pb::Membership membership;
+    membership.set_cluster(XXH3_64bits(names.data(), names.size()) | 1U);
+    for (const HostAddress &seed : seeds) {
+        pb::Member &member = *membership.add_members();
+        member.set_id(founderIdentity(seed, membership.cluster()));
+        member.set_host(hostOf(seed));
+        member.set_address(toString(seed));
+        member.set_voter(true);
+    }
+    return membership;
+}
+
+}
+
+struct RouteControlProcess::Session {
+    std::unique_ptr<Consensus::PosixFileSystem> files;
+    std::optional<Consensus::DiskLogStorage> storage;
+    std::optional<ControlHostService> service;
+};
+
+RouteControlProcess::RouteControlProcess(RouteControlSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds)
+    : m_settings(std::move(settings))
+    , m_readSeeds(std::move(readSeeds))
+    , m_services(m_context, "jjq-control", "control", m_settings.discovery)
+    , m_settingsWatcher(m_context,
+                        std::move(settingsFile),
+                        [this] {
+                            reloadSeeds();
+                        })
+    , m_stopSignals(m_context, SIGTERM, SIGINT)
+    , m_tickTimer(m_context)
+    , m_retryTimer(m_context)
+    , m_stopTimer(m_context)
+    , m_seeds(m_settings.discovery.seeds)
+{
+}
+
+RouteControlProcess::~RouteControlProcess()
+{
+    // Streams call into the service until they are closed.
+    if (m_server) {
+        m_server->stop();
+    }
+    m_services.client().stop();
+    m_context.restart();
+    m_context.poll();
+}
+
+Result<void> RouteControlProcess::start()
+{
+    waitForStop();
+    BOOST_LEAF_CHECK(m_services.start());
+    MessageServerOptions options;
+    options.http2.keepAlive = m_settings.discovery.keepAlive;
+    const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
+        return m_session ? m_session->service->accept(path, stream) : MessageStreamHandlers{};
+    };
+    BOOST_LEAF_ASSIGN(m_server,
+                      MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.peerAddress, accept, options));
+    tryOpenSession();
+    m_settingsWatcher.start();
+    scheduleTick();
+    m_services.logger().info("started", {{"address", toString(m_settings.peerAddress)}, {"first_start", m_settings.isFirstStart}});
+    return {};
+}
+
+void RouteControlProcess::run()
+{
+    m_context.run();
+    m_services.logger().info("stopped");
+}
+
+asio::io_context &RouteControlProcess::context()
+{
+    return m_context;
+}
+
+Logger &RouteControlProcess::logger()
+{
+    return m_services.logger();
+}
+
+// ---- Replica ----
+
+Result<void> RouteControlProcess::initialiseIfEmpty(Consensus::FileSystem &files) const
+{
+    BOOST_LEAF_AUTO(names, files.list());
+    if (std::find(names.begin(), names.end(), "identity") != names.end()) {
+        return {};
+    }
+    Consensus::InitialiseOptions options;
+    options.identity = {Consensus::randomDiskIdentity(), m_settings.discovery.placement.hostName};
+    const auto &seeds = m_settings.discovery.seeds;
+    const bool isFounder = m_settings.isFirstStart && std::find(seeds.begin(), seeds.end(), m_settings.peerAddress) != seeds.end();
+    if (isFounder) {
+        options.founders = founders(seeds);
+        options.identity.id = founderIdentity(m_settings.peerAddress, options.founders.cluster());
+    }
+    return Consensus::initialiseDisk(files, options);
+}
+
+ControlHostOptions RouteControlProcess::options()
+{
+    ControlHostOptions options;
+    options.host = m_settings.discovery.placement.hostName;
+    options.address = toString(m_settings.peerAddress);
+    options.epoch = m_services.random()() | 1U; // never 0
+    options.replica.heartbeatInterval = m_settings.heartbeat;
+    options.replica.electionTimeout = m_settings.electionTimeout;
+    options.replica.snapshotInterval = m_settings.snapshotEntries;
+    options.lease.lease = m_settings.lease;
+    options.lease.heartbeat = m_settings.lease / heartbeatsPerLease;
+    options.lease.decisionDelay = m_settings.lease / heartbeatsPerLease;
+    options.registryExchange = m_settings.discovery.retryLimit / 4;
+    options.registryFillTime = 2 * m_settings.discovery.silenceLimit;
+    options.watch.heartbeat = m_settings.discovery.silenceLimit / 3;
+    options.watch.confirmEvery = m_settings.discovery.silenceLimit / 3;
+    options.watch.confirmLimit = m_settings.discovery.silenceLimit;
+    options.acceptsAnyService = true;
+    options.keeper = MembershipKeeperOptions();
+    options.keeper->voters = 2 * m_settings.toleratedDiskLosses + 1;
+    return options;
+}
+
+Result<void> RouteControlProcess::openSession()
+{
+    std::error_code error;
+    std::filesystem::create_directories(m_settings.dataDirectory, error);
+    if (error) {
+        return fail(ResultCode::DiskFailed, fmt::format("{}: {}", m_settings.dataDirectory.string(), error.message()));
+    }
+    auto session = std::make_unique<Session>();
+    BOOST_LEAF_ASSIGN(session->files, Consensus::PosixFileSystem::open(m_settings.dataDirectory));
+    BOOST_LEAF_CHECK(initialiseIfEmpty(*session->files));
+    session->storage.emplace(*session->files, m_settings.discovery.placement.hostName);
+    BOOST_LEAF_AUTO(stored, session->storage->load());
+    ControlHostService::Environment environment{
+        .clock = m_services.clock(),
+        .wallClock = wallClockMs,
+        .logger = m_services.logger(),
+        .client = m_services.client(),
+        .storage = *session->storage,
+        .random = m_services.random(),
+        .failed =
+            [this](const Failure &failure) {
+                sessionFailed(failure);
+            },
+    };
+    session->service.emplace(options(), environment, std::move(stored));
+    m_session = std::move(session);
+    m_session->service->setSeeds(m_seeds);
+    m_session->service->start();
+    const Consensus::Replica &replica = m_session->service->driver().replica();
+    m_services.logger().info("replica-opened",
+                             {{"disk", replica.id()},
+                              {"term", replica.term()},
+                              {"last_index", replica.lastIndex()},
+                              {"members", replica.membership().members_size()},
+                              {"routes_version", m_session->service->driver().state().routes().table().version()}});
+    return {};
+}
+
+void RouteControlProcess::tryOpenSession()
+{
+    handleFailure(
+        [this] {
+            return openSession();
+        },
+        [this](const Failure &failure) {
+            sessionFailed(failure);
+        });
+}
+
+// The service is used by its own callers when it fails, so it is closed later.
+void RouteControlProcess::sessionFailed(const Failure &failure)
+{
+    m_services.logger().error("replica-closed", {{"result", resultName(failure.code)}, {"cause", failure.detail}});
+    m_hasFailed = true;
+    m_retryTimer.expires_after(reopenInterval);
+    m_retryTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_services.client().stop();
+        m_server->closeConnections();
+        asio::post(m_context, [this] {
+            m_session.reset();
+            m_hasFailed = false;
+            tryOpenSession();
+        });
+    });
+}
+
+// ---- Calls of operators ----
+
+void RouteControlProcess::replaceRoutes(const pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler)
+{
+    if (!m_session || m_hasFailed) {
+        handler({ResultCode::DiskFailed, "the disk does not work", {}});
+        return;
+    }
+    m_session->service->replaceRoutes(change, std::move(handler));
+}
+
+void RouteControlProcess::readRoutes(std::function<void(const RouteReadAnswer &)> handler)
+{
+    if (!m_session || m_hasFailed) {
+        handler({ResultCode::DiskFailed, {}});
+        return;
+    }
+    m_session->service->confirmRoutes([this, handler = std::move(handler)](ResultCode result) {
+        const bool isKnown = result == ResultCode::Ok && m_session;
+        handler({result, isKnown ? m_session->service->driver().state().routes().document() : std::string()});
+    });
+}
+
+// ---- Process ----
+
+void RouteControlProcess::reloadSeeds()
+{
+    handleFailure(
+        [this]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(m_seeds, m_readSeeds());
+            m_services.logger().info("settings-reloaded", {{"seeds", m_seeds.size()}});
+            if (m_session) {
+                m_session->service->setSeeds(m_seeds);
+            }
+            return {};
+        },
+        [this](const Failure &failure) {
+            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
+        });
+}
+
+void RouteControlProcess::waitForStop()
+{
+    m_stopSignals.async_wait([this](const asio::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        m_services.logger().info("stopping", {{"signal", signal}});
+        if (m_session && !m_hasFailed) {
+            m_session->service->announceLeave();
+        }
+        m_stopTimer.expires_after(stopDelay);
+        m_stopTimer.async_wait([this](const asio::error_code &) {
+            m_context.stop();
+        });
+    });
+}
+
+void RouteControlProcess::scheduleTick()
+{
+    m_tickTimer.expires_after(ControlHostService::tickInterval);
+    m_tickTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (m_session && !m_hasFailed) {
+            m_session->service->tick();
+            publishMetrics();
+        }
+        scheduleTick();
+    });
+}
+
+void RouteControlProcess::publishMetrics()
+{
+    const ControlHostService &service = *m_session->service;
+    m_services.metrics().setGauge("routes_version", static_cast<double>(service.driver().state().routes().table().version()));
+    m_services.metrics().setGauge("applied_index", static_cast<double>(service.driver().replica().appliedIndex()));
+    m_services.metrics().setGauge("is_leader", service.driver().replica().role() == Consensus::Role::Leader ? 1 : 0);
+    m_services.metrics().setGauge("watchers", static_cast<double>(service.watchServer().watcherCount()));
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/settings_watcher.cpp
@@ -0,0 +1,69 @@
+#include <jujubequay/steering_program/settings_watcher.h>
+
+#include <csignal>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr auto pollInterval = std::chrono::seconds(1);
+
+std::filesystem::file_time_type writeTime(const std::filesystem::path &file)
+{
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(file, error);
+    return error ? std::filesystem::file_time_type{} : time; // a file that is being replaced is read at the next poll
+}
+
+}
+
+SettingsWatcher::SettingsWatcher(asio::io_context &context, std::filesystem::path file, std::function<void()> changed)
+    : m_file(std::move(file))
+    , m_changed(std::move(changed))
+    , m_signals(context, SIGHUP)
+    , m_timer(context)
+    , m_lastWrite(writeTime(m_file))
+{
+}
+
+void SettingsWatcher::start()
+{
+    waitForSignal();
+    schedulePoll();
+}
+
+void SettingsWatcher::stop()
+{
+    asio::error_code ignored;
+    m_signals.cancel(ignored);
+    m_timer.cancel();
+}
+
+void SettingsWatcher::waitForSignal()
+{
+    m_signals.async_wait([this](const asio::error_code &error, int) {
+        if (!error) {
+            m_lastWrite = writeTime(m_file);
+            m_changed();
+            waitForSignal();
+        }
+    });
+}
+
+void SettingsWatcher::schedulePoll()
+{
+    m_timer.expires_after(pollInterval);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        const auto time = writeTime(m_file);
+        if (time != m_lastWrite) {
+            m_lastWrite = time;
+            m_changed();
+        }
+        schedulePoll();
+    });
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -0,0 +1,278 @@
+#include <jujubequay/steering_program/steering_agent_process.h>
+
+#include <csignal>
+
+namespace Jujubequay {
+
+namespace pb = jujubequay::pb;
+
+namespace {
+
+constexpr auto checkInterval = std::chrono::milliseconds(250);
+/// Announcements that may be lost in a row before the server gets no new flows.
+constexpr int missedAnnouncements = 3;
+/// A server that has said that it ends exits right after; its last packets are still passed on.
+constexpr auto endDelay = std::chrono::milliseconds(300);
+/// An announcement with a sequence up to this one comes from a server that started with this agent watching.
+constexpr std::uint64_t firstSequences = 1;
+constexpr std::uint32_t ordinaryWeight = 100;
+
+}
+
+SteeringAgentProcess::SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec)
+    : m_settings(std::move(settings))
+    , m_readSeeds(std::move(readSeeds))
+    , m_codec(codec)
+    , m_services(m_context, "jjq-agent", "agent", m_settings.discovery)
+    , m_settingsWatcher(m_context,
+                        std::move(settingsFile),
+                        [this] {
+                            reloadSeeds();
+                        })
+    , m_stopSignals(m_context, SIGTERM, SIGINT)
+    , m_checkTimer(m_context)
+    , m_endTimer(m_context)
+    , m_announcements(missedAnnouncements * m_settings.announceInterval)
+{
+}
+
+SteeringAgentProcess::~SteeringAgentProcess()
+{
+    if (m_watcher) {
+        m_watcher->stop();
+    }
+    if (m_announceClient) {
+        m_announceClient->stop();
+    }
+    m_loop.stop();
+}
+
+Result<void> SteeringAgentProcess::start()
+{
+    waitForStop();
+    BOOST_LEAF_CHECK(m_services.start());
+    BOOST_LEAF_ASSIGN(m_traffic, AgentTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings));
+    m_loop.post([traffic = m_traffic.get()] {
+        traffic->start();
+    });
+    m_loop.start();
+    AnnouncerOptions announcer;
+    announcer.controlHosts = m_settings.discovery.seeds;
+    announcer.answerLimit = m_settings.discovery.silenceLimit;
+    announcer.retryBase = m_settings.discovery.retryLimit / 2;
+    announcer.retryLimit = m_settings.discovery.retryLimit;
+    announcer.heartbeat = m_settings.announceInterval;
+    m_announceClient = std::make_shared<AnnounceClient>(
+        m_context, m_services.clock(), m_services.logger(), m_services.client(), Announcer(announcer, entry(), m_services.random()));
+    m_watcher = m_services.createWatcher(
+        [this](const ConfigSnapshotPointer &snapshot) {
+            apply(snapshot);
+        },
+        [this](const std::vector<HostAddress> &controlHosts) {
+            m_announceClient->setControlHosts(controlHosts);
+        });
+    m_watcher->start();
+    m_settingsWatcher.start();
+    scheduleCheck();
+    m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"server", toString(m_settings.serverInput)}});
+    return {};
+}
+
+void SteeringAgentProcess::run()
+{
+    m_context.run();
+    m_services.logger().info("stopped");
+}
+
+bool SteeringAgentProcess::isReady() const
+{
+    return !m_isStopping;
+}
+
+asio::io_context &SteeringAgentProcess::context()
+{
+    return m_context;
+}
+
+Logger &SteeringAgentProcess::logger()
+{
+    return m_services.logger();
+}
+
+// ---- The server ----
+
+void SteeringAgentProcess::announced(const ServerAnnouncement &announcement)
+{
+    const bool isFirst = !m_announcements.current();
+    const AnnouncementOutcome outcome = m_announcements.announced(m_services.clock().now(), announcement);
+    if (outcome == AnnouncementOutcome::Late) {
+        m_services.logger().info("announcement-late",
+                                 {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
+        return;
+    }
+    if (outcome != AnnouncementOutcome::Renewed) {
+        m_services.logger().info("server",
+                                 {{"id", announcement.id},
+                                  {"started_ms", announcement.startedAtMs},
+                                  {"sequence", announcement.sequence},
+                                  {"service", announcement.service},
+                                  {"draining", announcement.isDraining},
+                                  {"slots", announcement.slots},
+                                  {"warmup_ms", announcement.warmupLeft.count()},
+                                  {"new", outcome == AnnouncementOutcome::NewServer}});
+    }
+    applyServer(!isFirst || announcement.sequence <= firstSequences);
+}
+
+void SteeringAgentProcess::left(const std::string &id)
+{
+    if (!m_announcements.left(id)) {
+        m_services.logger().info("leave-ignored", {{"id", id}});
+        return;
+    }
+    m_services.logger().info("server-leaves", {{"id", id}});
+    applyServer(false);
+    m_endTimer.expires_after(endDelay);
+    m_endTimer.async_wait([this](const asio::error_code &error) {
+        if (!error && m_announcements.hasLeft()) {
+            serverEnded();
+        }
+    });
+}
+
+void SteeringAgentProcess::serverEnded()
+{
+    m_announcements.lost();
+    applyServer(false);
+}
+
+// Announces what has changed to the control hosts, and makes it known to the traffic thread.
+void SteeringAgentProcess::applyServer(bool isFresh)
+{
+    std::optional<LocalServer> local;
+    if (const auto &current = m_announcements.current()) {
+        local = LocalServer{serviceKey(current->service),
+                            {m_announcements.incarnation()},
+                            m_announcements.takesNewFlows(m_services.clock().now()),
+                            static_cast<std::uint16_t>(current->slots)};
+    }
+    if (local != m_local) {
+        m_local = local;
+        m_loop.post([traffic = m_traffic.get(), local, isFresh] {
+            traffic->setServer(local, isFresh);
+        });
+    }
+    if (!m_announcements.current() && !m_isAnnouncing) {
+        return;
+    }
+    const pb::ServerEntry wanted = entry();
+    const bool isSame = m_announceClient->announcer().state() == wanted.state() && m_announceClient->announcer().server().incarnation() == wanted.incarnation()
+        && m_announceClient->announcer().server().weight() == wanted.weight() && m_announceClient->announcer().server().service() == wanted.service();
+    if (!isSame) {
+        m_announceClient->setServer(wanted);
+    }
+    if (!m_isAnnouncing) {
+        m_isAnnouncing = true;
+        m_announceClient->start();
+    }
+}
+
+pb::ServerEntry SteeringAgentProcess::entry() const
+{
+    pb::ServerEntry entry;
+    entry.set_name(toString(m_settings.relayAddress));
+    entry.set_host(m_settings.discovery.placement.hostName);
+    entry.set_zone(m_settings.discovery.placement.availabilityZone);
+    entry.set_relay_address(toString(m_settings.relayAddress));
+    entry.set_weight(ordinaryWeight);
+    const auto &current = m_announcements.current();
+    if (!current) {
+        if (m_announceClient) {
+            entry = m_announceClient->announcer().server();
+        }
+        entry.set_state(pb::SERVER_STATE_LEFT);
+        return entry;
+    }
+    entry.set_service(current->service);
+    entry.set_incarnation(m_announcements.incarnation());
+    if (m_announcements.hasLeft()) {
+        entry.set_state(pb::SERVER_STATE_LEFT);
+    } else {
+        entry.set_state(m_announcements.takesNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
+    }
+    return entry;
+}
+
+// ---- Process ----
+
+void SteeringAgentProcess::apply(const ConfigSnapshotPointer &snapshot)
+{
+    m_services.metrics().setGauge("routes_version", static_cast<double>(snapshot->routes->version()));
+    m_loop.post([traffic = m_traffic.get(), snapshot] {
+        traffic->update(snapshot);
+    });
+}
+
+void SteeringAgentProcess::reloadSeeds()
+{
+    handleFailure(
+        [this]() -> Result<void> {
+            BOOST_LEAF_AUTO(seeds, m_readSeeds());
+            m_services.logger().info("settings-reloaded", {{"seeds", seeds.size()}, {"first", seeds.empty() ? "" : toString(seeds.front())}});
+            m_watcher->setControlHosts(std::move(seeds));
+            return {};
+        },
+        [this](const Failure &failure) {
+            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
+        });
+}
+
+void SteeringAgentProcess::waitForStop()
+{
+    m_stopSignals.async_wait([this](const asio::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        m_isStopping = true;
+        m_services.logger().info("stopping", {{"signal", signal}, {"server_left", m_announcements.hasLeft()}});
+        if (m_announcements.hasLeft()) {
+            serverEnded();
+        }
+        // The server may live on, and its packets pass only here: a quick restart is the shortest interruption.
+        m_endTimer.expires_after(endDelay);
+        m_endTimer.async_wait([this](const asio::error_code &) {
+            m_context.stop();
+        });
+    });
+}
+
+void SteeringAgentProcess::scheduleCheck()
+{
+    m_checkTimer.expires_after(checkInterval);
+    m_checkTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        applyServer(false);
+        publishMetrics();
+        scheduleCheck();
+    });
+}
+
+void SteeringAgentProcess::publishMetrics()
+{
+    const AgentTrafficCounters &counters = m_traffic->counters();
+    const auto publish = [this](std::string_view cause, const std::atomic<std::uint64_t> &value) {
+        m_services.metrics().counter("packets", cause).store(value.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    };
+    publish("delivered", counters.delivered);
+    publish("answered", counters.answered);
+    publish("passed-on", counters.passedOn);
+    publish("reset", counters.reset);
+    publish("dropped", counters.dropped);
+    publish("unreadable", counters.unreadable);
+    publish("not-sent", counters.notSent);
+    m_services.metrics().counter("log_lines", "dropped").store(m_services.logger().droppedLines(), std::memory_order_relaxed);
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -0,0 +1,146 @@
+#include <jujubequay/steering_program/steering_balancer_process.h>
+
+#include <csignal>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr auto metricsInterval = std::chrono::seconds(1);
+
+}
+
+SteeringBalancerProcess::SteeringBalancerProcess(SteeringBalancerSettings settings,
+                                                 std::filesystem::path settingsFile,
+                                                 SeedReader readSeeds,
+                                                 const PacketCodec &codec)
+    : m_settings(std::move(settings))
+    , m_readSeeds(std::move(readSeeds))
+    , m_codec(codec)
+    , m_services(m_context, "jjq-balancer", "balancer", m_settings.discovery)
+    , m_settingsWatcher(m_context,
+                        std::move(settingsFile),
+                        [this] {
+                            reloadSeeds();
+                        })
+    , m_stopSignals(m_context, SIGTERM, SIGINT)
+    , m_drainTimer(m_context)
+    , m_metricsTimer(m_context)
+{
+}
+
+SteeringBalancerProcess::~SteeringBalancerProcess()
+{
+    if (m_watcher) {
+        m_watcher->stop();
+    }
+    m_loop.stop();
+}
+
+Result<void> SteeringBalancerProcess::start()
+{
+    waitForStop();
+    BOOST_LEAF_CHECK(m_services.start());
+    BOOST_LEAF_ASSIGN(m_traffic, BalancerTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings));
+    m_loop.post([traffic = m_traffic.get()] {
+        traffic->start();
+    });
+    m_loop.start();
+    m_watcher = m_services.createWatcher(
+        [this](const ConfigSnapshotPointer &snapshot) {
+            apply(snapshot);
+        },
+        {});
+    m_watcher->start();
+    m_settingsWatcher.start();
+    publishMetrics();
+    m_services.logger().info("started", {{"caller_address", toString(m_settings.callerAddress)}, {"seeds", m_settings.discovery.seeds.size()}});
+    return {};
+}
+
+void SteeringBalancerProcess::run()
+{
+    m_context.run();
+    m_services.logger().info("stopped");
+}
+
+bool SteeringBalancerProcess::isReady() const
+{
+    return m_hasConfig && !m_isStopping;
+}
+
+asio::io_context &SteeringBalancerProcess::context()
+{
+    return m_context;
+}
+
+Logger &SteeringBalancerProcess::logger()
+{
+    return m_services.logger();
+}
+
+void SteeringBalancerProcess::apply(const ConfigSnapshotPointer &snapshot)
+{
+    const bool hasConfig = snapshot->isRegistryKnown && snapshot->routes->version() != 0;
+    if (hasConfig && !m_hasConfig) {
+        m_services.logger().info("ready", {{"routes_version", snapshot->routes->version()}, {"servers", snapshot->servers.size()}});
+    }
+    m_hasConfig = m_hasConfig || hasConfig;
+    m_services.metrics().setGauge("routes_version", static_cast<double>(snapshot->routes->version()));
+    m_loop.post([traffic = m_traffic.get(), snapshot] {
+        traffic->update(snapshot);
+    });
+}
+
+void SteeringBalancerProcess::reloadSeeds()
+{
+    handleFailure(
+        [this]() -> Result<void> {
+            BOOST_LEAF_AUTO(seeds, m_readSeeds());
+            m_services.logger().info("settings-reloaded", {{"seeds", seeds.size()}, {"first", seeds.empty() ? "" : toString(seeds.front())}});
+            m_watcher->setControlHosts(std::move(seeds));
+            return {};
+        },
+        [this](const Failure &failure) {
+            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
+        });
+}
+
+void SteeringBalancerProcess::waitForStop()
+{
+    m_stopSignals.async_wait([this](const asio::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        m_isStopping = true;
+        m_services.logger().info("stopping", {{"signal", signal}, {"drain_ms", m_settings.drainTime.count()}});
+        m_drainTimer.expires_after(m_settings.drainTime);
+        m_drainTimer.async_wait([this](const asio::error_code &) {
+            m_context.stop();
+        });
+    });
+}
+
+void SteeringBalancerProcess::publishMetrics()
+{
+    const BalancerTrafficCounters &counters = m_traffic->counters();
+    const auto publish = [this](std::string_view cause, const std::atomic<std::uint64_t> &value) {
+        m_services.metrics().counter("packets", cause).store(value.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    };
+    publish("relayed", counters.relayed);
+    publish("placed", counters.placed);
+    publish("asked-home", counters.askedHome);
+    publish("reset", counters.reset);
+    publish("dropped", counters.dropped);
+    publish("unreadable", counters.unreadable);
+    publish("not-sent", counters.notSent);
+    m_services.metrics().counter("log_lines", "dropped").store(m_services.logger().droppedLines(), std::memory_order_relaxed);
+    m_metricsTimer.expires_after(metricsInterval);
+    m_metricsTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            publishMetrics();
+        }
+    });
+}
+
+}
