--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -30,6 +30,9 @@
     /// A follower that hears no leader for this time to twice this time starts an election; a leader that reaches no
     /// majority for this time steps down.
     Duration electionTimeout = std::chrono::milliseconds(1000);
+    /// The same for the first election after a start; zero for `electionTimeout`. It may be short: a pre-vote fails while there is a
+    /// leader, and a group that has started as a whole has none.
+    Duration firstElectionTimeout{};
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     std::size_t maxMessageBytes = 512U << 10U; ///< entries in one message; a single entry may exceed it
     std::size_t maxCommandBytes = 1U << 20U;
@@ -255,6 +258,8 @@
     TimePoint m_electionDeadline{};
     TimePoint m_lastLeaderContact{};
     bool m_heardLeader = false;
+    bool m_hasHadLeader = false; // since the start
+    std::uint32_t m_firstElections = 0;
     std::set<std::string> m_votes;
     IncomingSnapshot m_incoming;
     std::map<std::uint64_t, ForwardedRead> m_forwardedReads;
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -48,6 +48,9 @@
 
 std::string_view serverAvailabilityName(ServerAvailability state);
 
+/// Incarnation of a server that runs and has not announced itself yet, because its agent has just started.
+constexpr Incarnation unconfirmedIncarnation{1};
+
 /// One backend server as its agent announced it.
 struct ServerSnapshot {
     std::string name;
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -18,6 +18,8 @@
     WatchServerOptions watch;
     Duration registryExchange = std::chrono::milliseconds(250); ///< between deltas to other control hosts
     Duration registryFillTime = std::chrono::seconds(10); ///< see RegistryExchange
+    /// Time without a change after which the registry of a restarted control host counts as settled; zero for never.
+    Duration registrySettleTime{};
     /// Servers may announce themselves for services without a bundle; deployments that use a route table need this.
     bool acceptsAnyService = false;
     /// Set if control hosts join and are replaced without an operator.
@@ -83,6 +85,7 @@
     void promoteLearners();
     void keepMembership();
     void joinIfNeeded();
+    bool isRegistrySettled();
     void handleJoin(const jujubequay::pb::JoinRequest &request);
     bool hasEnoughVoters() const;
     std::string leaderAddress() const;
@@ -104,6 +107,8 @@
     JoinService m_join;
     std::vector<HostAddress> m_seeds;
     bool m_isChangingMembership = false;
+    TimePoint m_registryChangedAt{};
+    std::uint64_t m_registrySequence = 0;
     TimePoint m_leaderHeardAt{};
     TimePoint m_leadingSince{};
     std::uint64_t m_leadingTerm = 0;
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -63,8 +63,11 @@
     /// The majority confirmed the state that is applied now.
     void confirmed(TimePoint now, std::uint64_t number);
     void notConfirmed(std::uint64_t number);
-    /// False while the registry of a restarted control host is still being filled; it is not sent then.
+    /// False while the registry of a restarted control host is still being filled; it is not sent then to watchers that have an
+    /// older list.
     void setRegistryReady(bool ready);
+    /// True once no server has been added for a while. Watchers that have no list get the registry then.
+    void setRegistrySettled(bool settled);
     /// Addresses of all control hosts; watchers are told when they change.
     void setControlHosts(std::vector<std::string> addresses);
 
@@ -87,6 +90,7 @@
         std::uint64_t revision = 0;
         std::uint64_t flowKeyRevision = 0;
         std::uint64_t registrySequence = 0;
+        bool hasOlderList = false; ///< of servers, from another start or another control host
         std::uint64_t controlHostsNumber = 0; ///< last list that was sent
         std::size_t queued = 0;
         std::optional<TimePoint> stalledSince;
@@ -113,6 +117,7 @@
     TimePoint m_askedAt{};
     std::optional<TimePoint> m_confirmedAt;
     bool m_isRegistryReady = false;
+    bool m_isRegistrySettled = false;
     std::vector<std::string> m_controlHosts;
     std::uint64_t m_controlHostsNumber = 0;
     std::uint64_t m_sentBytes = 0;
--- a/include/jujubequay/daemon/steering_settings.h
+++ b/include/jujubequay/daemon/steering_settings.h
@@ -38,6 +38,7 @@
     HostAddress relayAddress; ///< where balancers and other agents send packets to (UDP)
     HostAddress serverOutput; ///< where the server sends its packets to (UDP)
     HostAddress serverInput; ///< where the server receives packets (UDP) and status checks (HTTP)
+    std::string service; ///< that the server belongs to, until it announces itself; may be empty
     HostAddress readyAddress;
     HostAddress announceAddress; ///< where the server announces itself (HTTP)
     HostAddress callerAddress; ///< its port is the one on which callers receive packets
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -44,7 +44,9 @@
     /// How long the end of a flow is remembered for late copies of its packets.
     Duration endMemory = std::chrono::seconds(4);
     /// Agents that a packet may visit after the first one.
-    std::uint8_t maxHops = 8;
+    std::uint8_t maxHops = 64;
+    /// The list of servers must have been unchanged for this long before a flow that none of them holds is reset.
+    Duration settleTime = std::chrono::milliseconds(400);
 };
 
 /// The agent's decision for each packet, both ways. State machine without network.
@@ -102,7 +104,7 @@
     AgentDecision forward(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     AgentDecision deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     AgentDecision passOpeningOn(const SteerHeader &header, const Segment &segment, SteerCause cause) const;
-    AgentDecision passOn(const SteerHeader &header, const FlowEnds &ends) const;
+    AgentDecision passOn(TimePoint now, const SteerHeader &header, const Segment &segment) const;
     AgentDecision returned(TimePoint now, const Segment &segment);
     bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
     /// Tells the homes of a flow where it is.
@@ -116,6 +118,7 @@
     const AgentSteeringOptions m_options;
     ServerDirectory m_directory;
     std::optional<LocalServer> m_server;
+    TimePoint m_listChangedAt{};
     TimePoint m_knowsAllSince{}; ///< from then on the agent knows each flow of the server
     std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
     std::unordered_map<FlowEnds, Flow> m_flows;
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -42,6 +42,8 @@
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry entry() const;
     void serverEnded();
+    /// Finds out whether the server runs already, so that a restarted agent need not wait for its next announcement.
+    void checkServer();
     void reloadSeeds();
     void waitForStop();
     void scheduleCheck();
@@ -61,6 +63,8 @@
     std::shared_ptr<ConfigWatcher> m_watcher;
     std::shared_ptr<AnnounceClient> m_announceClient;
     ServerAnnouncements m_announcements;
+    asio::ip::tcp::socket m_check;
+    bool m_isServerRunning = false; ///< it accepts connections and has not announced itself yet
     std::optional<LocalServer> m_local;
     bool m_isAnnouncing = false;
     bool m_isStopping = false;
--- a/src/jujubequay/consensus/election.cpp
+++ b/src/jujubequay/consensus/election.cpp
@@ -118,6 +118,7 @@
     checkInvariant(m_termLeader.empty(), "one leader per term");
     m_role = Role::Leader;
     m_leader = m_identity.id;
+    m_hasHadLeader = true;
     m_termLeader = m_identity.id;
     m_commitAtHeartbeat = m_commit;
     m_votes.clear();
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -421,6 +421,7 @@
         checkInvariant(m_termLeader.empty() || m_termLeader == leader, "one leader per term");
         m_termLeader = leader;
         m_leader = leader;
+        m_hasHadLeader = true;
     }
     m_role = Role::Follower;
     m_votes.clear();
@@ -509,8 +510,14 @@
 
 void Replica::resetElectionTimer()
 {
-    std::uniform_int_distribution<Duration::rep> jitter(0, m_options.electionTimeout.count());
-    m_electionDeadline = m_now + m_options.electionTimeout + Duration(jitter(m_random));
+    Duration timeout = m_options.electionTimeout;
+    if (!m_hasHadLeader && m_options.firstElectionTimeout > Duration::zero()) {
+        constexpr std::uint32_t maxDoublings = 8;
+        timeout = std::min(timeout, m_options.firstElectionTimeout * (1 << std::min(m_firstElections, maxDoublings)));
+        ++m_firstElections;
+    }
+    std::uniform_int_distribution<Duration::rep> jitter(0, timeout.count());
+    m_electionDeadline = m_now + timeout + Duration(jitter(m_random));
 }
 
 }
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -145,6 +145,7 @@
     }
     m_exchange.tick();
     m_watchServer.setRegistryReady(m_exchange.isFilled());
+    m_watchServer.setRegistrySettled(isRegistrySettled());
     m_watch.tick();
     if (now - m_lastPromotion >= promotionInterval) {
         m_lastPromotion = now;
@@ -299,6 +300,17 @@
     });
 }
 
+bool ControlHostService::isRegistrySettled()
+{
+    const TimePoint now = m_environment.clock.now();
+    if (m_registry.sequence() != m_registrySequence) {
+        m_registrySequence = m_registry.sequence();
+        m_registryChangedAt = now;
+    }
+    const bool isUsed = m_options.registrySettleTime > Duration::zero();
+    return isUsed && !m_registry.servers().empty() && now - m_registryChangedAt >= m_options.registrySettleTime;
+}
+
 void ControlHostService::joinIfNeeded()
 {
     const Consensus::Replica &replica = m_driver.replica();
--- a/src/jujubequay/control/peer_links.cpp
+++ b/src/jujubequay/control/peer_links.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr Duration retryBase = std::chrono::milliseconds(100);
-constexpr Duration retryLimit = std::chrono::seconds(2);
+constexpr Duration retryBase = std::chrono::milliseconds(50);
+constexpr Duration retryLimit = std::chrono::milliseconds(800);
 constexpr std::uint32_t maxDoublings = 8;
 // A stream that lasted this long was not refused.
 constexpr Duration stableAfter = std::chrono::seconds(5);
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -49,6 +49,7 @@
         watcher.revision = request.revision();
         watcher.flowKeyRevision = request.flow_key_revision();
         watcher.registrySequence = request.registry_epoch() == m_registry.epoch() ? request.registry_sequence() : 0;
+        watcher.hasOlderList = request.registry_epoch() != 0;
     }
     if (message.has_report() && watcher.request) {
         pb::HostInForce report;
@@ -113,6 +114,11 @@
     m_isRegistryReady = ready;
 }
 
+void WatchServer::setRegistrySettled(bool settled)
+{
+    m_isRegistrySettled = settled;
+}
+
 void WatchServer::setControlHosts(std::vector<std::string> addresses)
 {
     std::sort(addresses.begin(), addresses.end());
@@ -224,7 +230,8 @@
 void WatchServer::sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
 {
     const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence;
-    if (!m_isRegistryReady || isCurrent || now - watcher.lastRegistry < m_options.registryInterval) {
+    const bool isServed = m_isRegistryReady || (m_isRegistrySettled && !watcher.hasOlderList);
+    if (!isServed || isCurrent || now - watcher.lastRegistry < m_options.registryInterval) {
         return;
     }
     for (pb::RegistryDelta &delta : m_registry.changesAfter(watcher.registrySequence, watcher.services)) {
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -52,6 +52,7 @@
     settings.relayAddress = reader.address("relay_address", "address on which packets of balancers and agents arrive (UDP)");
     settings.serverOutput = reader.address("server_output", "address that the server sends its packets to (UDP)");
     settings.serverInput = reader.address("server_input", "address on which the server receives packets (UDP)");
+    settings.service = reader.text("service", "", "service of the server until it announces itself");
     settings.readyAddress = reader.address("ready_address", "address that answers whether this agent runs (HTTP)");
     settings.announceAddress = reader.address("announce_address", "address on which the server announces itself (HTTP)");
     settings.callerAddress = reader.address("caller_address", "an address whose port is the one on which callers receive packets");
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -29,14 +29,17 @@
 
 void AgentSteering::update(TimePoint now, const ConfigSnapshot &snapshot)
 {
-    m_directory.update(now, snapshot);
+    if (m_directory.update(now, snapshot)) {
+        m_listChangedAt = now;
+    }
 }
 
 std::vector<ResetCaller> AgentSteering::setServer(TimePoint now, const std::optional<LocalServer> &server, bool isFresh)
 {
     std::vector<ResetCaller> resets;
-    const bool isSame = m_server && server && m_server->incarnation == server->incarnation && m_server->service == server->service;
-    if (!isSame) {
+    const bool isSameStart = m_server && server
+        && (m_server->incarnation == server->incarnation || m_server->incarnation == unconfirmedIncarnation || server->incarnation == unconfirmedIncarnation);
+    if (!isSameStart || m_server->service != server->service) {
         // The first server of this agent may have taken flows before the agent started.
         const bool isFirst = !m_server;
         m_knowsAllSince = isFresh || !isFirst ? now : now + m_options.flowMemory;
@@ -144,16 +147,16 @@
             flow.header = header;
             return DeliverToServer{};
         }
-        return passOn(header, ends);
+        return passOn(now, header, segment);
     }
     Flow &flow = known->second;
     switch (flow.state) {
     case FlowState::Offered:
         // The caller has taken the answer of another server.
-        return passOn(header, ends);
+        return passOn(now, header, segment);
     case FlowState::Accepted:
         if (!segment.isReset && segment.acknowledgement - flow.serverSequence - 1 >= sequenceSpan) {
-            return passOn(header, ends);
+            return passOn(now, header, segment);
         }
         flow.state = FlowState::Open;
         opened(ends, notices);
@@ -200,8 +203,9 @@
     return DeliverToServer{};
 }
 
-AgentDecision AgentSteering::passOn(const SteerHeader &header, const FlowEnds &ends) const
+AgentDecision AgentSteering::passOn(TimePoint now, const SteerHeader &header, const Segment &segment) const
 {
+    const FlowEnds ends = endsFromCaller(segment);
     SteerHeader next = header;
     ++next.hops;
     if (next.hops > m_options.maxHops) {
@@ -216,7 +220,13 @@
     if (!agent || *agent == m_options.agent) {
         agent = m_directory.next(ends, m_options.agent);
     }
-    return agent ? AgentDecision(RelayToAgent{*agent, next, SteerCause::Home}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
+    if (agent) {
+        return RelayToAgent{*agent, next, SteerCause::Home};
+    }
+    // Every server of the order has been asked. The caller should not wait for a flow that nobody holds.
+    const bool isListComplete = m_directory.isReady() && now - m_listChangedAt >= m_options.settleTime;
+    return isListComplete && !segment.isReset ? AgentDecision(ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow})
+                                              : AgentDecision(DropPacket{SteerCause::UnknownFlow});
 }
 
 // ---- Packets of the server ----
@@ -275,7 +285,7 @@
     case FlowState::Asked: {
         forget(flow);
         m_flows.erase(known);
-        return segment.isOpening ? passOpeningOn(header, segment, SteerCause::NotAccepted) : passOn(header, ends);
+        return segment.isOpening ? passOpeningOn(header, segment, SteerCause::NotAccepted) : passOn(now, header, segment);
     }
     case FlowState::Open:
         // The server itself says that it does not hold the flow any more.
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+/// True if the server that held a flow has certainly ended.
+bool isReplaced(Incarnation holder, const SteerServer &current)
+{
+    const auto isConfirmed = [](Incarnation incarnation) {
+        return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
+    };
+    return !current.goneSince && isConfirmed(holder) && isConfirmed(current.incarnation) && holder != current.incarnation;
+}
+
 constexpr NameTable<SteerCause, 13> causeNames{{{
     {SteerCause::Placed, "placed"},
     {SteerCause::Known, "known"},
@@ -89,7 +98,7 @@
         Flow &flow = known->second;
         flow.lastUsed = now;
         const SteerServer *server = m_directory.find(flow.agent);
-        if (server != nullptr && server->incarnation != flow.incarnation && !server->goneSince) {
+        if (server != nullptr && isReplaced(flow.incarnation, *server)) {
             if (segment.isReset) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
@@ -100,10 +109,7 @@
     if (const auto home = m_directory.home(ends)) {
         return RelayToAgent{*home, header({}, true), SteerCause::Home};
     }
-    if (segment.isReset || m_directory.isKnownAddress(ends.service)) {
-        return DropPacket{SteerCause::NoServer};
-    }
-    return ResetCaller{ends, segment.acknowledgement, SteerCause::NoRoute};
+    return DropPacket{SteerCause::NoServer};
 }
 
 const SteerServer *BalancerSteering::choose(TimePoint now, ServiceKey service, const FlowEnds &ends, const HostAddress *avoided)
@@ -133,8 +139,9 @@
     const auto found = m_loads.find(server.agent);
     if (found != m_loads.end()) {
         const bool isRecent = now - found->second.at < m_options.loadValidity;
-        load.waiting = isRecent ? found->second.notice.waiting : 0;
-        load.openFlows = found->second.notice.openFlows + found->second.placedSince;
+        // A flow that was placed since the notice brings a request at once.
+        load.waiting = (isRecent ? found->second.notice.waiting : 0) + found->second.placedSince;
+        load.openFlows = found->second.notice.openFlows;
         load.slots = found->second.notice.slots;
     }
     return load;
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -26,34 +26,17 @@
 {
 }
 
-void ServerDirectory::update(TimePoint now, const ConfigSnapshot &snapshot)
+bool ServerDirectory::update(TimePoint now, const ConfigSnapshot &snapshot)
 {
-    // What was in force until now counts from now on as left.
-    rememberServices(now, *m_routes);
     m_routes = snapshot.routes;
-    rememberServices(now, *m_routes);
     if (snapshot.isRegistryKnown) {
         m_isRegistryKnown = true;
-        updateServers(now, snapshot);
+        return updateServers(now, snapshot);
     }
+    return false;
 }
 
-void ServerDirectory::rememberServices(TimePoint now, const RouteTable &table)
-{
-    for (const Route &route : table.routes()) {
-        for (const RouteService &service : route.services) {
-            m_services[route.address][service.key] = now;
-        }
-    }
-    for (auto entry = m_services.begin(); entry != m_services.end();) {
-        std::erase_if(entry->second, [&](const auto &service) {
-            return now - service.second > m_options.memory;
-        });
-        entry = entry->second.empty() ? m_services.erase(entry) : std::next(entry);
-    }
-}
-
-void ServerDirectory::updateServers(TimePoint now, const ConfigSnapshot &snapshot)
+bool ServerDirectory::updateServers(TimePoint now, const ConfigSnapshot &snapshot)
 {
     std::map<HostAddress, SteerServer> listed;
     for (const ServerSnapshot &server : snapshot.servers) {
@@ -75,7 +58,15 @@
             }
         }
     }
+    const auto isSameServer = [](const SteerServer &left, const SteerServer &right) {
+        return left.agent == right.agent && left.goneSince.has_value() == right.goneSince.has_value();
+    };
+    const bool isSame = std::equal(m_servers.begin(), m_servers.end(), servers.begin(), servers.end(), [&](const auto &left, const auto &right) {
+        return left.first == right.first
+            && std::equal(left.second.begin(), left.second.end(), right.second.begin(), right.second.end(), isSameServer);
+    });
     m_servers = std::move(servers);
+    return !isSame;
 }
 
 const RouteTable &ServerDirectory::routes() const
@@ -107,22 +98,13 @@
     return found == m_servers.end() ? std::span<const SteerServer>() : std::span<const SteerServer>(found->second);
 }
 
-bool ServerDirectory::isKnownAddress(const HostAddress &address) const
-{
-    return m_services.contains(address);
-}
-
 std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
 {
-    const auto services = m_services.find(ends.service);
-    if (services == m_services.end()) {
-        return {};
-    }
     const std::uint64_t hash = hashOf(ends);
     const std::uint64_t bound = after ? scoreOf(hash, *after) : 0;
     std::vector<std::pair<std::uint64_t, HostAddress>> ranked;
-    for (const auto &entry : services->second) {
-        for (const SteerServer &server : this->servers(entry.first)) {
+    for (const auto &entry : m_servers) {
+        for (const SteerServer &server : entry.second) {
             const std::uint64_t score = scoreOf(hash, server.agent);
             if (!after || score < bound) {
                 ranked.emplace_back(score, server.agent);
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -16,6 +16,8 @@
 /// Lets the notice that this host leaves reach the leader, one way between availability zones.
 constexpr auto stopDelay = std::chrono::milliseconds(60);
 constexpr int heartbeatsPerLease = 3;
+/// Agents that start together announce themselves within this time of each other.
+constexpr auto registrySettleTime = std::chrono::milliseconds(150);
 
 std::uint64_t wallClockMs()
 {
@@ -152,12 +154,14 @@
     options.epoch = m_services.random()() | 1U; // never 0
     options.replica.heartbeatInterval = m_settings.heartbeat;
     options.replica.electionTimeout = m_settings.electionTimeout;
+    options.replica.firstElectionTimeout = m_settings.heartbeat;
     options.replica.snapshotInterval = m_settings.snapshotEntries;
     options.lease.lease = m_settings.lease;
     options.lease.heartbeat = m_settings.lease / heartbeatsPerLease;
     options.lease.decisionDelay = m_settings.lease / heartbeatsPerLease;
     options.registryExchange = m_settings.discovery.retryLimit / 4;
     options.registryFillTime = 2 * m_settings.discovery.silenceLimit;
+    options.registrySettleTime = registrySettleTime;
     options.watch.heartbeat = m_settings.discovery.silenceLimit / 3;
     options.watch.confirmEvery = m_settings.discovery.silenceLimit / 3;
     options.watch.confirmLimit = m_settings.discovery.silenceLimit;
--- a/src/jujubequay/steering_program/server_announcements.cpp
+++ b/src/jujubequay/steering_program/server_announcements.cpp
@@ -7,6 +7,13 @@
 
 namespace Jujubequay {
 
+namespace {
+
+// Sets this bit, so that no start gets 0 or the number of a server that is not confirmed.
+constexpr std::uint32_t reservedIncarnations = 2;
+
+}
+
 ServerAnnouncements::ServerAnnouncements(Duration silenceLimit)
     : m_silenceLimit(silenceLimit)
 {
@@ -83,7 +90,7 @@
         return 1;
     }
     const std::string start = fmt::format("{}@{}", m_current->id, m_current->startedAtMs);
-    return static_cast<std::uint32_t>(XXH3_64bits(start.data(), start.size())) | 1U;
+    return static_cast<std::uint32_t>(XXH3_64bits(start.data(), start.size())) | reservedIncarnations;
 }
 
 }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -33,6 +33,7 @@
     , m_checkTimer(m_context)
     , m_endTimer(m_context)
     , m_announcements(missedAnnouncements * m_settings.announceInterval)
+    , m_check(m_context)
 {
 }
 
@@ -59,7 +60,7 @@
     AnnouncerOptions announcer;
     announcer.controlHosts = m_settings.discovery.seeds;
     announcer.answerLimit = m_settings.discovery.silenceLimit;
-    announcer.retryBase = m_settings.discovery.retryLimit / 2;
+    announcer.retryBase = m_settings.discovery.retryLimit / 10;
     announcer.retryLimit = m_settings.discovery.retryLimit;
     announcer.heartbeat = m_settings.announceInterval;
     m_announceClient = std::make_shared<AnnounceClient>(
@@ -73,6 +74,7 @@
         });
     m_watcher->start();
     m_settingsWatcher.start();
+    checkServer();
     scheduleCheck();
     m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"server", toString(m_settings.serverInput)}});
     return {};
@@ -104,6 +106,7 @@
 void SteeringAgentProcess::announced(const ServerAnnouncement &announcement)
 {
     const bool isFirst = !m_announcements.current();
+    m_isServerRunning = false;
     const AnnouncementOutcome outcome = m_announcements.announced(m_services.clock().now(), announcement);
     if (outcome == AnnouncementOutcome::Late) {
         m_services.logger().info("announcement-late",
@@ -146,6 +149,23 @@
     applyServer(false);
 }
 
+void SteeringAgentProcess::checkServer()
+{
+    if (m_settings.service.empty()) {
+        return;
+    }
+    const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
+    m_check.async_connect(server, [this](const asio::error_code &error) {
+        asio::error_code ignored;
+        m_check.close(ignored);
+        m_services.logger().info("server-checked", {{"runs", !error}, {"announced", m_announcements.current().has_value()}});
+        if (!error && !m_announcements.current()) {
+            m_isServerRunning = true;
+            applyServer(false);
+        }
+    });
+}
+
 // Announces what has changed to the control hosts, and makes it known to the traffic thread.
 void SteeringAgentProcess::applyServer(bool isFresh)
 {
@@ -155,6 +175,8 @@
                             {m_announcements.incarnation()},
                             m_announcements.takesNewFlows(m_services.clock().now()),
                             static_cast<std::uint16_t>(current->slots)};
+    } else if (m_isServerRunning) {
+        local = LocalServer{serviceKey(m_settings.service), unconfirmedIncarnation, true, 1};
     }
     if (local != m_local) {
         m_local = local;
@@ -162,7 +184,7 @@
             traffic->setServer(local, isFresh);
         });
     }
-    if (!m_announcements.current() && !m_isAnnouncing) {
+    if (!m_announcements.current() && !m_isServerRunning && !m_isAnnouncing) {
         return;
     }
     const pb::ServerEntry wanted = entry();
@@ -186,6 +208,12 @@
     entry.set_relay_address(toString(m_settings.relayAddress));
     entry.set_weight(ordinaryWeight);
     const auto &current = m_announcements.current();
+    if (m_isServerRunning) {
+        entry.set_service(m_settings.service);
+        entry.set_incarnation(unconfirmedIncarnation.value);
+        entry.set_state(pb::SERVER_STATE_SERVING);
+        return entry;
+    }
     if (!current) {
         if (m_announceClient) {
             entry = m_announceClient->announcer().server();
--- a/src/jujubequay/steering_program/steering_services.cpp
+++ b/src/jujubequay/steering_program/steering_services.cpp
@@ -6,7 +6,8 @@
 
 /// Lines of one event in ten seconds; a decision about a flow is one line, and this bounds the log at the busiest times.
 constexpr std::uint32_t maxRepeatedLines = 100;
-constexpr auto retryBase = std::chrono::milliseconds(100);
+/// Control hosts that start together with this process listen a little later.
+constexpr auto retryBase = std::chrono::milliseconds(40);
 
 MessageClientOptions clientOptions(const std::string &role, const DiscoverySettings &settings)
 {
