--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -106,6 +106,7 @@
         tls_context.cpp
         traffic.cpp
     TESTS
+        http1_server_test.cpp
         http2_session_test.cpp
         keep_alive_test.cpp
         message_stream_test.cpp
@@ -134,7 +135,9 @@
         control_random_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
+        membership_keeper_test.cpp
         operator_request_test.cpp
+        route_table_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
 
@@ -163,6 +166,11 @@
         segment.cpp
         server_directory.cpp
         steer_message.cpp
+    TESTS
+        agent_steering_test.cpp
+        balancer_steering_test.cpp
+        server_directory_test.cpp
+        steer_message_test.cpp
     DEPENDS jujubequay_control jujubequay_policy)
 
 jujubequay_module(client
@@ -259,6 +267,8 @@
         steering_balancer_process.cpp
         steering_services.cpp
         traffic_loop.cpp
+    TESTS
+        server_announcements_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
 jujubequay_module(operator_program
--- a/src/jujubequay/net/message_stream_test.cpp
+++ b/src/jujubequay/net/message_stream_test.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(oversizedMessageEndsTheStream);
     CPPUNIT_TEST(connectionAttemptsTimeOut);
     CPPUNIT_TEST(stopEndsStreamsAtBothEnds);
+    CPPUNIT_TEST(streamsWithoutTlsNameTheirSender);
+    CPPUNIT_TEST(tlsServersRefusePlainText);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -319,6 +321,42 @@
         CPPUNIT_ASSERT(server.record.closed == ResultCode::ConnectionLost);
     }
 
+    void streamsWithoutTlsNameTheirSender()
+    {
+        Server server(m_context, nullptr);
+        QuietLogger logger(server.clock);
+        MessageClientOptions options;
+        options.plaintextIdentity = {"host-b", "agent"};
+        const auto client = Http2MessageClient::create(m_context, server.clock, logger, nullptr, options);
+        Record record;
+        const auto stream = client->open(server.server->address(), "/announce", record.handlers());
+        stream->send(chunkOf("first"));
+        runUntil(m_context, [&] {
+            return server.record.messages.size() == 1;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("host-b"), server.peer.name);
+        CPPUNIT_ASSERT_EQUAL(std::string("agent"), server.peer.role);
+        client->stop();
+        runUntil(m_context, [&] {
+            return record.closed && server.record.closed;
+        });
+    }
+
+    /// A deployment with keys must not accept a peer that leaves them out.
+    void tlsServersRefusePlainText()
+    {
+        Server server(m_context, m_authority.context({"host-a", "control"}));
+        QuietLogger logger(server.clock);
+        const auto client = Http2MessageClient::create(m_context, server.clock, logger, nullptr, {});
+        Record record;
+        const auto stream = client->open(server.server->address(), "/announce", record.handlers());
+        stream->send(chunkOf("first"));
+        runUntil(m_context, [&] {
+            return record.closed.has_value();
+        });
+        CPPUNIT_ASSERT(server.record.messages.empty());
+    }
+
 private:
     std::shared_ptr<Http2MessageClient> clientWith(std::shared_ptr<TlsContext> tls)
     {
--- /dev/null
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -0,0 +1,270 @@
+#include <jujubequay/steering/agent_steering.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "steering_test_support.h"
+
+using namespace Jujubequay;
+using namespace Jujubequay::SteeringTest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AgentSteeringTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AgentSteeringTest);
+    CPPUNIT_TEST(opensAFlowAndTellsItsHomes);
+    CPPUNIT_TEST(passesOnWhatAnotherServerHasOpened);
+    CPPUNIT_TEST(followsAPointer);
+    CPPUNIT_TEST(asksItsServerAfterARestart);
+    CPPUNIT_TEST(doesNotAskAServerThatItHasSeenStart);
+    CPPUNIT_TEST(resetsAFlowThatNobodyHolds);
+    CPPUNIT_TEST(keepsQuietWhileTheListIsNew);
+    CPPUNIT_TEST(passesOpeningsOnWhileDraining);
+    CPPUNIT_TEST(passesOnAnOpeningThatItsServerReturned);
+    CPPUNIT_TEST(refusesAfterTwoHandOvers);
+    CPPUNIT_TEST(refusesARemovedRoute);
+    CPPUNIT_TEST(trustsABalancerWithANewerTable);
+    CPPUNIT_TEST(dropsOpeningsOfAnOldTable);
+    CPPUNIT_TEST(neverDeliversForAnotherService);
+    CPPUNIT_TEST(resetsTheFlowsOfALostServer);
+    CPPUNIT_TEST(keepsFlowsWhenTheServerIsConfirmed);
+    CPPUNIT_TEST(countsWaitingRequests);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now{seconds(100)};
+    std::vector<NoticeTo> m_notices;
+
+    AgentSteering agent(std::uint32_t number, const Snapshots &snapshots, bool isFresh = true) const
+    {
+        AgentSteering agent({.agent = agentAddress(number)});
+        agent.update(m_now - seconds(10), snapshots.build());
+        agent.setServer(m_now - seconds(10), LocalServer{serviceKey("feed"), {100 + number}, true, 3}, isFresh);
+        return agent;
+    }
+
+    static SteerHeader header(const std::string &service = "feed", std::uint64_t tableVersion = 3)
+    {
+        return {0, false, tableVersion, serviceKey(service), balancerAddress(1)};
+    }
+
+    static SteerHeader question()
+    {
+        SteerHeader header = AgentSteeringTest::header();
+        header.wantsOwner = true;
+        return header;
+    }
+
+    void openFlow(AgentSteering &agent, const FlowEnds &ends, std::uint32_t sequence = 1000)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), opening(ends), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<SendToCaller>(agent.fromServer(m_now, openingAnswer(ends, sequence), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), data(ends, sequence + 1), m_notices)));
+    }
+
+    /// A flow whose order of the given servers starts with `first`.
+    static FlowEnds flowAtHome(const ServerDirectory &directory, const HostAddress &first)
+    {
+        for (std::uint16_t port = 1; port < 5000; ++port) {
+            if (directory.home(flow(port)) == first) {
+                return flow(port);
+            }
+        }
+        CPPUNIT_FAIL("no flow has this home");
+        return {};
+    }
+
+    static FlowEnds flowThatEndsAt(const ServerDirectory &directory, const HostAddress &last)
+    {
+        for (std::uint16_t port = 1; port < 5000; ++port) {
+            if (directory.order(flow(port), 10).back() == last) {
+                return flow(port);
+            }
+        }
+        CPPUNIT_FAIL("no flow has this order");
+        return {};
+    }
+
+public:
+    void opensAFlowAndTellsItsHomes()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(2));
+        openFlow(agent, ends);
+        CPPUNIT_ASSERT(!m_notices.empty());
+        CPPUNIT_ASSERT(m_notices.front().destination == agentAddress(2));
+        CPPUNIT_ASSERT(m_notices.front().notice.owner == agentAddress(1));
+    }
+
+    /// An opening packet may have been offered to two servers. The caller's acknowledgement names the one that it has taken.
+    void passesOnWhatAnotherServerHasOpened()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(1));
+        agent.fromPeer(m_now, header(), opening(ends), m_notices);
+        agent.fromServer(m_now, openingAnswer(ends, 1000), m_notices);
+        const AgentDecision decision = agent.fromPeer(m_now, header(), data(ends, 900'000'000), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
+
+    void followsAPointer()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        agent.notice(m_now, {flow(1), agentAddress(3)});
+        const AgentDecision decision = agent.fromPeer(m_now, question(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwner);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.balancer == balancerAddress(1));
+    }
+
+    /// Guards the flows of a server whose agent was restarted: only the server knows them.
+    void asksItsServerAfterARestart()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, question(), data(ends, 5), m_notices)));
+        const AgentDecision decision = agent.fromServer(m_now, returned(data(ends, 5)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+
+        const FlowEnds held = flow(4999);
+        agent.fromPeer(m_now, question(), data(held, 5), m_notices);
+        m_notices.clear();
+        CPPUNIT_ASSERT(std::holds_alternative<SendToCaller>(agent.fromServer(m_now, fromServer(held), m_notices)));
+        CPPUNIT_ASSERT(m_notices.back().destination == balancerAddress(1));
+        CPPUNIT_ASSERT(m_notices.back().notice.owner == agentAddress(1));
+    }
+
+    /// Packets that stray to servers count against the flow, and cost them work.
+    void doesNotAskAServerThatItHasSeenStart()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(1));
+        const AgentDecision decision = agent.fromPeer(m_now, question(), data(ends, 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{1}, std::get<RelayToAgent>(decision).header.hops);
+    }
+
+    /// After a loss of power the callers of all flows must learn that they are gone.
+    void resetsAFlowThatNobodyHolds()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        const FlowEnds ends = flowThatEndsAt(agent.directory(), agentAddress(1));
+        const AgentDecision decision = agent.fromPeer(m_now, question(), data(ends, 55), m_notices);
+        CPPUNIT_ASSERT(std::get<ResetCaller>(decision).cause == SteerCause::UnknownFlow);
+        CPPUNIT_ASSERT_EQUAL(55U, std::get<ResetCaller>(decision).sequence);
+    }
+
+    /// A list that is still filling may lack the holder.
+    void keepsQuietWhileTheListIsNew()
+    {
+        Snapshots snapshots;
+        snapshots.server(1);
+        AgentSteering agent = this->agent(1, snapshots);
+        agent.update(m_now, snapshots.server(2).build());
+        const FlowEnds ends = flowThatEndsAt(agent.directory(), agentAddress(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.fromPeer(m_now, question(), data(ends, 5), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.fromPeer(m_now + seconds(1), question(), data(ends, 5), m_notices)));
+    }
+
+    void passesOpeningsOnWhileDraining()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3, "vault"));
+        openFlow(agent, flow(1));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, false, 3}, false);
+        const AgentDecision decision = agent.fromPeer(m_now, header(), opening(flow(2)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), data(flow(1), 1001), m_notices)));
+    }
+
+    void passesOnAnOpeningThatItsServerReturned()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        agent.fromPeer(m_now, header(), opening(flow(1)), m_notices);
+        const AgentDecision decision = agent.fromServer(m_now, returned(opening(flow(1))), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{1}, std::get<RelayToAgent>(decision).header.hops);
+    }
+
+    /// What no server can take is refused at once instead of after the caller's time is over.
+    void refusesAfterTwoHandOvers()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, false, 3}, false);
+        SteerHeader handedOver = header();
+        handedOver.hops = 2;
+        const AgentDecision decision = agent.fromPeer(m_now, handedOver, opening(flow(1)), m_notices);
+        CPPUNIT_ASSERT(std::get<ResetCaller>(decision).cause == SteerCause::NotAccepted);
+    }
+
+    /// A balancer that is behind must not open flows on a route that is gone.
+    void refusesARemovedRoute()
+    {
+        Snapshots snapshots;
+        snapshots.server(1);
+        AgentSteering agent = this->agent(1, snapshots);
+        agent.update(m_now, snapshots.route(feedAddress, "").build());
+        const AgentDecision decision = agent.fromPeer(m_now, header("feed", 3), opening(flow(1)), m_notices);
+        CPPUNIT_ASSERT(std::get<ResetCaller>(decision).cause == SteerCause::NoRoute);
+    }
+
+    void trustsABalancerWithANewerTable()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().route(feedAddress, "vault").server(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header("feed", 9), opening(flow(1)), m_notices)));
+    }
+
+    /// Once a newer table has had an effect here, an older one must not.
+    void dropsOpeningsOfAnOldTable()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        agent.fromPeer(m_now, header("feed", 9), opening(flow(1)), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.fromPeer(m_now, header("feed", 3), opening(flow(2)), m_notices)));
+    }
+
+    /// Addresses are used again by other services.
+    void neverDeliversForAnotherService()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2, "vault"));
+        const AgentDecision decision = agent.fromPeer(m_now, header("vault"), opening(flow(1, vaultAddress)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
+
+    void resetsTheFlowsOfALostServer()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        openFlow(agent, flow(1), 1000);
+        const auto resets = agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resets.size());
+        CPPUNIT_ASSERT(resets.front().ends == flow(1));
+        CPPUNIT_ASSERT_EQUAL(1001U, resets.front().sequence);
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.fromPeer(m_now, header(), data(flow(1), 1001), m_notices)));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+    }
+
+    void keepsFlowsWhenTheServerIsConfirmed()
+    {
+        AgentSteering agent({.agent = agentAddress(1)});
+        agent.update(m_now, Snapshots().server(1).build());
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 1}, false);
+        openFlow(agent, flow(1));
+        CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {555}, true, 3}, false).empty());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), data(flow(1), 1001), m_notices)));
+    }
+
+    void countsWaitingRequests()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        openFlow(agent, flow(1));
+        openFlow(agent, flow(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, agent.load().waiting);
+        Segment answer = fromServer(flow(1));
+        answer.length = 200;
+        agent.fromServer(m_now, answer, m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().waiting);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, agent.load().openFlows);
+        agent.expire(m_now + seconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().waiting);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
--- /dev/null
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -0,0 +1,79 @@
+#include <jujubequay/steering/server_directory.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "steering_test_support.h"
+
+using namespace Jujubequay;
+using namespace Jujubequay::SteeringTest;
+using std::chrono::seconds;
+
+class ServerDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServerDirectoryTest);
+    CPPUNIT_TEST(ordersAlikeWhateverTheOrderOfTheList);
+    CPPUNIT_TEST(keepsTheHomeOfMostFlowsWhenAServerJoins);
+    CPPUNIT_TEST(remembersAServerThatLeft);
+    CPPUNIT_TEST(ordersServersOfAllServices);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr int flows = 400;
+
+public:
+    /// Guards against hosts that look for a flow at different homes.
+    void ordersAlikeWhateverTheOrderOfTheList()
+    {
+        ServerDirectory left({});
+        ServerDirectory right({});
+        left.update({}, Snapshots().server(1).server(2).server(3).server(4).build());
+        right.update({}, Snapshots().server(4).server(2).server(3).server(1).build());
+        for (std::uint16_t port = 1; port <= flows; ++port) {
+            const auto order = left.order(flow(port), 10);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, order.size());
+            CPPUNIT_ASSERT(order == right.order(flow(port), 10));
+            CPPUNIT_ASSERT(left.next(flow(port), order[1]) == order[2]);
+            CPPUNIT_ASSERT(!left.next(flow(port), order[3]));
+        }
+    }
+
+    /// Guards against a change of the list that moves flows between servers that stay.
+    void keepsTheHomeOfMostFlowsWhenAServerJoins()
+    {
+        ServerDirectory before({});
+        ServerDirectory after({});
+        before.update({}, Snapshots().server(1).server(2).server(3).server(4).build());
+        after.update({}, Snapshots().server(1).server(2).server(3).server(4).server(5).build());
+        int moved = 0;
+        for (std::uint16_t port = 1; port <= flows; ++port) {
+            const auto home = after.home(flow(port));
+            if (home != before.home(flow(port))) {
+                ++moved;
+                CPPUNIT_ASSERT(home == agentAddress(5));
+            }
+        }
+        CPPUNIT_ASSERT(moved > 0 && moved < flows * 2 / 5);
+    }
+
+    /// A server that drops out of the list, for example because its lease ended, may still hold flows.
+    void remembersAServerThatLeft()
+    {
+        ServerDirectory directory({.memory = seconds(75)});
+        directory.update(TimePoint(seconds(1)), Snapshots().server(1).server(2).build());
+        directory.update(TimePoint(seconds(2)), Snapshots().server(1).build());
+        CPPUNIT_ASSERT(directory.find(agentAddress(2)) != nullptr);
+        CPPUNIT_ASSERT(!directory.find(agentAddress(2))->takesNewFlows);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.order(flow(1), 10).size());
+        directory.update(TimePoint(seconds(80)), Snapshots().server(1).build());
+        CPPUNIT_ASSERT(directory.find(agentAddress(2)) == nullptr);
+    }
+
+    /// kpa-quay, quiet-1: a balancer that started after a change of the route looked for its flows only behind the new service.
+    void ordersServersOfAllServices()
+    {
+        ServerDirectory directory({});
+        directory.update({}, Snapshots().route(feedAddress, "vault").server(1, "feed").server(2, "vault").build());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.order(flow(1), 10).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
--- /dev/null
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -0,0 +1,57 @@
+#include <jujubequay/steering/steer_message.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "steering_test_support.h"
+
+using namespace Jujubequay;
+using namespace Jujubequay::SteeringTest;
+
+class SteerMessageTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SteerMessageTest);
+    CPPUNIT_TEST(packetsKeepTheirHeader);
+    CPPUNIT_TEST(noticesKeepTheirFields);
+    CPPUNIT_TEST(refusesOtherBytes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void packetsKeepTheirHeader()
+    {
+        std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
+        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9)};
+        encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
+        const auto message = decodeSteerMessage(datagram);
+        const auto &packet = std::get<SteeredPacket>(message.value());
+        CPPUNIT_ASSERT_EQUAL(header.hops, packet.header.hops);
+        CPPUNIT_ASSERT(packet.header.wantsOwner);
+        CPPUNIT_ASSERT_EQUAL(header.tableVersion, packet.header.tableVersion);
+        CPPUNIT_ASSERT(packet.header.service == header.service);
+        CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, packet.packet.size());
+    }
+
+    void noticesKeepTheirFields()
+    {
+        auto owner = encode(OwnerNotice{flow(7), agentAddress(3)});
+        const auto ownerMessage = decodeSteerMessage(owner);
+        CPPUNIT_ASSERT(std::get<OwnerNotice>(ownerMessage.value()).ends == flow(7));
+        CPPUNIT_ASSERT(std::get<OwnerNotice>(ownerMessage.value()).owner == agentAddress(3));
+        auto load = encode(LoadNotice{agentAddress(4), 5, 600, 3, true});
+        const auto loadMessage = decodeSteerMessage(load);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{600}, std::get<LoadNotice>(loadMessage.value()).openFlows);
+        CPPUNIT_ASSERT(std::get<LoadNotice>(loadMessage.value()).takesNewFlows);
+    }
+
+    void refusesOtherBytes()
+    {
+        auto owner = encode(OwnerNotice{flow(7), agentAddress(3)});
+        for (std::size_t length = 0; length < owner.size(); ++length) {
+            CPPUNIT_ASSERT(!decodeSteerMessage(std::span(owner).first(length)));
+        }
+        owner[0] = 0x16; // the first byte of a TLS record
+        CPPUNIT_ASSERT(!decodeSteerMessage(owner));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SteerMessageTest);
--- /dev/null
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <jujubequay/control/config_snapshot.h>
+#include <jujubequay/steering/segment.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Jujubequay {
+
+/// Addresses and configurations that the tests of this module share.
+namespace SteeringTest {
+
+inline HostAddress agentAddress(std::uint32_t number)
+{
+    return {0x0A010000U + number, 8172};
+}
+
+inline HostAddress balancerAddress(std::uint32_t number)
+{
+    return {0x0A020000U + number, 7720};
+}
+
+constexpr HostAddress feedAddress{0xC6120001U, 443};
+constexpr HostAddress vaultAddress{0xC6120002U, 443};
+
+inline FlowEnds flow(std::uint16_t callerPort, const HostAddress &service = feedAddress)
+{
+    return {{0x64400007U, callerPort}, service};
+}
+
+inline Segment fromCaller(const FlowEnds &ends)
+{
+    Segment segment;
+    segment.source = ends.caller;
+    segment.destination = ends.service;
+    return segment;
+}
+
+inline Segment opening(const FlowEnds &ends, std::uint32_t copy = 0)
+{
+    Segment segment = fromCaller(ends);
+    segment.isOpening = true;
+    segment.copy = copy;
+    return segment;
+}
+
+inline Segment data(const FlowEnds &ends, std::uint32_t acknowledgement)
+{
+    Segment segment = fromCaller(ends);
+    segment.isAnswer = true;
+    segment.acknowledgement = acknowledgement;
+    segment.length = 100;
+    return segment;
+}
+
+inline Segment fromServer(const FlowEnds &ends)
+{
+    Segment segment;
+    segment.source = ends.service;
+    segment.destination = ends.caller;
+    segment.isAnswer = true;
+    return segment;
+}
+
+inline Segment openingAnswer(const FlowEnds &ends, std::uint32_t sequence)
+{
+    Segment segment = fromServer(ends);
+    segment.isOpening = true;
+    segment.sequence = sequence;
+    return segment;
+}
+
+inline Segment returned(Segment segment)
+{
+    segment.isReturned = true;
+    return segment;
+}
+
+/// Builds configurations with the routes "feed" and "vault" to services of the same names.
+class Snapshots
+{
+public:
+    Snapshots()
+    {
+        m_table.set_version(1);
+        route(feedAddress, "feed");
+        route(vaultAddress, "vault");
+    }
+
+    Snapshots &server(std::uint32_t number, const std::string &service = "feed", ServerAvailability state = ServerAvailability::Serving)
+    {
+        ServerSnapshot server;
+        server.name = toString(agentAddress(number));
+        server.service = service;
+        server.relayAddress = agentAddress(number);
+        server.incarnation = {100 + number};
+        server.state = state;
+        server.zone = number % 2 == 0 ? "zone-a" : "zone-b";
+        std::erase_if(m_servers, [&server](const ServerSnapshot &known) {
+            return known.relayAddress == server.relayAddress;
+        });
+        m_servers.push_back(server);
+        return *this;
+    }
+
+    Snapshots &incarnation(std::uint32_t number, std::uint32_t incarnation)
+    {
+        for (ServerSnapshot &server : m_servers) {
+            if (server.relayAddress == agentAddress(number)) {
+                server.incarnation = {incarnation};
+            }
+        }
+        return *this;
+    }
+
+    Snapshots &without(std::uint32_t number)
+    {
+        std::erase_if(m_servers, [number](const ServerSnapshot &server) {
+            return server.relayAddress == agentAddress(number);
+        });
+        return *this;
+    }
+
+    /// Lets a route lead to another service, in a table of the next version.
+    Snapshots &route(const HostAddress &address, const std::string &service)
+    {
+        m_table.set_version(m_table.version() + 1);
+        for (int index = 0; index < m_table.routes_size(); ++index) {
+            if (m_table.routes(index).ip() == address.ip) {
+                m_table.mutable_routes()->DeleteSubrange(index, 1);
+                break;
+            }
+        }
+        if (!service.empty()) {
+            jujubequay::pb::Route &route = *m_table.add_routes();
+            route.set_name(service);
+            route.set_ip(address.ip);
+            route.set_port(address.port);
+            route.set_timeout_ms(1000);
+            route.add_services()->set_service(service);
+            route.mutable_services(0)->set_weight(1);
+        }
+        return *this;
+    }
+
+    ConfigSnapshot build() const
+    {
+        ConfigSnapshot snapshot;
+        snapshot.routes = std::make_shared<RouteTable>(m_table);
+        snapshot.servers = m_servers;
+        snapshot.isRegistryKnown = true;
+        return snapshot;
+    }
+
+private:
+    jujubequay::pb::RouteTable m_table;
+    std::vector<ServerSnapshot> m_servers;
+};
+
+}
+
+}
