Serve watchers as soon as a restarted group has a leader

Agents that announced to a host with an empty disk, which is no member yet, reached nobody, so balancers began with 5 of 10 servers and overloaded them (290 requests shed).

--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -63,6 +63,8 @@
     /// For MessageStreamAcceptor. A role that may not use the path is refused.
     MessageStreamHandlers accept(const std::string &path, const std::shared_ptr<MessageStream> &stream);
     void tick();
+    /// When `tick` is due, at most tickInterval from now.
+    TimePoint nextTick() const;
     /// Where control hosts may be found by one that is not a member.
     void setSeeds(std::vector<HostAddress> seeds);
     /// Puts a checked route table in force unless its version is not higher than the one in force. Answers once the change is
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -66,8 +66,10 @@
 
     WatchSubscriber(WatchSubscriberOptions options, std::mt19937_64 &random);
 
-    /// Call at least every 200 ms.
+    /// Call at least every 200 ms, and at `nextAttempt`.
     Effects tick(TimePoint now);
+    /// When the next control host is tried; empty while a stream is open.
+    std::optional<TimePoint> nextAttempt() const;
     /// A message that arrived on a stream.
     Effects receive(TimePoint now, std::uint64_t stream, const jujubequay::pb::WatchDown &message);
     /// A stream ended or could not be opened.
--- a/include/jujubequay/service/announcer.h
+++ b/include/jujubequay/service/announcer.h
@@ -44,8 +44,10 @@
     /// `server` has name, service, zone, host, relay address, incarnation and weight; state and sequence are set here.
     Announcer(AnnouncerOptions options, jujubequay::pb::ServerEntry server, std::mt19937_64 &random);
 
-    /// Call at least every 100 ms.
+    /// Call at least every 100 ms, and at `nextAttempt`.
     AnnouncerEffects tick(TimePoint now);
+    /// When the next control host is tried; empty while a stream is open.
+    std::optional<TimePoint> nextAttempt() const;
     AnnouncerEffects receive(TimePoint now, std::uint64_t stream, const jujubequay::pb::AnnounceDown &message);
     /// A stream ended or could not be opened.
     AnnouncerEffects closed(TimePoint now, std::uint64_t stream);
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -237,9 +237,14 @@
     if (candidate <= m_commit || m_log->termAt(candidate) != m_hardState.term) {
         return;
     }
+    const bool isFirstOfTerm = m_commit < m_termStartIndex;
     m_commit = candidate;
     applyCommitted();
     confirmReads();
+    if (isFirstOfTerm) {
+        // Followers that have started with this term can apply and serve what they hold only now.
+        broadcast(true);
+    }
     if (m_membershipIndex <= m_commit && !isVoter(m_membership, m_identity.id)) {
         broadcast(true); // tells the others that the removal has committed
         stepDown();
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -109,6 +109,11 @@
 MessageStreamHandlers ControlHostService::accept(const std::string &path, const std::shared_ptr<MessageStream> &stream)
 {
     const std::string role = stream->peer().role;
+    // What a host outside the group learns reaches nobody, so those who announce or watch are better served elsewhere.
+    const bool isMember = Consensus::findMember(m_driver.replica().membership(), m_driver.replica().id()) != nullptr;
+    if (m_keeper && !isMember && (path == "/announce" || path == "/watch")) {
+        return {};
+    }
     if (path == "/raft" && role == "control") {
         return acceptRaft(stream);
     }
@@ -160,6 +165,11 @@
     }
 }
 
+TimePoint ControlHostService::nextTick() const
+{
+    return std::min(m_environment.clock.now() + tickInterval, m_driver.replica().nextTick());
+}
+
 const ReplicaDriver &ControlHostService::driver() const
 {
     return m_driver;
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -418,6 +418,11 @@
     return state;
 }
 
+std::optional<TimePoint> WatchSubscriber::nextAttempt() const
+{
+    return m_isOpen ? std::nullopt : std::optional(m_nextAttempt);
+}
+
 ConfigSnapshotPointer WatchSubscriber::snapshot() const
 {
     return m_snapshot;
--- a/src/jujubequay/service/announce_client.cpp
+++ b/src/jujubequay/service/announce_client.cpp
@@ -6,7 +6,7 @@
 
 namespace pb = jujubequay::pb;
 
-constexpr auto tickInterval = std::chrono::milliseconds(50);
+constexpr auto tickInterval = std::chrono::milliseconds(100);
 
 }
 
@@ -61,7 +61,8 @@
 
 void AnnounceClient::scheduleTick()
 {
-    m_timer.expires_after(tickInterval);
+    const TimePoint regular = m_clock.now() + tickInterval;
+    m_timer.expires_at(std::min(regular, m_announcer.nextAttempt().value_or(regular)));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (error || self->m_isStopped) {
             return;
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -142,6 +142,11 @@
     return m_server.state();
 }
 
+std::optional<TimePoint> Announcer::nextAttempt() const
+{
+    return m_isOpen ? std::nullopt : std::optional(m_nextAttempt);
+}
+
 const pb::ServerEntry &Announcer::server() const
 {
     return m_server;
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -86,7 +86,8 @@
 
 void ConfigWatcher::scheduleTick()
 {
-    m_timer.expires_after(tickInterval);
+    const TimePoint regular = m_clock.now() + tickInterval;
+    m_timer.expires_at(std::min(regular, m_subscriber.nextAttempt().value_or(regular)));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (error || self->m_isStopped) {
             return;
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -16,6 +16,8 @@
 /// Lets the notice that this host leaves reach the leader, one way between availability zones.
 constexpr auto stopDelay = std::chrono::milliseconds(60);
 constexpr int heartbeatsPerLease = 3;
+/// Bounds the processor time if a due tick has nothing to do.
+constexpr auto shortestTick = std::chrono::milliseconds(2);
 /// Agents that start together announce themselves within this time of each other.
 constexpr auto registrySettleTime = std::chrono::milliseconds(150);
 
@@ -154,7 +156,7 @@
     options.epoch = m_services.random()() | 1U; // never 0
     options.replica.heartbeatInterval = m_settings.heartbeat;
     options.replica.electionTimeout = m_settings.electionTimeout;
-    options.replica.firstElectionTimeout = m_settings.heartbeat;
+    options.replica.firstElectionTimeout = m_settings.heartbeat / 2;
     options.replica.snapshotInterval = m_settings.snapshotEntries;
     options.lease.lease = m_settings.lease;
     options.lease.heartbeat = m_settings.lease / heartbeatsPerLease;
@@ -300,7 +302,9 @@
 
 void RouteControlProcess::scheduleTick()
 {
-    m_tickTimer.expires_after(ControlHostService::tickInterval);
+    const bool isOpen = m_session && !m_hasFailed;
+    const TimePoint now = m_services.clock().now();
+    m_tickTimer.expires_at(isOpen ? std::max(now + shortestTick, m_session->service->nextTick()) : now + ControlHostService::tickInterval);
     m_tickTimer.async_wait([this](const asio::error_code &error) {
         if (error) {
             return;
