Let packets and requests wait where they would be lost or refused

Cause: after the final fault all callers return within half a second.

Change: PacketQueue (pattern: hold at startup) at balancers; an admission queue at agents: four requests a slot are at the server, 48 more wait at the agent for 0.9 s at most, the rest is left to the server to refuse. Repeated packets no longer count as requests.

Ruled out: pacing the release at balancers, since they do not know the load of a server within 250 ms.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -35,10 +35,12 @@
         load_estimate.cpp
         placement.cpp
         retry.cpp
+        packet_queue.cpp
     TESTS
         admission_queue_test.cpp
         balance_test.cpp
         placement_test.cpp
+        packet_queue_test.cpp
     DEPENDS jujubequay_core)
 
 jujubequay_module(consensus
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -29,7 +29,11 @@
 /// Hand the packet to the caller.
 struct SendToCaller {
 };
-using AgentDecision = std::variant<DeliverToServer, SendToCaller, RelayToAgent, ResetCaller, DropPacket>;
+/// Keep the packet until `mayStartRequest`, then pass it to `startHeld`: the server has as many requests as it takes without
+/// refusing some.
+struct HoldPacket {
+};
+using AgentDecision = std::variant<DeliverToServer, SendToCaller, RelayToAgent, ResetCaller, DropPacket, HoldPacket>;
 
 /// A notice that goes with a decision.
 struct NoticeTo {
@@ -43,6 +47,12 @@
     Duration flowMemory = std::chrono::seconds(75);
     /// How long the end of a flow is remembered for late copies of its packets.
     Duration endMemory = std::chrono::seconds(4);
+    /// Requests for each slot that a server gets at the same time; it queues a few and refuses more.
+    std::uint16_t requestsPerSlot = 4;
+    /// Requests that wait here; more are left to the server to refuse.
+    std::size_t maxHeldRequests = 48;
+    /// A request that has waited for this long is left to the server; its caller is about to give up.
+    Duration maxHold = std::chrono::milliseconds(900);
     /// Agents that a packet may visit after the first one.
     std::uint8_t maxHops = 64;
     /// The list of servers must have been unchanged for this long before a flow that none of them holds is reset.
@@ -67,6 +77,10 @@
     AgentDecision fromPeer(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     /// A packet of the server.
     AgentDecision fromServer(TimePoint now, const Segment &segment, std::vector<NoticeTo> &notices);
+    /// True while the server takes another request.
+    bool mayStartRequest() const;
+    /// A packet that was held, once the server takes another request.
+    AgentDecision startHeld(TimePoint now, const Segment &segment);
     void notice(TimePoint now, const OwnerNotice &notice);
     /// Forgets flows without packets; call about once a second.
     void expire(TimePoint now);
@@ -96,6 +110,9 @@
         std::uint32_t callerAcknowledgement = 0;
         HostAddress elsewhere;
         bool isWaiting = false; ///< the caller has sent data that has not been answered yet
+        std::uint32_t callerEnd = 0; ///< sequence number after the caller's last new data
+        bool hasCallerData = false;
+        std::optional<TimePoint> heldSince; ///< the start of a request waits here
         bool hasCallerEnded = false;
         bool hasServerEnded = false;
     };
@@ -110,6 +127,9 @@
     /// Tells the homes of a flow where it is.
     void opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const;
     void setWaiting(Flow &flow, bool isWaiting);
+    bool isNewData(Flow &flow, const Segment &segment) const;
+    bool mustHold(TimePoint now, Flow &flow);
+    void endHold(Flow &flow);
     void end(TimePoint now, Flow &flow);
     Flow &insert(const FlowEnds &ends, FlowState state, TimePoint now);
     void forget(Flow &flow);
@@ -125,6 +145,7 @@
     std::unordered_map<HostAddress, TimePoint> m_balancers;
     std::size_t m_waiting = 0;
     std::size_t m_held = 0;
+    std::size_t m_heldRequests = 0;
 };
 
 }
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -27,6 +27,7 @@
     StaleTable, ///< the sender's route table is older than one that is known to be in force
     UnknownFlow,
     TooManyHops,
+    Held, ///< waits at the agent already
     Spoofed, ///< a packet that only the other end may send
 };
 
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -3,6 +3,7 @@
 #include <jujubequay/core/log.h>
 #include <jujubequay/daemon/steering_settings.h>
 #include <jujubequay/datapath/datagram_batch.h>
+#include <jujubequay/policy/packet_queue.h>
 #include <jujubequay/steering/agent_steering.h>
 #include <jujubequay/steering/packet_codec.h>
 
@@ -23,6 +24,7 @@
     std::atomic<std::uint64_t> delivered = 0;
     std::atomic<std::uint64_t> answered = 0;
     std::atomic<std::uint64_t> passedOn = 0;
+    std::atomic<std::uint64_t> held = 0;
     std::atomic<std::uint64_t> reset = 0;
     std::atomic<std::uint64_t> dropped = 0;
     std::atomic<std::uint64_t> unreadable = 0;
@@ -62,6 +64,7 @@
     void relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
     void reset(const ResetCaller &decision);
     void logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet);
+    void releaseHeld(TimePoint now);
     void sendNotices();
     std::vector<std::uint8_t> &keep(std::span<const std::uint8_t> bytes);
     void flush();
@@ -80,6 +83,7 @@
     DatagramWriter m_toServer;
     std::deque<std::vector<std::uint8_t>> m_kept; ///< bytes that wait for the next flush
     std::vector<NoticeTo> m_notices;
+    PacketQueue m_heldRequests; ///< that the server would refuse now
     AgentTrafficCounters m_counters;
 };
 
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -3,6 +3,7 @@
 #include <jujubequay/core/log.h>
 #include <jujubequay/daemon/steering_settings.h>
 #include <jujubequay/datapath/datagram_batch.h>
+#include <jujubequay/policy/packet_queue.h>
 #include <jujubequay/steering/balancer_steering.h>
 #include <jujubequay/steering/packet_codec.h>
 
@@ -54,8 +55,10 @@
     void scheduleExpiry();
     void receiveFromCallers();
     void receiveFromPeers();
-    void handle(TimePoint now, std::size_t index);
-    void carryOut(const RelayToAgent &decision, std::size_t index);
+    /// `datagram` is the packet with headroom in front of it.
+    void handle(TimePoint now, std::span<std::uint8_t> datagram);
+    void releaseHeld();
+    void carryOut(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> datagram);
     void carryOut(const ResetCaller &decision);
     void flush();
 
@@ -63,6 +66,7 @@
     Logger &m_logger;
     const PacketCodec &m_codec;
     BalancerSteering m_steering;
+    PacketQueue m_startupQueue; ///< packets that arrive before the configuration
     asio::ip::udp::socket m_callers;
     asio::ip::udp::socket m_peers;
     asio::steady_timer m_expiryTimer;
--- /dev/null
+++ b/src/jujubequay/policy/packet_queue.cpp
@@ -0,0 +1,53 @@
+#include <jujubequay/policy/packet_queue.h>
+
+#include <utility>
+
+namespace Jujubequay {
+
+PacketQueue::PacketQueue(PacketQueueOptions options)
+    : m_options(options)
+{
+}
+
+void PacketQueue::hold(TimePoint now, std::span<const std::uint8_t> packet)
+{
+    m_held.push_back({now, {packet.begin(), packet.end()}});
+    m_bytes += packet.size();
+    while (m_bytes > m_options.maxBytes) {
+        removeFront();
+        ++m_dropped;
+    }
+}
+
+std::optional<std::vector<std::uint8_t>> PacketQueue::takeOldest(TimePoint now)
+{
+    while (!m_held.empty()) {
+        const bool isCurrent = now - m_held.front().at <= m_options.maxAge;
+        std::vector<std::uint8_t> packet = removeFront();
+        if (isCurrent) {
+            return packet;
+        }
+        ++m_dropped;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint8_t> PacketQueue::removeFront()
+{
+    std::vector<std::uint8_t> packet = std::move(m_held.front().packet);
+    m_held.pop_front();
+    m_bytes -= packet.size();
+    return packet;
+}
+
+std::size_t PacketQueue::size() const
+{
+    return m_held.size();
+}
+
+std::uint64_t PacketQueue::dropped() const
+{
+    return m_dropped;
+}
+
+}
--- /dev/null
+++ b/src/jujubequay/policy/packet_queue_test.cpp
@@ -0,0 +1,78 @@
+#include <jujubequay/policy/packet_queue.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+using namespace Jujubequay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class PacketQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PacketQueueTest);
+    CPPUNIT_TEST(givesPacketsBackInOrder);
+    CPPUNIT_TEST(dropsOldPackets);
+    CPPUNIT_TEST(staysWithinItsBytes);
+    CPPUNIT_TEST(servesARestartUnderLoad);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimePoint m_now{seconds(100)};
+
+public:
+    void givesPacketsBackInOrder()
+    {
+        PacketQueue queue({});
+        queue.hold(m_now, std::vector<std::uint8_t>{1, 2});
+        queue.hold(m_now, std::vector<std::uint8_t>{3});
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{1}, queue.takeOldest(m_now)->at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{3}, queue.takeOldest(m_now)->at(0));
+        CPPUNIT_ASSERT(!queue.takeOldest(m_now));
+    }
+
+    void dropsOldPackets()
+    {
+        PacketQueue queue({});
+        queue.hold(m_now, std::vector<std::uint8_t>{1});
+        queue.hold(m_now + milliseconds(500), std::vector<std::uint8_t>{2});
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, queue.takeOldest(m_now + milliseconds(700))->at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, queue.dropped());
+    }
+
+    /// A process that never gets its configuration must not grow.
+    void staysWithinItsBytes()
+    {
+        PacketQueue queue({.maxBytes = 1000});
+        for (int packet = 0; packet < 100; ++packet) {
+            queue.hold(m_now, std::vector<std::uint8_t>(100, static_cast<std::uint8_t>(packet)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, queue.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{90}, queue.takeOldest(m_now)->at(0));
+    }
+
+    /// Pattern: hold at startup. While a balancer restarts for 400 ms, callers repeat packets after 200 and 600 ms. With the queue
+    /// each caller is served at the end of the restart; without it most run into a later repeat.
+    void servesARestartUnderLoad()
+    {
+        const TimePoint ready = m_now + milliseconds(400);
+        PacketQueue queue({});
+        Duration withoutQueue{};
+        Duration withQueue{};
+        for (int caller = 0; caller < 400; ++caller) {
+            const TimePoint sent = m_now + milliseconds(caller);
+            queue.hold(sent, std::vector<std::uint8_t>{1});
+            for (const auto repeat : {milliseconds(200), milliseconds(600)}) {
+                if (sent + repeat >= ready) {
+                    withoutQueue += repeat;
+                    break;
+                }
+            }
+            withQueue += ready - sent;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{400}, queue.size());
+        CPPUNIT_ASSERT(queue.takeOldest(ready).has_value());
+        CPPUNIT_ASSERT(withQueue * 3 / 2 < withoutQueue);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PacketQueueTest);
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -193,7 +193,15 @@
     if (flow.state == FlowState::Open && isBalancerWrong) {
         notices.push_back({header.balancer, {endsFromCaller(segment), m_options.agent}});
     }
-    if (segment.length > 0) {
+    if (flow.heldSince && now - *flow.heldSince <= m_options.maxHold) {
+        // What follows may overtake the held packet, which the server then waits for; the held packet itself is not repeated.
+        return isNewData(flow, segment) ? AgentDecision(DeliverToServer{}) : AgentDecision(DropPacket{SteerCause::Held});
+    }
+    endHold(flow);
+    if (isNewData(flow, segment)) {
+        if (!flow.isWaiting && mustHold(now, flow)) {
+            return HoldPacket{};
+        }
         setWaiting(flow, true);
     }
     flow.hasCallerEnded = flow.hasCallerEnded || segment.isFinal;
@@ -358,8 +366,57 @@
     }
 }
 
+// A repeated packet must not count as another request.
+bool AgentSteering::isNewData(Flow &flow, const Segment &segment) const
+{
+    const std::uint32_t end = segment.sequence + segment.length;
+    const bool isNew = segment.length > 0 && (!flow.hasCallerData || static_cast<std::int32_t>(end - flow.callerEnd) > 0);
+    if (isNew) {
+        flow.hasCallerData = true;
+        flow.callerEnd = end;
+    }
+    return isNew;
+}
+
+bool AgentSteering::mayStartRequest() const
+{
+    return !m_server || m_waiting < std::size_t{m_options.requestsPerSlot} * m_server->slots;
+}
+
+bool AgentSteering::mustHold(TimePoint now, Flow &flow)
+{
+    if (mayStartRequest() || m_heldRequests >= m_options.maxHeldRequests) {
+        return false;
+    }
+    flow.heldSince = now;
+    ++m_heldRequests;
+    return true;
+}
+
+void AgentSteering::endHold(Flow &flow)
+{
+    if (flow.heldSince) {
+        flow.heldSince.reset();
+        --m_heldRequests;
+    }
+}
+
+AgentDecision AgentSteering::startHeld(TimePoint now, const Segment &segment)
+{
+    const auto known = m_flows.find(endsFromCaller(segment));
+    if (known == m_flows.end() || known->second.state != FlowState::Open || !known->second.heldSince) {
+        return DropPacket{SteerCause::UnknownFlow};
+    }
+    Flow &flow = known->second;
+    endHold(flow);
+    flow.lastUsed = now;
+    setWaiting(flow, true);
+    return DeliverToServer{};
+}
+
 void AgentSteering::forget(Flow &flow)
 {
+    endHold(flow);
     if (isHeld(flow)) {
         setWaiting(flow, false);
         --m_held;
@@ -393,7 +450,7 @@
 {
     LoadNotice notice;
     notice.agent = m_options.agent;
-    notice.waiting = limited(m_waiting);
+    notice.waiting = limited(m_waiting + m_heldRequests);
     notice.openFlows = limited(m_held);
     notice.slots = m_server ? m_server->slots : 0;
     notice.takesNewFlows = m_server && m_server->takesNewFlows;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -29,6 +29,9 @@
     CPPUNIT_TEST(resetsTheFlowsOfALostServer);
     CPPUNIT_TEST(keepsFlowsWhenTheServerIsConfirmed);
     CPPUNIT_TEST(countsWaitingRequests);
+    CPPUNIT_TEST(repeatedPacketsAreNoRequests);
+    CPPUNIT_TEST(holdsRequestsThatTheServerWouldRefuse);
+    CPPUNIT_TEST(servesABurstWithoutRefusals);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -265,6 +268,81 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().waiting);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
     }
+
+    /// A late copy of an answered request must not count as work, or the server looks busy for good.
+    void repeatedPacketsAreNoRequests()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        openFlow(agent, flow(1));
+        Segment answer = fromServer(flow(1));
+        answer.length = 200;
+        agent.fromServer(m_now, answer, m_notices);
+        agent.fromPeer(m_now, header(), data(flow(1), 1001), m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().waiting);
+    }
+
+    void holdsRequestsThatTheServerWouldRefuse()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        for (std::uint16_t port = 1; port <= 12; ++port) {
+            openFlow(agent, flow(port));
+        }
+        agent.fromPeer(m_now, header(), opening(flow(50)), m_notices);
+        agent.fromServer(m_now, openingAnswer(flow(50), 1000), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<HoldPacket>(agent.fromPeer(m_now, header(), data(flow(50), 1001), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.fromPeer(m_now, header(), data(flow(50), 1001), m_notices)));
+        CPPUNIT_ASSERT(!agent.mayStartRequest());
+        Segment answer = fromServer(flow(1));
+        answer.length = 200;
+        agent.fromServer(m_now, answer, m_notices);
+        CPPUNIT_ASSERT(agent.mayStartRequest());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.startHeld(m_now, data(flow(50), 1001))));
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.startHeld(m_now, data(flow(50), 1001))));
+    }
+
+    /// Pattern: admission queue in front of a server that sheds. 40 callers return at once after a fault to a server that runs 3
+    /// requests and queues 12: without the queue 25 are refused, with it none is, and each is served within its second.
+    void servesABurstWithoutRefusals()
+    {
+        constexpr std::size_t serverLimit = 15;
+        constexpr auto workTime = milliseconds(22);
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        std::vector<FlowEnds> atServer;
+        std::vector<FlowEnds> held;
+        std::size_t refused = 0;
+        const auto deliver = [&](const FlowEnds &ends) {
+            refused += atServer.size() >= serverLimit ? 1 : 0;
+            atServer.push_back(ends);
+        };
+        for (std::uint16_t port = 1; port <= 40; ++port) {
+            const FlowEnds ends = flow(port);
+            agent.fromPeer(m_now, header(), opening(ends), m_notices);
+            agent.fromServer(m_now, openingAnswer(ends, 1000), m_notices);
+            const AgentDecision decision = agent.fromPeer(m_now, header(), data(ends, 1001), m_notices);
+            std::holds_alternative<HoldPacket>(decision) ? held.push_back(ends) : deliver(ends);
+        }
+        Duration elapsed{};
+        std::size_t served = 0;
+        while (!atServer.empty()) {
+            elapsed += workTime;
+            for (std::size_t slot = 0; slot < 3 && !atServer.empty(); ++slot) {
+                Segment answer = fromServer(atServer.front());
+                answer.length = 200;
+                agent.fromServer(m_now + elapsed, answer, m_notices);
+                atServer.erase(atServer.begin());
+                ++served;
+            }
+            while (!held.empty() && agent.mayStartRequest()) {
+                const FlowEnds ends = held.front();
+                held.erase(held.begin());
+                CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.startHeld(m_now + elapsed, data(ends, 1001))));
+                deliver(ends);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{40}, served);
+        CPPUNIT_ASSERT(elapsed < seconds(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -15,7 +15,7 @@
     return !current.goneSince && isConfirmed(holder) && isConfirmed(current.incarnation) && holder != current.incarnation;
 }
 
-constexpr NameTable<SteerCause, 13> causeNames{{{
+constexpr NameTable<SteerCause, 14> causeNames{{{
     {SteerCause::Placed, "placed"},
     {SteerCause::Known, "known"},
     {SteerCause::Home, "home"},
@@ -28,6 +28,7 @@
     {SteerCause::StaleTable, "stale-table"},
     {SteerCause::UnknownFlow, "unknown-flow"},
     {SteerCause::TooManyHops, "too-many-hops"},
+    {SteerCause::Held, "held"},
     {SteerCause::Spoofed, "spoofed"},
 }}};
 
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -51,6 +51,7 @@
     , m_expiryTimer(context)
     , m_loadTimer(context)
     , m_reader(steerHeaderLength)
+    , m_heldRequests({.maxAge = AgentSteeringOptions().maxHold})
 {
 }
 
@@ -182,9 +183,28 @@
         }
         sendNotices();
     }
+    releaseHeld(now);
     flush();
 }
 
+void AgentTraffic::releaseHeld(TimePoint now)
+{
+    while (m_steering.mayStartRequest()) {
+        const auto packet = m_heldRequests.takeOldest(now);
+        if (!packet) {
+            return;
+        }
+        const auto segment = m_codec.decode(*packet);
+        if (std::holds_alternative<DeliverToServer>(m_steering.startHeld(now, *segment))) {
+            if (m_toServer.isFull()) {
+                flush();
+            }
+            m_toServer.add(m_serverInput, keep(*packet));
+            count(m_counters.delivered);
+        }
+    }
+}
+
 void AgentTraffic::carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
 {
     struct Visitor {
@@ -212,6 +232,11 @@
         {
             count(traffic.m_counters.dropped);
         }
+        void operator()(const HoldPacket &) const
+        {
+            traffic.m_heldRequests.hold(traffic.m_clock.now(), packet);
+            count(traffic.m_counters.held);
+        }
     };
     std::visit(Visitor{*this, packet, withHeadroom}, decision);
 }
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -44,6 +44,7 @@
     , m_logger(logger)
     , m_codec(codec)
     , m_steering(steeringOptions(settings))
+    , m_startupQueue({})
     , m_callers(std::move(callers))
     , m_peers(std::move(peers))
     , m_expiryTimer(context)
@@ -61,6 +62,9 @@
 void BalancerTraffic::update(const ConfigSnapshotPointer &snapshot)
 {
     m_steering.update(m_clock.now(), *snapshot);
+    if (m_steering.isReady()) {
+        releaseHeld();
+    }
 }
 
 bool BalancerTraffic::isReady() const
@@ -106,28 +110,34 @@
 
 void BalancerTraffic::receiveFromCallers()
 {
-    const std::size_t count = m_reader.read(m_callers.native_handle());
+    const std::size_t received = m_reader.read(m_callers.native_handle());
     const TimePoint now = m_clock.now();
-    for (std::size_t index = 0; index < count; ++index) {
-        handle(now, index);
+    for (std::size_t index = 0; index < received; ++index) {
+        handle(now, m_reader.withHeadroom(index));
     }
     flush();
 }
 
-void BalancerTraffic::handle(TimePoint now, std::size_t index)
+void BalancerTraffic::handle(TimePoint now, std::span<std::uint8_t> datagram)
 {
-    const auto segment = m_codec.decode(m_reader.datagram(index));
+    const auto packet = datagram.subspan(steerHeaderLength);
+    const auto segment = m_codec.decode(packet);
     if (!segment) {
         count(m_counters.unreadable);
         return;
     }
+    if (!m_steering.isReady()) {
+        m_startupQueue.hold(now, packet);
+        return;
+    }
     struct Visitor {
         BalancerTraffic &traffic;
-        std::size_t index;
+        const Segment &segment;
+        std::span<std::uint8_t> datagram;
 
         void operator()(const RelayToAgent &decision) const
         {
-            traffic.carryOut(decision, index);
+            traffic.carryOut(decision, segment, datagram);
         }
         void operator()(const ResetCaller &decision) const
         {
@@ -138,23 +148,37 @@
             count(traffic.m_counters.dropped);
         }
     };
-    std::visit(Visitor{*this, index}, m_steering.decide(now, *segment));
+    std::visit(Visitor{*this, *segment, datagram}, m_steering.decide(now, *segment));
+}
+
+void BalancerTraffic::releaseHeld()
+{
+    const TimePoint now = m_clock.now();
+    const std::size_t held = m_startupQueue.size();
+    std::vector<std::uint8_t> datagram;
+    while (const auto packet = m_startupQueue.takeOldest(now)) {
+        datagram.assign(steerHeaderLength, 0);
+        datagram.insert(datagram.end(), packet->begin(), packet->end());
+        handle(now, datagram);
+        flush();
+    }
+    if (held > 0) {
+        m_logger.info("startup-queue-released", {{"packets", held}, {"dropped", m_startupQueue.dropped()}});
+    }
 }
 
-void BalancerTraffic::carryOut(const RelayToAgent &decision, std::size_t index)
+void BalancerTraffic::carryOut(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> datagram)
 {
-    const auto datagram = m_reader.withHeadroom(index);
     encodeSteerHeader(decision.header, datagram.first<steerHeaderLength>());
     m_toAgents.add(decision.agent, datagram);
     count(m_counters.relayed);
     if (decision.cause == SteerCause::Placed) {
         count(m_counters.placed);
-        const auto segment = m_codec.decode(m_reader.datagram(index));
         m_logger.info("flow-placed",
-                      {{"caller", toString(segment->source)},
-                       {"address", toString(segment->destination)},
+                      {{"caller", toString(segment.source)},
+                       {"address", toString(segment.destination)},
                        {"agent", toString(decision.agent)},
-                       {"copy", segment->copy},
+                       {"copy", segment.copy},
                        {"routes_version", decision.header.tableVersion}});
     } else if (decision.cause == SteerCause::Home) {
         count(m_counters.askedHome);
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -19,7 +19,7 @@
 /// Bounds the processor time if a due tick has nothing to do.
 constexpr auto shortestTick = std::chrono::milliseconds(2);
 /// Agents that start together announce themselves within this time of each other.
-constexpr auto registrySettleTime = std::chrono::milliseconds(150);
+constexpr auto registrySettleTime = std::chrono::milliseconds(100);
 
 std::uint64_t wallClockMs()
 {
@@ -161,7 +161,7 @@
     options.lease.lease = m_settings.lease;
     options.lease.heartbeat = m_settings.lease / heartbeatsPerLease;
     options.lease.decisionDelay = m_settings.lease / heartbeatsPerLease;
-    options.registryExchange = m_settings.discovery.retryLimit / 4;
+    options.registryExchange = ControlHostService::tickInterval;
     options.registryFillTime = 2 * m_settings.discovery.silenceLimit;
     options.registrySettleTime = registrySettleTime;
     options.watch.heartbeat = m_settings.discovery.silenceLimit / 3;
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -296,6 +296,7 @@
     publish("delivered", counters.delivered);
     publish("answered", counters.answered);
     publish("passed-on", counters.passedOn);
+    publish("held", counters.held);
     publish("reset", counters.reset);
     publish("dropped", counters.dropped);
     publish("unreadable", counters.unreadable);
