Release held requests in time and forget those whose callers have given up

Requests of callers that had given up counted as waiting for 75 s, so the agent took its server for full; a held packet was held again after its time.

Change: a request counts as waiting for as long as its route allows; held packets go to the server after 0.9 s at most; an opening packet of an older table is dropped only 150 ms after a newer one was seen. Dropped packets are logged with their cause; the number of repeated lines is a setting.

--- a/include/jujubequay/daemon/steering_settings.h
+++ b/include/jujubequay/daemon/steering_settings.h
@@ -15,6 +15,7 @@
 struct DiscoverySettings {
     Placement placement;
     LogLevel logLevel = LogLevel::Info;
+    std::uint32_t maxLogRepeats = 0; ///< lines of one event in ten seconds
     std::vector<HostAddress> seeds; ///< control hosts to begin with; others are learned from them
     std::optional<HostAddress> metricsAddress;
     KeepAliveOptions keepAlive;
--- a/include/jujubequay/policy/packet_queue.h
+++ b/include/jujubequay/policy/packet_queue.h
@@ -24,6 +24,8 @@
     void hold(TimePoint now, std::span<const std::uint8_t> packet);
     /// The oldest packet that is worth sending.
     std::optional<std::vector<std::uint8_t>> takeOldest(TimePoint now);
+    /// When the oldest packet came; empty without packets.
+    std::optional<TimePoint> oldest() const;
     std::size_t size() const;
     std::uint64_t dropped() const;
 
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -51,6 +51,10 @@
     std::uint16_t requestsPerSlot = 4;
     /// Requests that wait here; more are left to the server to refuse.
     std::size_t maxHeldRequests = 48;
+    /// How long a request counts as waiting if its route states no time.
+    Duration defaultTimeout = std::chrono::seconds(5);
+    /// A newer route table that a balancer has used must be in force here after this long; until then the own one is used.
+    Duration tableGrace = std::chrono::milliseconds(150);
     /// A request that has waited for this long is left to the server; its caller is about to give up.
     Duration maxHold = std::chrono::milliseconds(900);
     /// Agents that a packet may visit after the first one.
@@ -85,6 +89,7 @@
     /// Forgets flows without packets; call about once a second.
     void expire(TimePoint now);
 
+    const AgentSteeringOptions &options() const;
     /// Load for balancers.
     LoadNotice load() const;
     /// Balancers that have sent packets within the last seconds.
@@ -110,6 +115,7 @@
         std::uint32_t callerAcknowledgement = 0;
         HostAddress elsewhere;
         bool isWaiting = false; ///< the caller has sent data that has not been answered yet
+        TimePoint waitingSince{};
         std::uint32_t callerEnd = 0; ///< sequence number after the caller's last new data
         bool hasCallerData = false;
         std::optional<TimePoint> heldSince; ///< the start of a request waits here
@@ -126,7 +132,10 @@
     bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
     /// Tells the homes of a flow where it is.
     void opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const;
-    void setWaiting(Flow &flow, bool isWaiting);
+    void startWaiting(TimePoint now, Flow &flow);
+    void stopWaiting(Flow &flow);
+    /// The time after which a caller of this address has given up.
+    Duration requestTimeout(const HostAddress &service) const;
     bool isNewData(Flow &flow, const Segment &segment) const;
     bool mustHold(TimePoint now, Flow &flow);
     void endHold(Flow &flow);
@@ -141,6 +150,7 @@
     TimePoint m_listChangedAt{};
     TimePoint m_knowsAllSince{}; ///< from then on the agent knows each flow of the server
     std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
+    TimePoint m_highestTableAt{};
     std::unordered_map<FlowEnds, Flow> m_flows;
     std::unordered_map<HostAddress, TimePoint> m_balancers;
     std::size_t m_waiting = 0;
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -63,8 +63,11 @@
     void carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
     void relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
     void reset(const ResetCaller &decision);
+    void drop(const DropPacket &decision, std::span<const std::uint8_t> packet);
     void logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet);
     void releaseHeld(TimePoint now);
+    void hold(std::span<const std::uint8_t> packet);
+    void scheduleRelease();
     void sendNotices();
     std::vector<std::uint8_t> &keep(std::span<const std::uint8_t> bytes);
     void flush();
@@ -78,12 +81,14 @@
     asio::ip::udp::socket m_server;
     asio::steady_timer m_expiryTimer;
     asio::steady_timer m_loadTimer;
+    asio::steady_timer m_releaseTimer;
     DatagramReader m_reader;
     DatagramWriter m_toPeers; ///< agents, balancers and callers
     DatagramWriter m_toServer;
     std::deque<std::vector<std::uint8_t>> m_kept; ///< bytes that wait for the next flush
     std::vector<NoticeTo> m_notices;
     PacketQueue m_heldRequests; ///< that the server would refuse now
+    bool m_isReleaseScheduled = false;
     AgentTrafficCounters m_counters;
 };
 
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -22,6 +22,8 @@
     DiscoverySettings settings;
     settings.placement = readPlacement(reader);
     settings.logLevel = readLogLevel(reader);
+    settings.maxLogRepeats
+        = static_cast<std::uint32_t>(reader.integer("max_log_repeats", 100, {1, 1'000'000}, "lines of one event in ten seconds; more are counted and left out"));
     settings.seeds = readSeeds(reader);
     settings.metricsAddress = reader.optionalAddress("metrics_address", "address that answers HTTP GET /metrics");
     settings.keepAlive.interval = reader.duration("ping_interval_ms", 1s, {100ms, 10min}, "silence on a control connection after which the peer is probed");
--- a/src/jujubequay/policy/packet_queue.cpp
+++ b/src/jujubequay/policy/packet_queue.cpp
@@ -40,6 +40,11 @@
     return packet;
 }
 
+std::optional<TimePoint> PacketQueue::oldest() const
+{
+    return m_held.empty() ? std::nullopt : std::optional(m_held.front().at);
+}
+
 std::size_t PacketQueue::size() const
 {
     return m_held.size();
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -64,7 +64,10 @@
 AgentDecision AgentSteering::fromPeer(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
 {
     m_balancers[header.balancer] = now;
-    m_highestTable = std::max(m_highestTable, header.tableVersion);
+    if (header.tableVersion > m_highestTable) {
+        m_highestTable = header.tableVersion;
+        m_highestTableAt = now;
+    }
     if (segment.isReturned || (segment.isOpening && segment.isAnswer)) {
         return DropPacket{SteerCause::Spoofed};
     }
@@ -87,7 +90,7 @@
         }
     }
     const std::uint64_t ownTable = m_directory.routes().version();
-    if (std::max(header.tableVersion, ownTable) < m_highestTable) {
+    if (std::max(header.tableVersion, ownTable) < m_highestTable && now - m_highestTableAt > m_options.tableGrace) {
         // A copy follows soon; by then one of the two has the newer table.
         return DropPacket{SteerCause::StaleTable};
     }
@@ -202,7 +205,7 @@
         if (!flow.isWaiting && mustHold(now, flow)) {
             return HoldPacket{};
         }
-        setWaiting(flow, true);
+        startWaiting(now, flow);
     }
     flow.hasCallerEnded = flow.hasCallerEnded || segment.isFinal;
     if (segment.isReset || (flow.hasCallerEnded && flow.hasServerEnded)) {
@@ -270,7 +273,7 @@
         }
     }
     if (segment.length > 0) {
-        setWaiting(flow, false);
+        stopWaiting(flow);
     }
     flow.hasServerEnded = flow.hasServerEnded || segment.isFinal;
     if (segment.isReset || (flow.hasCallerEnded && flow.hasServerEnded)) {
@@ -358,14 +361,29 @@
     return flow.state == FlowState::Offered || flow.state == FlowState::Accepted || flow.state == FlowState::Open || flow.state == FlowState::Asked;
 }
 
-void AgentSteering::setWaiting(Flow &flow, bool isWaiting)
+void AgentSteering::startWaiting(TimePoint now, Flow &flow)
+{
+    flow.waitingSince = now;
+    if (!flow.isWaiting) {
+        flow.isWaiting = true;
+        ++m_waiting;
+    }
+}
+
+void AgentSteering::stopWaiting(Flow &flow)
 {
-    if (flow.isWaiting != isWaiting) {
-        flow.isWaiting = isWaiting;
-        m_waiting = isWaiting ? m_waiting + 1 : m_waiting - 1;
+    if (flow.isWaiting) {
+        flow.isWaiting = false;
+        --m_waiting;
     }
 }
 
+Duration AgentSteering::requestTimeout(const HostAddress &service) const
+{
+    const Route *route = m_directory.routes().find(service);
+    return route == nullptr ? m_options.defaultTimeout : route->timeout;
+}
+
 // A repeated packet must not count as another request.
 bool AgentSteering::isNewData(Flow &flow, const Segment &segment) const
 {
@@ -410,7 +428,7 @@
     Flow &flow = known->second;
     endHold(flow);
     flow.lastUsed = now;
-    setWaiting(flow, true);
+    startWaiting(now, flow);
     return DeliverToServer{};
 }
 
@@ -418,7 +436,7 @@
 {
     endHold(flow);
     if (isHeld(flow)) {
-        setWaiting(flow, false);
+        stopWaiting(flow);
         --m_held;
     }
 }
@@ -436,6 +454,10 @@
         Flow &flow = entry->second;
         const bool isShort = flow.state == FlowState::Ended || flow.state == FlowState::Offered || flow.state == FlowState::Asked;
         const bool isOver = now - flow.lastUsed > (isShort ? m_options.endMemory : m_options.flowMemory);
+        // A caller that has given up may say nothing; its request must not count as work for good.
+        if (flow.isWaiting && now - flow.waitingSince > requestTimeout(entry->first.service)) {
+            stopWaiting(flow);
+        }
         if (isOver) {
             forget(flow);
         }
@@ -446,6 +468,11 @@
     });
 }
 
+const AgentSteeringOptions &AgentSteering::options() const
+{
+    return m_options;
+}
+
 LoadNotice AgentSteering::load() const
 {
     LoadNotice notice;
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -9,6 +9,8 @@
 constexpr auto expiryInterval = std::chrono::seconds(1);
 /// Half the time in which a caller repeats an opening packet, so that balancers see a burst before its copies.
 constexpr auto loadNoticeInterval = std::chrono::milliseconds(250);
+/// A held request of a server that answers nothing is released this much late at most.
+constexpr auto releaseInterval = std::chrono::milliseconds(100);
 /// Receive and send buffers: half a second of packets at the packet rate of one small host.
 constexpr int socketBufferBytes = 1 << 20;
 
@@ -50,8 +52,9 @@
     , m_server(std::move(server))
     , m_expiryTimer(context)
     , m_loadTimer(context)
+    , m_releaseTimer(context)
     , m_reader(steerHeaderLength)
-    , m_heldRequests({.maxAge = AgentSteeringOptions().maxHold})
+    , m_heldRequests({.maxAge = 2 * AgentSteeringOptions().maxHold})
 {
 }
 
@@ -187,24 +190,52 @@
     flush();
 }
 
+// Requests go to the server once it takes more, or when they have waited for as long as is useful.
 void AgentTraffic::releaseHeld(TimePoint now)
 {
-    while (m_steering.mayStartRequest()) {
-        const auto packet = m_heldRequests.takeOldest(now);
-        if (!packet) {
+    const Duration maxHold = m_steering.options().maxHold;
+    while (const auto oldest = m_heldRequests.oldest()) {
+        if (!m_steering.mayStartRequest() && now - *oldest < maxHold) {
             return;
         }
-        const auto segment = m_codec.decode(*packet);
-        if (std::holds_alternative<DeliverToServer>(m_steering.startHeld(now, *segment))) {
-            if (m_toServer.isFull()) {
-                flush();
-            }
-            m_toServer.add(m_serverInput, keep(*packet));
-            count(m_counters.delivered);
+        const auto packet = m_heldRequests.takeOldest(now);
+        const auto segment = packet ? m_codec.decode(*packet) : std::nullopt;
+        if (!segment || !std::holds_alternative<DeliverToServer>(m_steering.startHeld(now, *segment))) {
+            continue;
+        }
+        if (m_toServer.isFull()) {
+            flush();
         }
+        m_toServer.add(m_serverInput, keep(*packet));
+        count(m_counters.delivered);
     }
 }
 
+void AgentTraffic::hold(std::span<const std::uint8_t> packet)
+{
+    m_heldRequests.hold(m_clock.now(), packet);
+    count(m_counters.held);
+    if (!m_isReleaseScheduled) {
+        m_isReleaseScheduled = true;
+        scheduleRelease();
+    }
+}
+
+void AgentTraffic::scheduleRelease()
+{
+    m_releaseTimer.expires_after(releaseInterval);
+    m_releaseTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            releaseHeld(m_clock.now());
+            flush();
+            m_isReleaseScheduled = m_heldRequests.size() > 0;
+            if (m_isReleaseScheduled) {
+                scheduleRelease();
+            }
+        }
+    });
+}
+
 void AgentTraffic::carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
 {
     struct Visitor {
@@ -228,14 +259,13 @@
         {
             traffic.reset(refused);
         }
-        void operator()(const DropPacket &) const
+        void operator()(const DropPacket &dropped) const
         {
-            count(traffic.m_counters.dropped);
+            traffic.drop(dropped, packet);
         }
         void operator()(const HoldPacket &) const
         {
-            traffic.m_heldRequests.hold(traffic.m_clock.now(), packet);
-            count(traffic.m_counters.held);
+            traffic.hold(packet);
         }
     };
     std::visit(Visitor{*this, packet, withHeadroom}, decision);
@@ -261,6 +291,18 @@
                    {"cause", steerCauseName(decision.cause)}});
 }
 
+void AgentTraffic::drop(const DropPacket &decision, std::span<const std::uint8_t> packet)
+{
+    count(m_counters.dropped);
+    const auto segment = m_codec.decode(packet);
+    m_logger.info("packet-dropped",
+                  {{"source", toString(segment->source)},
+                   {"destination", toString(segment->destination)},
+                   {"opening", segment->isOpening},
+                   {"cause", steerCauseName(decision.cause)},
+                   {"routes_version", m_steering.directory().routes().version()}});
+}
+
 void AgentTraffic::reset(const ResetCaller &decision)
 {
     m_toPeers.add(m_codec.callerEndpoint(decision.ends), keep(m_codec.encodeReset(decision)));
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -143,9 +143,15 @@
         {
             traffic.carryOut(decision);
         }
-        void operator()(const DropPacket &) const
+        void operator()(const DropPacket &decision) const
         {
             count(traffic.m_counters.dropped);
+            traffic.m_logger.info("packet-dropped",
+                                  {{"source", toString(segment.source)},
+                                   {"destination", toString(segment.destination)},
+                                   {"opening", segment.isOpening},
+                                   {"cause", steerCauseName(decision.cause)},
+                                   {"routes_version", traffic.m_steering.directory().routes().version()}});
         }
     };
     std::visit(Visitor{*this, *segment, datagram}, m_steering.decide(now, *segment));
--- a/src/jujubequay/steering_program/steering_services.cpp
+++ b/src/jujubequay/steering_program/steering_services.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-/// Lines of one event in ten seconds; a decision about a flow is one line, and this bounds the log at the busiest times.
-constexpr std::uint32_t maxRepeatedLines = 100;
 /// Control hosts that start together with this process listen a little later.
 constexpr auto retryBase = std::chrono::milliseconds(40);
 
@@ -26,7 +24,7 @@
     , m_settings(std::move(settings))
     , m_logger(m_clock,
                {std::move(program), m_settings.placement.hostName, m_settings.placement.availabilityZone},
-               {.level = m_settings.logLevel, .output = LogOutput::StandardOutput, .maxRepeats = maxRepeatedLines})
+               {.level = m_settings.logLevel, .output = LogOutput::StandardOutput, .maxRepeats = m_settings.maxLogRepeats})
     , m_random(std::random_device()())
     , m_metrics(std::make_shared<Metrics>())
     , m_client(Http2MessageClient::create(context, m_clock, m_logger, nullptr, clientOptions(m_role, m_settings)))
