Eject servers that break off requests

It answers its status check, has no open flows left and so looks like the least loaded one: 739 of 9,400 requests failed in 6 s.

Change: OutlierDetector (pattern: outlier ejection with probing) at the agent judges its server by the flows that it resets while a request waits.

Ruled out: status checks (the server passes them); ends of flows without data as failures (they overtake answers on the wire: 8 healthy servers were ejected).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -33,12 +33,14 @@
         handover.cpp
         least_loaded.cpp
         load_estimate.cpp
+        outlier_detector.cpp
         placement.cpp
         retry.cpp
         packet_queue.cpp
     TESTS
         admission_queue_test.cpp
         balance_test.cpp
+        outlier_detector_test.cpp
         placement_test.cpp
         packet_queue_test.cpp
     DEPENDS jujubequay_core)
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <jujubequay/core/clock.h>
+#include <jujubequay/policy/outlier_detector.h>
 #include <jujubequay/steering/balancer_steering.h>
 #include <jujubequay/steering/segment.h>
 #include <jujubequay/steering/server_directory.h>
@@ -92,6 +93,8 @@
     const AgentSteeringOptions &options() const;
     /// Load for balancers.
     LoadNotice load() const;
+    /// False after the server has broken off requests; it gets few new flows then.
+    bool isServerTrusted() const;
     /// Balancers that have sent packets within the last seconds.
     std::vector<HostAddress> recentBalancers() const;
     std::size_t flowCount() const;
@@ -147,6 +150,7 @@
     const AgentSteeringOptions m_options;
     ServerDirectory m_directory;
     std::optional<LocalServer> m_server;
+    OutlierDetector m_outliers;
     TimePoint m_listChangedAt{};
     TimePoint m_knowsAllSince{}; ///< from then on the agent knows each flow of the server
     std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -24,6 +24,7 @@
     NotReady,
     NotAccepted, ///< no server could take the new flow
     Draining,
+    Ejected, ///< the server breaks off requests
     StaleTable, ///< the sender's route table is older than one that is known to be in force
     UnknownFlow,
     TooManyHops,
@@ -95,6 +96,7 @@
     BalancerDecision open(TimePoint now, const Segment &segment);
     BalancerDecision forward(TimePoint now, const Segment &segment);
     const SteerServer *choose(TimePoint now, ServiceKey service, const FlowEnds &ends, const HostAddress *avoided);
+    bool isRefusing(TimePoint now, const HostAddress &agent) const;
     ServerLoad loadOf(TimePoint now, const SteerServer &server) const;
     SteerHeader header(ServiceKey service, bool wantsOwner) const;
     bool isAlive(TimePoint now, const HostAddress &agent) const;
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -57,6 +57,7 @@
     void waitForServer();
     void scheduleExpiry();
     void scheduleLoadNotices();
+    void sendLoad();
     void receiveFromPeers();
     void receiveFromServer();
     void handle(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram);
@@ -89,6 +90,7 @@
     std::vector<NoticeTo> m_notices;
     PacketQueue m_heldRequests; ///< that the server would refuse now
     bool m_isReleaseScheduled = false;
+    bool m_wasServerTrusted = true;
     AgentTrafficCounters m_counters;
 };
 
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -24,6 +24,7 @@
 AgentSteering::AgentSteering(AgentSteeringOptions options)
     : m_options(options)
     , m_directory({})
+    , m_outliers({})
 {
 }
 
@@ -43,6 +44,7 @@
         // The first server of this agent may have taken flows before the agent started.
         const bool isFirst = !m_server;
         m_knowsAllSince = isFresh || !isFirst ? now : now + m_options.flowMemory;
+        m_outliers = OutlierDetector({});
         for (auto &[ends, flow] : m_flows) {
             const bool wasOpen = flow.state == FlowState::Open;
             if (!isFirst && isHeld(flow)) {
@@ -103,6 +105,13 @@
     if (!m_server->takesNewFlows) {
         return passOpeningOn(header, segment, SteerCause::Draining);
     }
+    // After the last hand-over a doubtful server is better than none.
+    if (!m_outliers.admit(now) && header.hops < maxOpeningHops) {
+        const AgentDecision decision = passOpeningOn(header, segment, SteerCause::Ejected);
+        if (std::holds_alternative<RelayToAgent>(decision)) {
+            return decision;
+        }
+    }
     Flow &flow = insert(ends, FlowState::Offered, now);
     flow.header = header;
     return DeliverToServer{};
@@ -272,7 +281,9 @@
             notices.push_back({flow.header.balancer, {ends, m_options.agent}});
         }
     }
-    if (segment.length > 0) {
+    // An end without data proves nothing: it may have overtaken the answer.
+    if (flow.isWaiting && (segment.length > 0 || segment.isReset)) {
+        segment.isReset ? m_outliers.failed(now) : m_outliers.succeeded(now);
         stopWaiting(flow);
     }
     flow.hasServerEnded = flow.hasServerEnded || segment.isFinal;
@@ -480,10 +491,15 @@
     notice.waiting = limited(m_waiting + m_heldRequests);
     notice.openFlows = limited(m_held);
     notice.slots = m_server ? m_server->slots : 0;
-    notice.takesNewFlows = m_server && m_server->takesNewFlows;
+    notice.takesNewFlows = m_server && m_server->takesNewFlows && isServerTrusted();
     return notice;
 }
 
+bool AgentSteering::isServerTrusted() const
+{
+    return m_outliers.isTrusted();
+}
+
 std::vector<HostAddress> AgentSteering::recentBalancers() const
 {
     std::vector<HostAddress> balancers;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(abandonedRequestsDoNotCountForGood);
     CPPUNIT_TEST(holdsRequestsThatTheServerWouldRefuse);
     CPPUNIT_TEST(servesABurstWithoutRefusals);
+    CPPUNIT_TEST(handsFlowsOverWhileTheServerBreaksRequestsOff);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -359,6 +360,34 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{40}, served);
         CPPUNIT_ASSERT(elapsed < seconds(1));
     }
+
+    /// kpa-quay-grown with srv_flap: a server that is down takes flows and resets them with their requests, so it looks idle and got
+    /// most of the new flows.
+    void handsFlowsOverWhileTheServerBreaksRequestsOff()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            openFlow(agent, flow(port));
+            Segment reset = fromServer(flow(port));
+            reset.isReset = true;
+            agent.fromServer(m_now, reset, m_notices);
+        }
+        CPPUNIT_ASSERT(!agent.load().takesNewFlows);
+        const AgentDecision decision = agent.fromPeer(m_now, header(), opening(flow(3)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        SteerHeader handedOver = header();
+        handedOver.hops = 2;
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, handedOver, opening(flow(4)), m_notices)));
+
+        AgentSteering overtaken = this->agent(1, Snapshots().server(1).server(2));
+        for (std::uint16_t port = 1; port <= 3; ++port) {
+            openFlow(overtaken, flow(port));
+            Segment end = fromServer(flow(port));
+            end.isFinal = true;
+            overtaken.fromServer(m_now, end, m_notices);
+        }
+        CPPUNIT_ASSERT(overtaken.load().takesNewFlows);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -15,7 +15,7 @@
     return !current.goneSince && isConfirmed(holder) && isConfirmed(current.incarnation) && holder != current.incarnation;
 }
 
-constexpr NameTable<SteerCause, 14> causeNames{{{
+constexpr NameTable<SteerCause, 15> causeNames{{{
     {SteerCause::Placed, "placed"},
     {SteerCause::Known, "known"},
     {SteerCause::Home, "home"},
@@ -25,6 +25,7 @@
     {SteerCause::NotReady, "not-ready"},
     {SteerCause::NotAccepted, "not-accepted"},
     {SteerCause::Draining, "draining"},
+    {SteerCause::Ejected, "ejected"},
     {SteerCause::StaleTable, "stale-table"},
     {SteerCause::UnknownFlow, "unknown-flow"},
     {SteerCause::TooManyHops, "too-many-hops"},
@@ -116,14 +117,24 @@
 const SteerServer *BalancerSteering::choose(TimePoint now, ServiceKey service, const FlowEnds &ends, const HostAddress *avoided)
 {
     std::vector<const SteerServer *> servers;
-    std::vector<ServerLoad> loads;
+    std::size_t refusing = 0;
     for (const SteerServer &server : m_directory.servers(service)) {
         const bool isAvoided = avoided != nullptr && server.agent == *avoided;
         if (server.takesNewFlows && !isAvoided) {
             servers.push_back(&server);
-            loads.push_back(loadOf(now, server));
+            refusing += isRefusing(now, server.agent) ? 1 : 0;
         }
     }
+    // Where most servers look bad, the cause lies elsewhere, and the rest could not carry the load.
+    if (refusing <= servers.size() / 2) {
+        std::erase_if(servers, [&](const SteerServer *server) {
+            return isRefusing(now, server->agent);
+        });
+    }
+    std::vector<ServerLoad> loads;
+    for (const SteerServer *server : servers) {
+        loads.push_back(loadOf(now, *server));
+    }
     const auto chosen = chooseLeastLoaded(loads, m_options.choice, hashOf(ends));
     if (chosen) {
         return servers[*chosen];
@@ -132,6 +143,12 @@
     return last != nullptr && last->takesNewFlows && last->service == service ? last : nullptr;
 }
 
+bool BalancerSteering::isRefusing(TimePoint now, const HostAddress &agent) const
+{
+    const auto found = m_loads.find(agent);
+    return found != m_loads.end() && !found->second.notice.takesNewFlows && now - found->second.at < m_options.loadValidity;
+}
+
 ServerLoad BalancerSteering::loadOf(TimePoint now, const SteerServer &server) const
 {
     ServerLoad load;
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(keepsFlowsOfAServerThatFellOutOfTheList);
     CPPUNIT_TEST(avoidsALoadedServer);
     CPPUNIT_TEST(spreadsABurstBetweenNotices);
+    CPPUNIT_TEST(leavesOutAServerThatRefuses);
+    CPPUNIT_TEST(usesAllServersWhenMostRefuse);
     CPPUNIT_TEST(dropsPacketsThatOnlyServersSend);
     CPPUNIT_TEST_SUITE_END();
 
@@ -179,6 +181,28 @@
         CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(steering.decide(m_now, accepted)));
         CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(steering.decide(m_now, returned(opening(flow(1))))));
     }
+
+    void leavesOutAServerThatRefuses()
+    {
+        BalancerSteering steering = this->steering(Snapshots().server(2).server(4).server(6));
+        steering.notice(m_now, LoadNotice{agentAddress(2), 0, 0, 3, false});
+        for (std::uint16_t port = 1; port <= 20; ++port) {
+            CPPUNIT_ASSERT(relayed(steering.decide(m_now, opening(flow(port)))) != agentAddress(2));
+        }
+    }
+
+    /// Guards against sending everything to the last server that looks well.
+    void usesAllServersWhenMostRefuse()
+    {
+        BalancerSteering steering = this->steering(Snapshots().server(2).server(4).server(6));
+        steering.notice(m_now, LoadNotice{agentAddress(2), 0, 0, 3, false});
+        steering.notice(m_now, LoadNotice{agentAddress(4), 0, 0, 3, false});
+        std::map<HostAddress, int> placed;
+        for (std::uint16_t port = 1; port <= 30; ++port) {
+            ++placed[relayed(steering.decide(m_now, opening(flow(port))))];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, placed.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BalancerSteeringTest);
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -122,18 +122,28 @@
         if (error) {
             return;
         }
-        const auto notice = encode(m_steering.load());
-        for (const HostAddress &balancer : m_steering.recentBalancers()) {
-            m_toPeers.add(balancer, keep(notice));
-            if (m_toPeers.isFull()) {
-                flush();
-            }
-        }
-        flush();
+        sendLoad();
         scheduleLoadNotices();
     });
 }
 
+void AgentTraffic::sendLoad()
+{
+    const LoadNotice load = m_steering.load();
+    const auto notice = encode(load);
+    for (const HostAddress &balancer : m_steering.recentBalancers()) {
+        m_toPeers.add(balancer, keep(notice));
+        if (m_toPeers.isFull()) {
+            flush();
+        }
+    }
+    flush();
+    if (m_wasServerTrusted != m_steering.isServerTrusted()) {
+        m_wasServerTrusted = m_steering.isServerTrusted();
+        m_logger.info(m_wasServerTrusted ? "server-trusted" : "server-ejected", {{"waiting", load.waiting}, {"open_flows", load.openFlows}});
+    }
+}
+
 void AgentTraffic::receiveFromPeers()
 {
     const std::size_t received = m_reader.read(m_peers.native_handle());
@@ -188,6 +198,9 @@
     }
     releaseHeld(now);
     flush();
+    if (m_wasServerTrusted != m_steering.isServerTrusted()) {
+        sendLoad();
+    }
 }
 
 // Requests go to the server once it takes more, or when they have waited for as long as is useful.
