Ask agents of servers that left last, and reset the flows of servers that ended

A restarted balancer asks the home of a flow; servers that had left stayed in the order for 75 s, so the home of one flow in ten was an agent that no longer existed, for every repeat of the packet.

Change: servers in no list come last in the order; a server that announced its own end is dropped from it, and balancers and pointers reset its flows at once.

Ruled out: sheds (no 503), the route change (same without it), added hosts.

--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -67,6 +67,13 @@
     bool operator==(const ServerSnapshot &) const = default;
 };
 
+/// A server that has announced its own end.
+struct DepartedServer {
+    HostAddress relayAddress;
+    Incarnation incarnation;
+    bool operator==(const DepartedServer &) const = default;
+};
+
 /// Everything that a balancer or an agent uses from the control hosts. Immutable once published; a later state is a new
 /// object. Read it from other threads through ConfigSnapshotPointer.
 struct ConfigSnapshot {
@@ -75,6 +82,7 @@
     FlowKeySet flowKeys;
     std::vector<ServiceSnapshot> services; ///< ordered by id
     std::vector<ServerSnapshot> servers; ///< ordered by name; without those that left
+    std::vector<DepartedServer> departed; ///< the last ones that ended by themselves, oldest first; not those that fell silent
     bool isRegistryKnown = false; ///< false until a control host has sent its list of servers
     RouteTablePointer routes = std::make_shared<RouteTable>(); ///< never null; version 0 before the first table arrived
 
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -8,6 +8,7 @@
 #include <control.pb.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -108,6 +109,7 @@
     bool takeFlowKeys(const jujubequay::pb::ConfigDelta &delta);
     bool takeRegistry(const jujubequay::pb::RegistryDelta &delta);
     bool isOutdated(const jujubequay::pb::ServerEntry &entry) const;
+    void noteDeparture(const jujubequay::pb::ServerEntry &entry);
     void publish(Effects &effects);
     void report(Effects &effects);
     void send(jujubequay::pb::WatchUp message, Effects &effects);
@@ -134,6 +136,7 @@
     std::uint64_t m_registryEpoch = 0;
     std::uint64_t m_registrySequence = 0;
     Entries m_servers;
+    std::deque<DepartedServer> m_departed;
     std::optional<Entries> m_arriving; // a full registry of which more messages follow
     std::vector<std::uint32_t> m_flowKeysInUse;
 
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -117,6 +117,7 @@
         std::uint32_t serverSequence = 0; ///< that the server has opened with
         std::uint32_t callerAcknowledgement = 0;
         HostAddress elsewhere;
+        Incarnation elsewhereIncarnation; ///< as far as it is known
         bool isWaiting = false; ///< the caller has sent data that has not been answered yet
         TimePoint waitingSince{};
         std::uint32_t callerEnd = 0; ///< sequence number after the caller's last new data
@@ -132,6 +133,7 @@
     AgentDecision passOpeningOn(const SteerHeader &header, const Segment &segment, SteerCause cause) const;
     AgentDecision passOn(TimePoint now, const SteerHeader &header, const Segment &segment) const;
     AgentDecision returned(TimePoint now, const Segment &segment);
+    static AgentDecision lost(const Segment &segment);
     bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
     /// Tells the homes of a flow where it is.
     void opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const;
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -33,7 +33,8 @@
 ///
 /// Every host orders the servers alike for a flow (rendezvous hashing over the agents' addresses). The first one is the flow's home: it
 /// is told when another server holds the flow. A host that does not know the holder asks the home; a home that does not know it
-/// passes the packet on along the order. So servers that join or leave change the order of few flows. Services play no part in the
+/// passes the packet on along the order. Servers that are in no list any more come last: their agents may be gone, and
+/// packets to them lost. So servers that join or leave change the order of few flows. Services play no part in the
 /// order, since a route may have led to another service when the flow was opened, and a host that has just started knows only the
 /// present one.
 class ServerDirectory
@@ -50,6 +51,8 @@
     const SteerServer *find(const HostAddress &agent) const;
     /// Servers of a service, with those that are gone.
     std::span<const SteerServer> servers(ServiceKey service) const;
+    /// True if the server has ended by itself; its flows exist no more.
+    bool hasDeparted(const HostAddress &agent, Incarnation incarnation) const;
     /// The servers in the order of a flow; at most `limit`, starting after `after` if that is set.
     std::vector<HostAddress> order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after = std::nullopt) const;
     /// The first of the order; empty without servers.
@@ -63,6 +66,7 @@
     const ServerDirectoryOptions m_options;
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
     bool m_isRegistryKnown = false;
+    std::vector<DepartedServer> m_departed;
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
 };
 
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t frameHeader = 4;
 constexpr std::uint32_t maxDoublings = 16;
+/// Departures are of use until the callers of their flows know; the most servers that leave within that time.
+constexpr std::size_t keptDepartures = 256;
 
 template<class Message>
 std::uint64_t framedBytes(const Message &message)
@@ -303,6 +305,21 @@
     return known != m_servers.end() && known->second.order() > entry.order();
 }
 
+// A control host that removes a silent server changes the observation; the server's own announcement does not.
+void WatchSubscriber::noteDeparture(const pb::ServerEntry &entry)
+{
+    if (entry.state() != pb::SERVER_STATE_LEFT || entry.observation() != 0) {
+        return;
+    }
+    const DepartedServer departed{parseHostAddress(entry.relay_address()).value_or(HostAddress()), Incarnation{entry.incarnation()}};
+    if (std::find(m_departed.begin(), m_departed.end(), departed) == m_departed.end()) {
+        m_departed.push_back(departed);
+    }
+    if (m_departed.size() > keptDepartures) {
+        m_departed.pop_front();
+    }
+}
+
 bool WatchSubscriber::takeRegistry(const pb::RegistryDelta &delta)
 {
     if (delta.full()) {
@@ -310,6 +327,7 @@
     }
     Entries &target = m_arriving ? *m_arriving : m_servers;
     for (const pb::ServerEntry &entry : delta.servers()) {
+        noteDeparture(entry);
         target[entry.name()] = isOutdated(entry) ? m_servers.at(entry.name()) : entry;
     }
     if (delta.more()) {
@@ -333,6 +351,7 @@
     snapshot->revision = m_revision;
     snapshot->flowKeyRevision = m_flowKeyRevision;
     snapshot->routes = m_routes;
+    snapshot->departed.assign(m_departed.begin(), m_departed.end());
     snapshot->isRegistryKnown = m_registrySequence != 0;
     snapshot->flowKeys = flowKeySetOf(m_flowKeys);
     for (const auto &[name, config] : m_services) {
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -179,6 +179,10 @@
         return deliver(now, flow, header, segment, notices);
     case FlowState::Elsewhere: {
         flow.lastUsed = now;
+        if (m_directory.hasDeparted(flow.elsewhere, flow.elsewhereIncarnation)) {
+            flow.state = FlowState::Lost;
+            return lost(segment);
+        }
         SteerHeader next = header;
         next.wantsOwner = true;
         ++next.hops;
@@ -186,14 +190,19 @@
                                              : AgentDecision(RelayToAgent{flow.elsewhere, next, SteerCause::Known});
     }
     case FlowState::Lost:
-        if (segment.isReset) {
-            return DropPacket{SteerCause::ServerReplaced};
-        }
-        return ResetCaller{ends, segment.acknowledgement, SteerCause::ServerReplaced};
+        return lost(segment);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
 
+AgentDecision AgentSteering::lost(const Segment &segment)
+{
+    if (segment.isReset) {
+        return DropPacket{SteerCause::ServerReplaced};
+    }
+    return ResetCaller{endsFromCaller(segment), segment.acknowledgement, SteerCause::ServerReplaced};
+}
+
 AgentDecision AgentSteering::deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
 {
     flow.lastUsed = now;
@@ -313,8 +322,7 @@
         // The server itself says that it does not hold the flow any more.
         end(now, flow);
         flow.state = FlowState::Lost;
-        return segment.isReset ? AgentDecision(DropPacket{SteerCause::ServerReplaced})
-                               : AgentDecision(ResetCaller{ends, segment.acknowledgement, SteerCause::ServerReplaced});
+        return lost(segment);
     default:
         return DropPacket{SteerCause::UnknownFlow};
     }
@@ -338,6 +346,8 @@
     flow = {};
     flow.state = FlowState::Elsewhere;
     flow.elsewhere = notice.owner;
+    const SteerServer *owner = m_directory.find(notice.owner);
+    flow.elsewhereIncarnation = owner == nullptr ? Incarnation() : owner->incarnation;
     flow.lastUsed = now;
 }
 
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -100,7 +100,8 @@
         Flow &flow = known->second;
         flow.lastUsed = now;
         const SteerServer *server = m_directory.find(flow.agent);
-        if (server != nullptr && isReplaced(flow.incarnation, *server)) {
+        const bool isEnded = m_directory.hasDeparted(flow.agent, flow.incarnation) || (server != nullptr && isReplaced(flow.incarnation, *server));
+        if (isEnded) {
             if (segment.isReset) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(resetsFlowsOfAReplacedServer);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAServerThatFellOutOfTheList);
+    CPPUNIT_TEST(resetsFlowsOfAServerThatEnded);
     CPPUNIT_TEST(avoidsALoadedServer);
     CPPUNIT_TEST(spreadsABurstBetweenNotices);
     CPPUNIT_TEST(leavesOutAServerThatRefuses);
@@ -203,6 +204,15 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, placed.size());
     }
+
+    void resetsFlowsOfAServerThatEnded()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, opening(flow(1)));
+        steering.update(m_now, snapshots.server(2).departed(1).build());
+        CPPUNIT_ASSERT(resetCause(steering.decide(m_now, data(flow(1), 55))) == SteerCause::ServerReplaced);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BalancerSteeringTest);
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -31,6 +31,7 @@
     m_routes = snapshot.routes;
     if (snapshot.isRegistryKnown) {
         m_isRegistryKnown = true;
+        m_departed = snapshot.departed;
         return updateServers(now, snapshot);
     }
     return false;
@@ -48,7 +49,7 @@
     }
     for (const auto &[service, known] : m_servers) {
         for (SteerServer server : known) {
-            if (listed.contains(server.agent)) {
+            if (listed.contains(server.agent) || hasDeparted(server.agent, server.incarnation)) {
                 continue;
             }
             server.takesNewFlows = false;
@@ -98,16 +99,22 @@
     return found == m_servers.end() ? std::span<const SteerServer>() : std::span<const SteerServer>(found->second);
 }
 
+bool ServerDirectory::hasDeparted(const HostAddress &agent, Incarnation incarnation) const
+{
+    return std::find(m_departed.begin(), m_departed.end(), DepartedServer{agent, incarnation}) != m_departed.end();
+}
+
 std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
 {
+    using Rank = std::pair<bool, std::uint64_t>; // listed servers first
     const std::uint64_t hash = hashOf(ends);
-    const std::uint64_t bound = after ? scoreOf(hash, *after) : 0;
-    std::vector<std::pair<std::uint64_t, HostAddress>> ranked;
+    const Rank bound = after ? Rank(true, scoreOf(hash, *after)) : Rank();
+    std::vector<std::pair<Rank, HostAddress>> ranked;
     for (const auto &entry : m_servers) {
         for (const SteerServer &server : entry.second) {
-            const std::uint64_t score = scoreOf(hash, server.agent);
-            if (!after || score < bound) {
-                ranked.emplace_back(score, server.agent);
+            const Rank rank(!server.goneSince, scoreOf(hash, server.agent));
+            if (!after || (rank < bound && server.agent != *after)) {
+                ranked.emplace_back(rank, server.agent);
             }
         }
     }
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(keepsTheHomeOfMostFlowsWhenAServerJoins);
     CPPUNIT_TEST(remembersAServerThatLeft);
     CPPUNIT_TEST(ordersServersOfAllServices);
+    CPPUNIT_TEST(asksServersThatFellSilentLast);
+    CPPUNIT_TEST(forgetsAServerThatEnded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int flows = 400;
@@ -74,6 +76,32 @@
         directory.update({}, Snapshots().route(feedAddress, "vault").server(1, "feed").server(2, "vault").build());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.order(flow(1), 10).size());
     }
+
+    /// kpa-quay-grown, trouble-1 from 24 s on: the home of one flow in ten was the agent of a server that had left, and packets of
+    /// flows that the fabric had moved were sent there and lost.
+    void asksServersThatFellSilentLast()
+    {
+        ServerDirectory directory({});
+        directory.update({}, Snapshots().server(1).server(2).server(3).build());
+        directory.update({}, Snapshots().server(1).server(3).build());
+        for (std::uint16_t port = 1; port <= flows; ++port) {
+            const auto order = directory.order(flow(port), 10);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, order.size());
+            CPPUNIT_ASSERT(order.back() == agentAddress(2));
+            CPPUNIT_ASSERT(directory.next(flow(port), order[1]) == agentAddress(2));
+        }
+    }
+
+    void forgetsAServerThatEnded()
+    {
+        Snapshots snapshots;
+        ServerDirectory directory({});
+        directory.update({}, snapshots.server(1).server(2).build());
+        directory.update({}, snapshots.departed(2).build());
+        CPPUNIT_ASSERT(directory.find(agentAddress(2)) == nullptr);
+        CPPUNIT_ASSERT(directory.hasDeparted(agentAddress(2), {102}));
+        CPPUNIT_ASSERT(!directory.hasDeparted(agentAddress(2), {999}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -123,6 +123,13 @@
         return *this;
     }
 
+    /// The server announces its own end.
+    Snapshots &departed(std::uint32_t number)
+    {
+        m_departed.push_back({agentAddress(number), {100 + number}});
+        return without(number);
+    }
+
     /// Lets a route lead to another service, in a table of the next version.
     Snapshots &route(const HostAddress &address, const std::string &service)
     {
@@ -150,6 +157,7 @@
         ConfigSnapshot snapshot;
         snapshot.routes = std::make_shared<RouteTable>(m_table);
         snapshot.servers = m_servers;
+        snapshot.departed = m_departed;
         snapshot.isRegistryKnown = true;
         return snapshot;
     }
@@ -157,6 +165,7 @@
 private:
     jujubequay::pb::RouteTable m_table;
     std::vector<ServerSnapshot> m_servers;
+    std::vector<DepartedServer> m_departed;
 };
 
 }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -223,11 +223,7 @@
     }
     entry.set_service(current->service);
     entry.set_incarnation(m_announcements.incarnation());
-    if (m_announcements.hasLeft()) {
-        entry.set_state(pb::SERVER_STATE_LEFT);
-    } else {
-        entry.set_state(m_announcements.takesNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
-    }
+    entry.set_state(m_announcements.takesNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
     return entry;
 }
 
