Find lost flows and lost hosts faster after a loss of power

Change: the order of a flow goes by availability zone, its two homes lie in different zones; an agent that started with its server knows all its flows; the registry settles by the number of servers; replies use the connection that the other host has opened; connection attempts end after 250 ms. Changes of leadership are logged.

Ruled out: asking all servers at once (two packets a server and flow, at a time when servers are busiest); a last-in-first-out queue (1.5 times the requests lost by calculation).

--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -18,7 +18,7 @@
     WatchServerOptions watch;
     Duration registryExchange = std::chrono::milliseconds(250); ///< between deltas to other control hosts
     Duration registryFillTime = std::chrono::seconds(10); ///< see RegistryExchange
-    /// Time without a change after which the registry of a restarted control host counts as settled; zero for never.
+    /// Time without a new server after which the registry of a restarted control host counts as settled; zero for never.
     Duration registrySettleTime{};
     /// Servers may announce themselves for services without a bundle; deployments that use a route table need this.
     bool acceptsAnyService = false;
@@ -110,7 +110,7 @@
     std::vector<HostAddress> m_seeds;
     bool m_isChangingMembership = false;
     TimePoint m_registryChangedAt{};
-    std::uint64_t m_registrySequence = 0;
+    std::size_t m_registryServers = 0;
     TimePoint m_leaderHeardAt{};
     TimePoint m_leadingSince{};
     std::uint64_t m_leadingTerm = 0;
--- a/include/jujubequay/control/peer_links.h
+++ b/include/jujubequay/control/peer_links.h
@@ -27,6 +27,8 @@
     /// Replaces the hosts; streams to those that are not named end.
     void setPeers(const std::map<std::string, HostAddress> &peers);
     void tick(TimePoint now);
+    /// False if the host has not accepted a stream yet; what is sent to it may be lost.
+    bool isEstablished(const std::string &host) const;
     /// False if no stream is open or too much waits on it; the message is then dropped.
     bool send(const std::string &host, const google::protobuf::MessageLite &message);
 
--- a/include/jujubequay/control/replica_driver.h
+++ b/include/jujubequay/control/replica_driver.h
@@ -24,6 +24,8 @@
         std::function<void(const jujubequay::pb::ReplicaMessage &)> send;
         std::function<void()> membershipChanged;
         std::function<void(bool toleratesLoss)> redundancyChanged;
+        /// This host has become the leader of a term, or is not any more.
+        std::function<void(std::uint64_t term, bool isLeader)> leadershipChanged;
         /// Storage failed or is damaged; the process must stop. The driver does nothing afterwards.
         std::function<void(const Failure &)> failed;
     };
--- a/include/jujubequay/net/message_stream.h
+++ b/include/jujubequay/net/message_stream.h
@@ -26,6 +26,11 @@
     virtual void send(const google::protobuf::MessageLite &message) = 0;
     /// Sends what is queued and ends the stream.
     virtual void close() = 0;
+    /// False until the other end has accepted the stream; what is sent earlier waits.
+    virtual bool isEstablished() const
+    {
+        return true;
+    }
     /// Bytes that wait to be sent.
     virtual std::size_t queuedBytes() const = 0;
     virtual PeerIdentity peer() const = 0;
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -31,7 +31,8 @@
 
 /// All servers, with those that left recently, and their order for a flow.
 ///
-/// Every host orders the servers alike for a flow (rendezvous hashing over the agents' addresses). The first one is the flow's home: it
+/// Every host orders the servers alike for a flow (rendezvous hashing over availability zones, and within each over the agents'
+/// addresses). The first one is the flow's home: it
 /// is told when another server holds the flow. A host that does not know the holder asks the home; a home that does not know it
 /// passes the packet on along the order. Servers that are in no list any more come last: their agents may be gone, and
 /// packets to them lost. So servers that join or leave change the order of few flows. Services play no part in the
@@ -55,6 +56,8 @@
     bool hasDeparted(const HostAddress &agent, Incarnation incarnation) const;
     /// The servers in the order of a flow; at most `limit`, starting after `after` if that is set.
     std::vector<HostAddress> order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after = std::nullopt) const;
+    /// The agents that are told where a flow is: the first of the order, and the first one of the next availability zone.
+    std::vector<HostAddress> homes(const FlowEnds &ends) const;
     /// The first of the order; empty without servers.
     std::optional<HostAddress> home(const FlowEnds &ends) const;
     /// Next of the order after an agent.
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -42,6 +42,7 @@
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry entry() const;
     void serverEnded();
+    bool hasStartedWithAgent(const ServerAnnouncement &announcement) const;
     /// Finds out whether the server runs already, so that a restarted agent need not wait for its next announcement.
     void checkServer();
     void reloadSeeds();
@@ -63,6 +64,8 @@
     std::shared_ptr<ConfigWatcher> m_watcher;
     std::shared_ptr<AnnounceClient> m_announceClient;
     ServerAnnouncements m_announcements;
+    /// Wall clock, to compare with the server's own.
+    const std::chrono::system_clock::time_point m_startedAt = std::chrono::system_clock::now();
     asio::ip::tcp::socket m_check;
     bool m_isServerRunning = false; ///< it accepts connections and has not announced itself yet
     std::optional<LocalServer> m_local;
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -512,7 +512,7 @@
 {
     Duration timeout = m_options.electionTimeout;
     if (!m_hasHadLeader && m_options.firstElectionTimeout > Duration::zero()) {
-        constexpr std::uint32_t maxDoublings = 8;
+        constexpr std::uint32_t maxDoublings = 2; // the others may start seconds later
         timeout = std::min(timeout, m_options.firstElectionTimeout * (1 << std::min(m_firstElections, maxDoublings)));
         ++m_firstElections;
     }
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -56,6 +56,10 @@
                     [this](bool toleratesLoss) {
                         m_environment.logger.info("redundancy-changed", {{"tolerates_loss", toleratesLoss}});
                     },
+                .leadershipChanged =
+                    [this](std::uint64_t term, bool isLeader) {
+                        m_environment.logger.info(isLeader ? "leadership-gained" : "leadership-lost", {{"term", term}});
+                    },
                 .failed = m_environment.failed})
     , m_watchServer(m_driver.state(), m_registry, m_reports, m_options.watch)
     , m_raftLinks(m_environment.client,
@@ -225,9 +229,10 @@
 void ControlHostService::sendRaft(const pb::ReplicaMessage &message)
 {
     const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.to());
-    if (member != nullptr && m_raftLinks.send(member->host(), message)) {
+    if (member != nullptr && m_raftLinks.send(member->host(), message) && m_raftLinks.isEstablished(member->host())) {
         return;
     }
+    // A connection to a host that was down may hang while the host itself has opened another one.
     const auto reply = m_replyStreams.find(message.to());
     MessageStream *stream = reply == m_replyStreams.end() ? nullptr : m_raftStreams.find(reply->second);
     if (stream != nullptr) {
@@ -312,13 +317,17 @@
 
 bool ControlHostService::isRegistrySettled()
 {
+    if (m_options.registrySettleTime == Duration::zero() || m_exchange.isFilled()) {
+        return false;
+    }
+    // Servers that are known already go on to confirm what their agents have announced; only new ones count.
     const TimePoint now = m_environment.clock.now();
-    if (m_registry.sequence() != m_registrySequence) {
-        m_registrySequence = m_registry.sequence();
+    const std::size_t servers = m_registry.servers().size();
+    if (servers != m_registryServers) {
+        m_registryServers = servers;
         m_registryChangedAt = now;
     }
-    const bool isUsed = m_options.registrySettleTime > Duration::zero();
-    return isUsed && !m_registry.servers().empty() && now - m_registryChangedAt >= m_options.registrySettleTime;
+    return servers > 0 && now - m_registryChangedAt >= m_options.registrySettleTime;
 }
 
 void ControlHostService::joinIfNeeded()
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -275,7 +275,9 @@
     }
     m_lastExchange = now;
     for (auto &[host, position] : m_positions) {
-        sendChanges(host, position);
+        if (m_links.isEstablished(host)) {
+            sendChanges(host, position);
+        }
     }
 }
 
--- a/src/jujubequay/control/peer_links.cpp
+++ b/src/jujubequay/control/peer_links.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration retryBase = std::chrono::milliseconds(50);
-constexpr Duration retryLimit = std::chrono::milliseconds(800);
+constexpr Duration retryLimit = std::chrono::milliseconds(400);
 constexpr std::uint32_t maxDoublings = 8;
 // A stream that lasted this long was not refused.
 constexpr Duration stableAfter = std::chrono::seconds(5);
@@ -86,6 +86,12 @@
     link.nextAttempt = m_now + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(m_random));
 }
 
+bool PeerLinks::isEstablished(const std::string &host) const
+{
+    const auto found = m_links.find(host);
+    return found != m_links.end() && found->second.stream && found->second.stream->isEstablished();
+}
+
 bool PeerLinks::send(const std::string &host, const google::protobuf::MessageLite &message)
 {
     const auto found = m_links.find(host);
--- a/src/jujubequay/control/replica_driver.cpp
+++ b/src/jujubequay/control/replica_driver.cpp
@@ -118,6 +118,10 @@
         m_handlers.membershipChanged();
     } else if (const auto *redundancy = std::get_if<Consensus::RedundancyChanged>(&effect)) {
         m_handlers.redundancyChanged(redundancy->toleratesLoss);
+    } else if (const auto *gained = std::get_if<Consensus::LeadershipGained>(&effect)) {
+        m_handlers.leadershipChanged(gained->term, true);
+    } else if (const auto *lost = std::get_if<Consensus::LeadershipLost>(&effect)) {
+        m_handlers.leadershipChanged(lost->term, false);
     } else {
         write(effect);
     }
--- a/src/jujubequay/daemon/settings_documentation.cpp
+++ b/src/jujubequay/daemon/settings_documentation.cpp
@@ -5,6 +5,7 @@
 #include <jujubequay/daemon/control_settings.h>
 #include <jujubequay/daemon/operator_settings.h>
 #include <jujubequay/daemon/settings_documentation.h>
+#include <jujubequay/daemon/steering_settings.h>
 
 #include <fmt/format.h>
 
@@ -46,6 +47,9 @@
     text += programTable("jjq", readOperatorSettings);
     text += programTable("jjq-call", readCallSettings);
     text += programTable("jjq-backend", readBackendSettings);
+    text += programTable("jjq-platform-balancer", readSteeringBalancerSettings);
+    text += programTable("jjq-platform-agent", readSteeringAgentSettings);
+    text += programTable("jjq-platform-control", readRouteControlSettings);
     return text;
 }
 
--- a/src/jujubequay/daemon/settings_test.cpp
+++ b/src/jujubequay/daemon/settings_test.cpp
@@ -7,6 +7,7 @@
 #include <jujubequay/daemon/control_settings.h>
 #include <jujubequay/daemon/operator_settings.h>
 #include <jujubequay/daemon/settings_documentation.h>
+#include <jujubequay/daemon/steering_settings.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -154,6 +155,10 @@
         CPPUNIT_ASSERT(readExample("jjq", readOperatorSettings).signerKey.has_value());
         CPPUNIT_ASSERT(readExample("jjq-call", readCallSettings).workClass == WorkClass::Critical);
         CPPUNIT_ASSERT(readExample("jjq-backend", readBackendSettings).coldStart == 20s);
+        const auto steeringBalancer = readExample("jjq-platform-balancer", readSteeringBalancerSettings);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.12:7400"), toString(steeringBalancer.discovery.seeds.at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::string("inspect-desk"), readExample("jjq-platform-agent", readSteeringAgentSettings).service);
+        CPPUNIT_ASSERT(readExample("jjq-platform-control", readRouteControlSettings).isFirstStart);
     }
 
     // Guards against settings that are valid one by one and cannot work together.
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -14,6 +14,9 @@
     for (HostAddress &seed : seeds) {
         seed.port = port == 0 ? seed.port : static_cast<std::uint16_t>(port);
     }
+    if (seeds.empty()) {
+        reader.reject("seeds", "at least one address");
+    }
     return seeds;
 }
 
@@ -28,7 +31,7 @@
     settings.metricsAddress = reader.optionalAddress("metrics_address", "address that answers HTTP GET /metrics");
     settings.keepAlive.interval = reader.duration("ping_interval_ms", 1s, {100ms, 10min}, "silence on a control connection after which the peer is probed");
     settings.keepAlive.timeout = reader.duration("ping_timeout_ms", 700ms, {100ms, 10min}, "silence after a probe until the peer is considered dead");
-    settings.connectTimeout = reader.duration("connect_timeout_ms", 600ms, {50ms, 1min}, "time limit of a control connection attempt");
+    settings.connectTimeout = reader.duration("connect_timeout_ms", 250ms, {50ms, 1min}, "time limit of a control connection attempt");
     settings.retryLimit = reader.duration("retry_limit_ms", 500ms, {50ms, 1min}, "longest wait before another control host is tried");
     settings.silenceLimit = reader.duration("silence_limit_ms", 1500ms, {200ms, 10min}, "silence of a control host after which another one is watched");
     return settings;
@@ -76,6 +79,11 @@
     settings.heartbeat = consensus.duration("heartbeat_ms", 100ms, {10ms, 10s}, "interval between messages from the leader");
     settings.electionTimeout = consensus.duration("election_timeout_ms", 700ms, {50ms, 1min}, "shortest silence of the leader before an election");
     settings.snapshotEntries = static_cast<std::uint64_t>(consensus.integer("snapshot_entries", 256, {16, 1'000'000}, "log entries between snapshots"));
+    // Below this ratio a single lost heartbeat starts an election.
+    constexpr int leastHeartbeatsPerTimeout = 3;
+    if (settings.electionTimeout < leastHeartbeatsPerTimeout * settings.heartbeat) {
+        consensus.reject("election_timeout_ms", "at least three times heartbeat_ms");
+    }
     settings.lease = reader.duration("lease_ms", 3s, {100ms, 10min}, "time after which an announcement that is not renewed expires");
     return settings;
 }
--- a/src/jujubequay/net/http2_message_client.cpp
+++ b/src/jujubequay/net/http2_message_client.cpp
@@ -86,6 +86,7 @@
     const auto connection = connectionTo(address);
     auto messages = std::make_shared<Http2MessageStream>(Http2MessageStream::Context{path, m_options.maxMessageBytes, connection->peer, m_traffic, m_logger});
     messages->setHandlers(std::move(handlers));
+    messages->expectAcceptance();
     const auto session = connection->session;
     Http2StreamHandlers http2 = messages->http2Handlers();
     http2.closed = [finish = std::move(http2.closed), weak = std::weak_ptr(connection)](const Http2StreamEnd &end) {
--- a/src/jujubequay/net/http2_message_stream.cpp
+++ b/src/jujubequay/net/http2_message_stream.cpp
@@ -77,6 +77,16 @@
     m_stream->end();
 }
 
+void Http2MessageStream::expectAcceptance()
+{
+    m_isEstablished = false;
+}
+
+bool Http2MessageStream::isEstablished() const
+{
+    return m_isEstablished;
+}
+
 std::size_t Http2MessageStream::queuedBytes() const
 {
     return m_stream->queuedBytes();
@@ -91,7 +101,9 @@
 {
     if (headerValue(headers, ":status") != "200") {
         fail(ResultCode::NotAuthorized);
+        return;
     }
+    m_isEstablished = true;
 }
 
 void Http2MessageStream::receiveData(std::span<const std::uint8_t> data)
--- a/src/jujubequay/net/http2_message_stream.h
+++ b/src/jujubequay/net/http2_message_stream.h
@@ -35,6 +35,9 @@
 
     void send(const google::protobuf::MessageLite &message) override;
     void close() override;
+    /// For streams of a client.
+    void expectAcceptance();
+    bool isEstablished() const override;
     std::size_t queuedBytes() const override;
     PeerIdentity peer() const override;
 
@@ -50,6 +53,7 @@
     FrameReader m_reader;
     ResultCode m_failure = ResultCode::Ok;
     bool m_isClosing = false;
+    bool m_isEstablished = true;
 };
 
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -57,6 +57,9 @@
             }
         }
     }
+    if (isFresh) {
+        m_knowsAllSince = std::min(m_knowsAllSince, now);
+    }
     m_server = server;
     return resets;
 }
@@ -351,15 +354,12 @@
     flow.lastUsed = now;
 }
 
-// The first two of the order are told, so that the loss of one of them, or a server that joins, does not hide the flow.
 void AgentSteering::opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const
 {
-    constexpr std::size_t homes = 2;
-    for (const HostAddress &agent : m_directory.order(ends, homes)) {
-        if (agent == m_options.agent) {
-            return;
+    for (const HostAddress &agent : m_directory.homes(ends)) {
+        if (agent != m_options.agent) {
+            notices.push_back({agent, {ends, m_options.agent}});
         }
-        notices.push_back({agent, {ends, m_options.agent}});
     }
 }
 
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(neverDeliversForAnotherService);
     CPPUNIT_TEST(resetsTheFlowsOfALostServer);
     CPPUNIT_TEST(keepsFlowsWhenTheServerIsConfirmed);
+    CPPUNIT_TEST(asksNoServerThatStartedWithIt);
     CPPUNIT_TEST(countsWaitingRequests);
     CPPUNIT_TEST(repeatedPacketsAreNoRequests);
     CPPUNIT_TEST(abandonedRequestsDoNotCountForGood);
@@ -258,6 +259,19 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), data(flow(1), 1001), m_notices)));
     }
 
+    /// After a loss of power the server's announcement follows the first connection to it.
+    void asksNoServerThatStartedWithIt()
+    {
+        AgentSteering agent({.agent = agentAddress(1)});
+        agent.update(m_now, Snapshots().server(1).server(2).build());
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 1}, false);
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, question(), data(ends, 5), m_notices)));
+        agent.fromServer(m_now, returned(data(ends, 5)), m_notices);
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {555}, true, 3}, true);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.fromPeer(m_now, question(), data(ends, 5), m_notices)));
+    }
+
     void countsWaitingRequests()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1));
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Jujubequay {
 
@@ -14,6 +15,18 @@
     return XXH3_64bits_withSeed(&key, sizeof(key), flowHash);
 }
 
+/// Listed servers first, then by availability zone, so that a search crosses zones as rarely as possible, then by server.
+using Rank = std::tuple<bool, std::uint64_t, std::uint64_t>;
+
+Rank rankOf(std::uint64_t flowHash, const SteerServer &server, bool isListed)
+{
+    const std::uint64_t zoneScore = XXH3_64bits_withSeed(server.zone.data(), server.zone.size(), flowHash);
+    return {isListed, zoneScore, scoreOf(flowHash, server.agent)};
+}
+
+/// Agents that are told where a flow is: with two, in different availability zones, the loss of one hides no flow.
+constexpr std::size_t homeCount = 2;
+
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
     return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.takesNewWork(), server.state == ServerAvailability::Starting, std::nullopt};
@@ -106,14 +119,15 @@
 
 std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
 {
-    using Rank = std::pair<bool, std::uint64_t>; // listed servers first
     const std::uint64_t hash = hashOf(ends);
-    const Rank bound = after ? Rank(true, scoreOf(hash, *after)) : Rank();
+    // A host that is in no list itself starts with the first one.
+    const SteerServer *last = after ? find(*after) : nullptr;
+    const std::optional<Rank> bound = last == nullptr ? std::nullopt : std::optional(rankOf(hash, *last, true));
     std::vector<std::pair<Rank, HostAddress>> ranked;
     for (const auto &entry : m_servers) {
         for (const SteerServer &server : entry.second) {
-            const Rank rank(!server.goneSince, scoreOf(hash, server.agent));
-            if (!after || (rank < bound && server.agent != *after)) {
+            const Rank rank = rankOf(hash, server, !server.goneSince);
+            if (server.agent != after && (!bound || rank < *bound)) {
                 ranked.emplace_back(rank, server.agent);
             }
         }
@@ -127,6 +141,29 @@
     return agents;
 }
 
+std::vector<HostAddress> ServerDirectory::homes(const FlowEnds &ends) const
+{
+    const std::uint64_t hash = hashOf(ends);
+    std::map<std::uint64_t, std::pair<Rank, HostAddress>> firstOfZone; // by the zone's score
+    for (const auto &entry : m_servers) {
+        for (const SteerServer &server : entry.second) {
+            const Rank rank = rankOf(hash, server, !server.goneSince);
+            auto &first = firstOfZone.try_emplace(std::get<1>(rank), rank, server.agent).first->second;
+            first = std::max(first, std::pair(rank, server.agent));
+        }
+    }
+    std::vector<std::pair<Rank, HostAddress>> firsts;
+    for (const auto &entry : firstOfZone) {
+        firsts.push_back(entry.second);
+    }
+    std::sort(firsts.begin(), firsts.end(), std::greater<>());
+    std::vector<HostAddress> homes;
+    for (std::size_t index = 0; index < std::min(homeCount, firsts.size()); ++index) {
+        homes.push_back(firsts[index].second);
+    }
+    return homes;
+}
+
 std::optional<HostAddress> ServerDirectory::home(const FlowEnds &ends) const
 {
     const auto first = order(ends, 1);
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(ordersServersOfAllServices);
     CPPUNIT_TEST(asksServersThatFellSilentLast);
     CPPUNIT_TEST(forgetsAServerThatEnded);
+    CPPUNIT_TEST(crossesZonesOnce);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int flows = 400;
@@ -102,6 +103,28 @@
         CPPUNIT_ASSERT(directory.hasDeparted(agentAddress(2), {102}));
         CPPUNIT_ASSERT(!directory.hasDeparted(agentAddress(2), {999}));
     }
+
+    /// After a loss of power every open flow is searched at all servers: 52 of them, 4.4 ms apart between zones, took 170 ms.
+    void crossesZonesOnce()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 12; ++number) {
+            snapshots.server(number);
+        }
+        ServerDirectory directory({});
+        directory.update({}, snapshots.build());
+        for (std::uint16_t port = 1; port <= flows; ++port) {
+            const auto order = directory.order(flow(port), 20);
+            int crossings = 0;
+            for (std::size_t index = 1; index < order.size(); ++index) {
+                crossings += directory.find(order[index])->zone != directory.find(order[index - 1])->zone ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(1, crossings);
+            const auto homes = directory.homes(flow(port));
+            CPPUNIT_ASSERT(homes.size() == 2 && homes[0] == order[0]);
+            CPPUNIT_ASSERT(directory.find(homes[0])->zone != directory.find(homes[1])->zone);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -13,8 +13,8 @@
 constexpr int missedAnnouncements = 3;
 /// A server that has said that it ends exits right after; its last packets are still passed on.
 constexpr auto endDelay = std::chrono::milliseconds(300);
-/// An announcement with a sequence up to this one comes from a server that started with this agent watching.
-constexpr std::uint64_t firstSequences = 1;
+/// A server that started at most this long before its agent got no flows from an earlier start of the agent: both were down.
+constexpr auto freshServerAge = std::chrono::seconds(1);
 constexpr std::uint32_t ordinaryWeight = 100;
 
 }
@@ -124,7 +124,14 @@
                                   {"warmup_ms", announcement.warmupLeft.count()},
                                   {"new", outcome == AnnouncementOutcome::NewServer}});
     }
-    applyServer(!isFirst || announcement.sequence <= firstSequences);
+    applyServer(outcome == AnnouncementOutcome::NewServer && (!isFirst || hasStartedWithAgent(announcement)));
+}
+
+// All packets of a server pass its agent, so a server that was down together with it holds no flows that the agent does not know.
+bool SteeringAgentProcess::hasStartedWithAgent(const ServerAnnouncement &announcement) const
+{
+    const std::chrono::system_clock::time_point startedAt{std::chrono::milliseconds(announcement.startedAtMs)};
+    return announcement.warmupLeft.count() > 0 && startedAt > m_startedAt - freshServerAge;
 }
 
 void SteeringAgentProcess::left(const std::string &id)
