Record commits on disk and serve fresh watchers before the first leader

Findings of the linter are mended.

Readers of the configuration are still answered only with a confirmation.

--- a/include/jujubequay/consensus/log_storage.h
+++ b/include/jujubequay/consensus/log_storage.h
@@ -18,10 +18,11 @@
     std::string host; ///< host that the disk was initialised on
 };
 
-/// Term and vote. Durable before any message depends on them.
+/// Term, vote and commit index. Term and vote are durable before any message depends on them.
 struct HardState {
     std::uint64_t term = 0;
     std::string votedFor; ///< disk identity; empty if no vote was given in this term
+    std::uint64_t commit = 0; ///< entries up to here are known to be committed; written some time after they are
     bool operator==(const HardState &) const = default;
 };
 
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -24,6 +24,8 @@
     bool acceptsAnyService = false;
     /// Set if control hosts join and are replaced without an operator.
     std::optional<MembershipKeeperOptions> keeper;
+    /// How long after its start a control host serves what it knows to be committed while there is no leader; zero for never.
+    Duration startupGrace{};
     std::string address; ///< "ip:port" of the own control streams; needed by `keeper`
     /// How long a leader waits for the wanted number of voters before it accepts changes with fewer.
     Duration votersPatience = std::chrono::seconds(3);
@@ -111,6 +113,8 @@
     bool m_isChangingMembership = false;
     TimePoint m_registryChangedAt{};
     std::size_t m_registryServers = 0;
+    const TimePoint m_startedAt;
+    bool m_hasHadLeader = false;
     TimePoint m_leaderHeardAt{};
     TimePoint m_leadingSince{};
     std::uint64_t m_leadingTerm = 0;
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -66,6 +66,9 @@
     /// False while the registry of a restarted control host is still being filled; it is not sent then to watchers that have an
     /// older list.
     void setRegistryReady(bool ready);
+    /// True while this control host has just started and there is no leader: watchers that hold nothing are served what is known to
+    /// be committed, without confirmation. They get the newest state, or are sent elsewhere, within `confirmLimit`.
+    void setStarting(bool starting);
     /// True once no server has been added for a while. Watchers that have no list get the registry then.
     void setRegistrySettled(bool settled);
     /// Addresses of all control hosts; watchers are told when they change.
@@ -118,6 +121,7 @@
     std::optional<TimePoint> m_confirmedAt;
     bool m_isRegistryReady = false;
     bool m_isRegistrySettled = false;
+    bool m_isStarting = false;
     std::vector<std::string> m_controlHosts;
     std::uint64_t m_controlHostsNumber = 0;
     std::uint64_t m_sentBytes = 0;
--- a/include/jujubequay/net/http1_server.h
+++ b/include/jujubequay/net/http1_server.h
@@ -46,8 +46,8 @@
     using Handler = std::function<void(Http1Request, Respond)>;
 
     /// Fails with AddressUnavailable.
-    static Result<std::shared_ptr<Http1Server>>
-    listen(asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options = {});
+    static Result<std::shared_ptr<Http1Server>> listen(
+        asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options = {});
 
     HostAddress address() const;
     void stop();
--- a/include/jujubequay/net/http2_message_client.h
+++ b/include/jujubequay/net/http2_message_client.h
@@ -24,9 +24,9 @@
     PeerIdentity plaintextIdentity;
 };
 
-/// Opens control streams over HTTP/2 with mutual TLS, or in plain text if `tls` is null (docs/security.md). A stream ends with Timeout, ConnectionLost, ProtocolError,
-/// MessageTooLarge, NotAuthorized (either certificate or the path was refused), or Ok when the server has ended it. The
-/// streams of a client that is destroyed end with ConnectionLost.
+/// Opens control streams over HTTP/2 with mutual TLS, or in plain text if `tls` is null (docs/security.md). A stream ends with Timeout, ConnectionLost,
+/// ProtocolError, MessageTooLarge, NotAuthorized (either certificate or the path was refused), or Ok when the server has ended it. The streams of a client that
+/// is destroyed end with ConnectionLost.
 class Http2MessageClient final
     : public MessageClient
     , public std::enable_shared_from_this<Http2MessageClient>
--- a/include/jujubequay/net/message_server.h
+++ b/include/jujubequay/net/message_server.h
@@ -58,7 +58,7 @@
     void startHandshake(asio::ip::tcp::socket socket);
     void startSecureSession(const std::shared_ptr<Handshake> &handshake);
     /// `peer` is empty without TLS; each stream then names its sender.
-    void startSession(std::optional<PeerIdentity> peer, std::unique_ptr<ByteTransport> transport);
+    void startSession(const std::optional<PeerIdentity> &peer, std::unique_ptr<ByteTransport> transport);
     Http2StreamHandlers acceptStream(const PeerIdentity &peer, const HttpHeaders &request, const std::shared_ptr<Http2Stream> &stream);
 
     asio::io_context &m_context;
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -36,8 +36,8 @@
 {
 public:
     /// Fails with AddressUnavailable.
-    static Result<std::unique_ptr<AgentTraffic>>
-    open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings);
+    static Result<std::unique_ptr<AgentTraffic>> open(
+        asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings);
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -34,8 +34,8 @@
 {
 public:
     /// Fails with AddressUnavailable.
-    static Result<std::unique_ptr<BalancerTraffic>>
-    open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings);
+    static Result<std::unique_ptr<BalancerTraffic>> open(
+        asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings);
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
--- a/src/jujubequay/consensus/disk_log_storage.cpp
+++ b/src/jujubequay/consensus/disk_log_storage.cpp
@@ -103,6 +103,7 @@
     pb::HardStateRecord record;
     record.set_term(state.term);
     record.set_voted_for(state.votedFor);
+    record.set_commit(state.commit);
     putRecord(out, offset, RecordType::HardState, record);
 }
 
@@ -128,7 +129,7 @@
     if (parsed.term() < state.hardState.term) {
         return fail(ResultCode::DiskDamaged, fmt::format("{}: the term falls", name));
     }
-    state.hardState = {parsed.term(), parsed.voted_for()};
+    state.hardState = {parsed.term(), parsed.voted_for(), parsed.commit()};
     return {};
 }
 
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -45,6 +45,7 @@
     checkInvariant(m_log->covers(m_snapshot.index), "snapshot and log leave no gap");
     checkInvariant(m_log->positionAt(m_snapshot.index).digest == m_snapshot.digest, "snapshot and log hold the same history");
     m_stateDigest = digestOfState(m_snapshot.state);
+    m_commit = std::max(m_commit, std::min(m_hardState.commit, m_log->lastIndex()));
     refreshMembership();
     m_cluster = m_membership.cluster();
     resetElectionTimer();
@@ -57,6 +58,7 @@
     if (m_snapshot.index > 0) {
         emit(RestoreState{m_snapshot.index, m_snapshot.state});
     }
+    applyCommitted();
     return finish();
 }
 
@@ -74,6 +76,7 @@
 {
     m_now = now;
     expireForwardedReads();
+    recordCommit();
     if (m_role == Role::Leader) {
         if (!hasQuorumContact()) {
             stepDown();
@@ -89,6 +92,15 @@
     return finish();
 }
 
+void Replica::recordCommit()
+{
+    const bool isIdle = m_writes.empty() && m_unwritten.empty() && !m_compacting && !m_installing;
+    if (m_options.recordsCommit && isIdle && m_hardState.commit < m_commit) {
+        m_hardState.commit = m_commit;
+        m_hardStateDirty = true;
+    }
+}
+
 Effects Replica::propose(TimePoint now, ProposalId id, const Bytes &command)
 {
     m_now = now;
@@ -398,7 +410,7 @@
 {
     checkInvariant(term >= m_hardState.term, "the term never falls");
     checkInvariant(term > m_hardState.term || m_hardState.votedFor.empty() || m_hardState.votedFor == vote, "one vote per term");
-    const HardState state{term, vote};
+    const HardState state{term, vote, m_hardState.commit};
     if (state == m_hardState) {
         return;
     }
--- a/src/jujubequay/consensus/replica_test.cpp
+++ b/src/jujubequay/consensus/replica_test.cpp
@@ -171,6 +171,8 @@
     CPPUNIT_TEST(oneMembershipChangeAtATime);
     CPPUNIT_TEST(workingVoterOfThreeIsNotRemoved);
     CPPUNIT_TEST(followerRefusesProposals);
+    CPPUNIT_TEST(knowsItsCommitsAfterARestart);
+    CPPUNIT_TEST(neverTrustsACommitBeyondItsLog);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -427,6 +429,28 @@
         subject.handle(subject.replica.propose(subject.now, {1}, {'x'}));
         CPPUNIT_ASSERT(subject.failure == ResultCode::NotLeader);
     }
+
+    /// After a loss of power of all hosts the state must be known before there is a leader again.
+    void knowsItsCommitsAfterARestart()
+    {
+        StoredState stored = storedState("a", {"a", "b", "c"});
+        stored.entries = {entry(1, 1), entry(2, 1), entry(3, 1)};
+        stored.hardState = {1, "b", 2};
+        Subject subject(stored);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, subject.replica.appliedIndex());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, subject.replica.lastIndex());
+        CPPUNIT_ASSERT(subject.replica.role() == Role::Follower);
+    }
+
+    /// A torn tail may have taken entries that the record names.
+    void neverTrustsACommitBeyondItsLog()
+    {
+        StoredState stored = storedState("a", {"a", "b", "c"});
+        stored.entries = {entry(1, 1)};
+        stored.hardState = {1, "b", 9};
+        Subject subject(stored);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, subject.replica.commitIndex());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaTest);
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -31,7 +31,6 @@
     return fmt::format("routes-{:016x}{:016x}", random(), random());
 }
 
-
 }
 
 ControlHostService::ControlHostService(ControlHostOptions options, Environment environment, Consensus::StoredState stored)
@@ -70,9 +69,18 @@
                            receiveRaft(host, bytes, noReplyStream);
                        },
                    .opened = [](const std::string &) {}})
-    , m_exchange(m_environment.clock, m_environment.client, m_environment.random, m_registry, m_reports, RegistryExchange::Options{m_options.registryExchange, m_options.registryFillTime})
+    , m_exchange(m_environment.clock,
+                 m_environment.client,
+                 m_environment.random,
+                 m_registry,
+                 m_reports,
+                 RegistryExchange::Options{m_options.registryExchange, m_options.registryFillTime})
     , m_watch(m_environment.clock, m_driver, m_watchServer)
-    , m_announce(m_environment.clock, m_environment.wallClock, m_driver.state(), m_registry, m_options.acceptsAnyService ? AnnounceService::Permissions::AnyService : AnnounceService::Permissions::Bundles)
+    , m_announce(m_environment.clock,
+                 m_environment.wallClock,
+                 m_driver.state(),
+                 m_registry,
+                 m_options.acceptsAnyService ? AnnounceService::Permissions::AnyService : AnnounceService::Permissions::Bundles)
     , m_operators(m_environment.clock,
                   m_environment.logger,
                   m_driver,
@@ -98,6 +106,7 @@
                   [this](const pb::JoinRequest &request) {
                       handleJoin(request);
                   }})
+    , m_startedAt(m_environment.clock.now())
 {
     if (m_options.keeper) {
         m_keeper.emplace(*m_options.keeper);
@@ -155,6 +164,8 @@
     m_exchange.tick();
     m_watchServer.setRegistryReady(m_exchange.isFilled());
     m_watchServer.setRegistrySettled(isRegistrySettled());
+    m_hasHadLeader = m_hasHadLeader || !m_driver.replica().leader().empty();
+    m_watchServer.setStarting(!m_hasHadLeader && now - m_startedAt < m_options.startupGrace);
     m_watch.tick();
     if (now - m_lastPromotion >= promotionInterval) {
         m_lastPromotion = now;
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -186,7 +186,8 @@
 bool AnnounceService::isAllowed(std::uint64_t id, const std::string &peer, const pb::ServerEntry &entry)
 {
     Permission &last = m_permissions[id];
-    const bool isChecked = m_mode == Permissions::AnyService || last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
+    const bool isChecked
+        = m_mode == Permissions::AnyService || last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
     if (!isChecked && !m_state.mayAnnounce(entry.service(), entry.name())) {
         return false;
     }
--- a/src/jujubequay/control/route_table_test.cpp
+++ b/src/jujubequay/control/route_table_test.cpp
@@ -1,5 +1,5 @@
-#include <jujubequay/control/route_table.h>
 #include <jujubequay/control/control_state.h>
+#include <jujubequay/control/route_table.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -114,6 +114,11 @@
     m_isRegistryReady = ready;
 }
 
+void WatchServer::setStarting(bool starting)
+{
+    m_isStarting = starting;
+}
+
 void WatchServer::setRegistrySettled(bool settled)
 {
     m_isRegistrySettled = settled;
@@ -133,6 +138,7 @@
     WatchServerEffects effects;
     askConfirmation(now, effects);
     std::vector<WatcherId> ended;
+    const bool hasState = m_state.revision() > 0;
     for (auto &[id, watcher] : m_watchers) {
         if (isRefused(now, watcher)) {
             pb::WatchDown message;
@@ -141,7 +147,7 @@
             ended.push_back(id);
         } else if (isStalled(now, watcher)) {
             ended.push_back(id);
-        } else if (watcher.request && watcher.confirmationNeeded == 0) {
+        } else if (watcher.request && (watcher.confirmationNeeded == 0 || (m_isStarting && hasState && watcher.request->revision() == 0))) {
             serve(now, id, watcher, effects);
         }
     }
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(configurationTakesEffectAndIsReported);
     CPPUNIT_TEST(drainReachesTheBalancerWithinFiveSeconds);
     CPPUNIT_TEST(unconfirmedControlHostServesNoWatcher);
+    CPPUNIT_TEST(startingControlHostServesWatchersThatHoldNothing);
     CPPUNIT_TEST(isolatedControlHostSendsWatchersElsewhere);
     CPPUNIT_TEST(olderControlHostCannotReinstateAState);
     CPPUNIT_TEST(slowWatcherHoldsNothingBackAndCatchesUp);
@@ -189,6 +190,28 @@
         CPPUNIT_ASSERT(m_subscriber->snapshot()->services.empty());
     }
 
+    /// After a loss of power balancers should not wait for an election. A watcher that holds a state waits for the confirmation, and
+    /// none stays with a host that cannot confirm.
+    void startingControlHostServesWatchersThatHoldNothing()
+    {
+        WatchSubscriber fresh(balancerOptions(), m_random);
+        Link link(fresh);
+        link.rollOut(1);
+        link.server.setStarting(true);
+        link.run(TimePoint(seconds(1)), false);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fresh.snapshot()->revision);
+
+        Link later(fresh, 2);
+        later.rollOut(1);
+        later.rollOut(2);
+        later.server.setStarting(true);
+        fresh.closed(TimePoint(seconds(2)), 1);
+        later.run(TimePoint(seconds(4)), false);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fresh.snapshot()->revision);
+        later.run(TimePoint(seconds(20)), false);
+        CPPUNIT_ASSERT(!fresh.isConnected());
+    }
+
     void isolatedControlHostSendsWatchersElsewhere()
     {
         m_link->rollOut(1);
--- a/src/jujubequay/net/http1_server.cpp
+++ b/src/jujubequay/net/http1_server.cpp
@@ -187,8 +187,8 @@
     bool m_keepsAlive = true;
 };
 
-Result<std::shared_ptr<Http1Server>>
-Http1Server::listen(asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options)
+Result<std::shared_ptr<Http1Server>> Http1Server::listen(
+    asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options)
 {
     std::shared_ptr<Http1Server> server(new Http1Server(context, logger, std::move(handler), options));
     if (const auto error = listenOn(server->m_acceptor, address)) {
--- a/src/jujubequay/net/message_server.cpp
+++ b/src/jujubequay/net/message_server.cpp
@@ -153,7 +153,7 @@
     startSession(peer, std::make_unique<SocketTransport<TlsStream>>(handshake->stream));
 }
 
-void MessageServer::startSession(std::optional<PeerIdentity> peer, std::unique_ptr<ByteTransport> transport)
+void MessageServer::startSession(const std::optional<PeerIdentity> &peer, std::unique_ptr<ByteTransport> transport)
 {
     auto shared = std::make_shared<std::weak_ptr<Http2Session>>();
     Http2SessionHandlers handlers;
@@ -162,8 +162,8 @@
         if (!self) {
             return Http2StreamHandlers{};
         }
-        const auto sender = peer.value_or(
-            PeerIdentity{std::string(headerValue(request, plaintextNameHeader)), std::string(headerValue(request, plaintextRoleHeader))});
+        const auto sender
+            = peer.value_or(PeerIdentity{std::string(headerValue(request, plaintextNameHeader)), std::string(headerValue(request, plaintextRoleHeader))});
         return self->acceptStream(sender, request, stream);
     };
     handlers.closed = [weak = weak_from_this(), shared](ResultCode) {
--- a/src/jujubequay/policy/outlier_detector.cpp
+++ b/src/jujubequay/policy/outlier_detector.cpp
@@ -21,8 +21,8 @@
 void OutlierDetector::failed(TimePoint now)
 {
     add(true);
-    const bool isOutlier = m_failures >= m_options.leastFailures
-        && static_cast<double>(m_failures) >= m_options.failureShare * static_cast<double>(m_outcomes.size());
+    const bool isOutlier
+        = m_failures >= m_options.leastFailures && static_cast<double>(m_failures) >= m_options.failureShare * static_cast<double>(m_outcomes.size());
     if (m_state != State::Trusted || isOutlier) {
         eject(now);
     }
--- a/src/jujubequay/service/announce_client.cpp
+++ b/src/jujubequay/service/announce_client.cpp
@@ -44,8 +44,7 @@
 
 void AnnounceClient::setServer(pb::ServerEntry server)
 {
-    m_logger.info("server-announced",
-                  {{"service", server.service()}, {"incarnation", server.incarnation()}, {"state", pb::ServerState_Name(server.state())}});
+    m_logger.info("server-announced", {{"service", server.service()}, {"incarnation", server.incarnation()}, {"state", pb::ServerState_Name(server.state())}});
     apply(m_announcer.setServer(m_clock.now(), std::move(server)));
 }
 
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -133,6 +133,7 @@
         });
     }
     std::vector<ServerLoad> loads;
+    loads.reserve(servers.size());
     for (const SteerServer *server : servers) {
         loads.push_back(loadOf(now, *server));
     }
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -29,7 +29,13 @@
 
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
-    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.takesNewWork(), server.state == ServerAvailability::Starting, std::nullopt};
+    return {server.relayAddress,
+            serviceKey(server.service),
+            server.zone,
+            server.incarnation,
+            server.takesNewWork(),
+            server.state == ServerAvailability::Starting,
+            std::nullopt};
 }
 
 }
@@ -76,8 +82,7 @@
         return left.agent == right.agent && left.goneSince.has_value() == right.goneSince.has_value();
     };
     const bool isSame = std::equal(m_servers.begin(), m_servers.end(), servers.begin(), servers.end(), [&](const auto &left, const auto &right) {
-        return left.first == right.first
-            && std::equal(left.second.begin(), left.second.end(), right.second.begin(), right.second.end(), isSameServer);
+        return left.first == right.first && std::equal(left.second.begin(), left.second.end(), right.second.begin(), right.second.end(), isSameServer);
     });
     m_servers = std::move(servers);
     return !isSame;
@@ -153,6 +158,7 @@
         }
     }
     std::vector<std::pair<Rank, HostAddress>> firsts;
+    firsts.reserve(firstOfZone.size());
     for (const auto &entry : firstOfZone) {
         firsts.push_back(entry.second);
     }
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -28,8 +28,8 @@
 
 }
 
-Result<std::unique_ptr<AgentTraffic>>
-AgentTraffic::open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings)
+Result<std::unique_ptr<AgentTraffic>> AgentTraffic::open(
+    asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings)
 {
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.relayAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(server, bindUdpSocket(context, settings.serverOutput, {.bufferBytes = socketBufferBytes}));
@@ -261,9 +261,7 @@
             traffic.m_toServer.add(traffic.m_serverInput, packet);
             count(traffic.m_counters.delivered);
         }
-        void operator()(const SendToCaller &) const
-        {
-        }
+        void operator()(const SendToCaller &) const { }
         void operator()(const RelayToAgent &relayed) const
         {
             traffic.relay(relayed, packet, withHeadroom);
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -25,8 +25,8 @@
 
 }
 
-Result<std::unique_ptr<BalancerTraffic>>
-BalancerTraffic::open(asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings)
+Result<std::unique_ptr<BalancerTraffic>> BalancerTraffic::open(
+    asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings)
 {
     BOOST_LEAF_AUTO(callers, bindUdpSocket(context, settings.callerAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.peerAddress, {.bufferBytes = socketBufferBytes}));
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -18,6 +18,8 @@
 constexpr int heartbeatsPerLease = 3;
 /// Bounds the processor time if a due tick has nothing to do.
 constexpr auto shortestTick = std::chrono::milliseconds(2);
+/// Hosts that lose power together are back within this time of each other.
+constexpr auto startupGrace = std::chrono::seconds(2);
 /// Agents that start together announce themselves within this time of each other.
 constexpr auto registrySettleTime = std::chrono::milliseconds(100);
 
@@ -104,8 +106,7 @@
     const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
         return m_session ? m_session->service->accept(path, stream) : MessageStreamHandlers{};
     };
-    BOOST_LEAF_ASSIGN(m_server,
-                      MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.peerAddress, accept, options));
+    BOOST_LEAF_ASSIGN(m_server, MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.peerAddress, accept, options));
     tryOpenSession();
     m_settingsWatcher.start();
     scheduleTick();
@@ -157,6 +158,8 @@
     options.replica.heartbeatInterval = m_settings.heartbeat;
     options.replica.electionTimeout = m_settings.electionTimeout;
     options.replica.firstElectionTimeout = m_settings.heartbeat / 2;
+    options.replica.recordsCommit = true;
+    options.startupGrace = startupGrace;
     options.replica.snapshotInterval = m_settings.snapshotEntries;
     options.lease.lease = m_settings.lease;
     options.lease.heartbeat = m_settings.lease / heartbeatsPerLease;
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -109,8 +109,7 @@
     m_isServerRunning = false;
     const AnnouncementOutcome outcome = m_announcements.announced(m_services.clock().now(), announcement);
     if (outcome == AnnouncementOutcome::Late) {
-        m_services.logger().info("announcement-late",
-                                 {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
+        m_services.logger().info("announcement-late", {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
         return;
     }
     if (outcome != AnnouncementOutcome::Renewed) {
