--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -217,7 +217,9 @@
 {
     m_arriving.reset();
     m_choice = (m_choice + 1) % m_choices.size();
-    const Duration longest = std::min(m_options.retryLimit, m_options.retryBase * (1U << std::min(m_failures, maxDoublings)));
+    // The wait grows with each round: as long as a host has not been tried, it may well be there.
+    const auto rounds = static_cast<std::uint32_t>(m_failures / m_choices.size());
+    const Duration longest = std::min(m_options.retryLimit, m_options.retryBase * (1U << std::min(rounds, maxDoublings)));
     ++m_failures;
     m_nextAttempt = now + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(m_random));
     const bool triedAll = m_failures % m_choices.size() == 0;
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(restartedControlHostDoesNotEmptyTheServerList);
     CPPUNIT_TEST(largeRegistryIsReplacedAsAWhole);
     CPPUNIT_TEST(retriesSpreadAndVisitEveryControlHost);
+    CPPUNIT_TEST(triesEachControlHostBeforeItWaitsLonger);
     CPPUNIT_TEST(peersProvideTheStateWhileNoControlHostIsReachable);
     CPPUNIT_TEST(flowKeyUseIsCollected);
     CPPUNIT_TEST_SUITE_END();
@@ -315,6 +316,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4500}, m_subscriber->snapshot()->servers.size());
     }
 
+    /// docs/incidents: after a loss of power the hosts that were tried first had no power yet, and waits of 40, 80 and 160 ms kept
+    /// watchers from the one that had.
+    void triesEachControlHostBeforeItWaitsLonger()
+    {
+        WatchSubscriberOptions options = balancerOptions();
+        options.retryBase = milliseconds(40);
+        for (unsigned seed = 0; seed < 200; ++seed) {
+            m_random.seed(seed);
+            WatchSubscriber subscriber(options, m_random);
+            TimePoint now(seconds(1));
+            subscriber.tick(now);
+            for (std::uint64_t stream = 1; stream <= 2; ++stream) {
+                subscriber.closed(now, stream);
+                CPPUNIT_ASSERT(subscriber.nextAttempt() <= now + milliseconds(40));
+                now += milliseconds(40);
+                subscriber.tick(now);
+            }
+        }
+    }
+
     // Guards against watchers that return to one control host all at once, and against waits without a limit.
     void retriesSpreadAndVisitEveryControlHost()
     {
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -175,7 +175,10 @@
     m_isOpen = false;
     m_acceptedSequence = 0;
     m_choice = (m_choice + 1) % m_choices.size();
-    const Duration longest = std::min(m_options.retryLimit, m_options.retryBase * (std::int64_t{1} << std::min(m_failures, 10U)));
+    // The wait grows with each round: as long as a host has not been tried, it may well be there.
+    constexpr std::uint32_t maxDoublings = 10;
+    const auto rounds = static_cast<std::uint32_t>(m_failures / m_choices.size());
+    const Duration longest = std::min(m_options.retryLimit, m_options.retryBase * (std::int64_t{1} << std::min(rounds, maxDoublings)));
     ++m_failures;
     std::uniform_int_distribution<Duration::rep> wait(0, longest.count());
     m_nextAttempt = now + Duration(wait(m_random));
