--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -4,7 +4,6 @@
 #include <jujubequay/control/control_host_service.h>
 #include <jujubequay/net/message_server.h>
 #include <jujubequay/steering_program/settings_watcher.h>
-#include <jujubequay/steering_program/steering_balancer_process.h>
 #include <jujubequay/steering_program/steering_services.h>
 
 #include <asio/signal_set.hpp>
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -4,7 +4,6 @@
 #include <jujubequay/steering_program/agent_traffic.h>
 #include <jujubequay/steering_program/server_announcements.h>
 #include <jujubequay/steering_program/settings_watcher.h>
-#include <jujubequay/steering_program/steering_balancer_process.h>
 #include <jujubequay/steering_program/steering_services.h>
 #include <jujubequay/steering_program/traffic_loop.h>
 
--- a/include/jujubequay/steering_program/steering_balancer_process.h
+++ b/include/jujubequay/steering_program/steering_balancer_process.h
@@ -13,9 +13,6 @@
 
 namespace Jujubequay {
 
-/// Reads the settings of a process again; fails with BadSettings.
-using SeedReader = std::function<Result<std::vector<HostAddress>>()>;
-
 /// A balancer that steers flows without identifiers, as a process.
 class SteeringBalancerProcess
 {
--- a/include/jujubequay/steering_program/steering_services.h
+++ b/include/jujubequay/steering_program/steering_services.h
@@ -9,12 +9,16 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
 
 namespace Jujubequay {
 
+/// Reads the seeds of a process's settings again; fails with BadSettings.
+using SeedReader = std::function<Result<std::vector<HostAddress>>()>;
+
 /// What the processes of a network without keys have in common on their control thread.
 class SteeringServices
 {
@@ -27,6 +31,8 @@
 
     /// Serves metrics if the settings ask for it. Fails with AddressUnavailable.
     Result<void> start();
+    /// Reads the seeds again and passes them on. Settings that cannot be read are logged and change nothing.
+    void reloadSeeds(const SeedReader &read, const std::function<void(std::vector<HostAddress>)> &use);
     std::shared_ptr<ConfigWatcher> createWatcher(ConfigSnapshotHandler onConfig, std::function<void(const std::vector<HostAddress> &)> onControlHosts);
 
     const Clock &clock() const;
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -272,18 +272,12 @@
 
 void RouteControlProcess::reloadSeeds()
 {
-    handleFailure(
-        [this]() -> Result<void> {
-            BOOST_LEAF_ASSIGN(m_seeds, m_readSeeds());
-            m_services.logger().info("settings-reloaded", {{"seeds", m_seeds.size()}});
-            if (m_session) {
-                m_session->service->setSeeds(m_seeds);
-            }
-            return {};
-        },
-        [this](const Failure &failure) {
-            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
-        });
+    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+        m_seeds = std::move(seeds);
+        if (m_session) {
+            m_session->service->setSeeds(m_seeds);
+        }
+    });
 }
 
 void RouteControlProcess::waitForStop()
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -245,16 +245,9 @@
 
 void SteeringAgentProcess::reloadSeeds()
 {
-    handleFailure(
-        [this]() -> Result<void> {
-            BOOST_LEAF_AUTO(seeds, m_readSeeds());
-            m_services.logger().info("settings-reloaded", {{"seeds", seeds.size()}, {"first", seeds.empty() ? "" : toString(seeds.front())}});
-            m_watcher->setControlHosts(std::move(seeds));
-            return {};
-        },
-        [this](const Failure &failure) {
-            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
-        });
+    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+        m_watcher->setControlHosts(std::move(seeds));
+    });
 }
 
 void SteeringAgentProcess::waitForStop()
--- a/src/jujubequay/steering_program/steering_balancer_process.cpp
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -94,16 +94,9 @@
 
 void SteeringBalancerProcess::reloadSeeds()
 {
-    handleFailure(
-        [this]() -> Result<void> {
-            BOOST_LEAF_AUTO(seeds, m_readSeeds());
-            m_services.logger().info("settings-reloaded", {{"seeds", seeds.size()}, {"first", seeds.empty() ? "" : toString(seeds.front())}});
-            m_watcher->setControlHosts(std::move(seeds));
-            return {};
-        },
-        [this](const Failure &failure) {
-            m_services.logger().error("settings-not-reloaded", {{"cause", failure.detail}});
-        });
+    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+        m_watcher->setControlHosts(std::move(seeds));
+    });
 }
 
 void SteeringBalancerProcess::waitForStop()
--- a/src/jujubequay/steering_program/steering_services.cpp
+++ b/src/jujubequay/steering_program/steering_services.cpp
@@ -47,6 +47,20 @@
     return {};
 }
 
+void SteeringServices::reloadSeeds(const SeedReader &read, const std::function<void(std::vector<HostAddress>)> &use)
+{
+    handleFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(seeds, read());
+            m_logger.info("settings-reloaded", {{"seeds", seeds.size()}, {"first", seeds.empty() ? "" : toString(seeds.front())}});
+            use(std::move(seeds));
+            return {};
+        },
+        [this](const Failure &failure) {
+            m_logger.error("settings-not-reloaded", {{"cause", failure.detail}});
+        });
+}
+
 std::shared_ptr<ConfigWatcher> SteeringServices::createWatcher(ConfigSnapshotHandler onConfig,
                                                                std::function<void(const std::vector<HostAddress> &)> onControlHosts)
 {
