Hold nothing for a server that announces no slots

Cause: found while reading: with 0 slots an agent held every request for 0.9 s. Change: at least one slot is assumed. Test: holdsNothingForAServerWithoutSlots, which fails without the change.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -419,7 +419,8 @@
 
 bool AgentSteering::mayStartRequest() const
 {
-    return !m_server || m_waiting < std::size_t{m_options.requestsPerSlot} * m_server->slots;
+    // A server that states no slots runs one request at a time at least.
+    return !m_server || m_waiting < std::size_t{m_options.requestsPerSlot} * std::max<std::size_t>(m_server->slots, 1);
 }
 
 bool AgentSteering::mustHold(TimePoint now, Flow &flow)
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(repeatedPacketsAreNoRequests);
     CPPUNIT_TEST(abandonedRequestsDoNotCountForGood);
     CPPUNIT_TEST(holdsRequestsThatTheServerWouldRefuse);
+    CPPUNIT_TEST(holdsNothingForAServerWithoutSlots);
     CPPUNIT_TEST(servesABurstWithoutRefusals);
     CPPUNIT_TEST(handsFlowsOverWhileTheServerBreaksRequestsOff);
     CPPUNIT_TEST_SUITE_END();
@@ -331,6 +332,15 @@
         CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.startHeld(m_now, data(flow(50), 1001))));
     }
 
+    /// Guards against a wait for a server that never has room by its own account.
+    void holdsNothingForAServerWithoutSlots()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, true, 0}, false);
+        CPPUNIT_ASSERT(agent.mayStartRequest());
+        openFlow(agent, flow(1));
+    }
+
     /// Pattern: admission queue in front of a server that sheds. 40 callers return at once after a fault to a server that runs 3
     /// requests and queues 12: without the queue 25 are refused, with it none is, and each is served within its second.
     void servesABurstWithoutRefusals()
