Keep a flow that another server has opened when its packet comes back

Cause: found while reading the change. A packet that acknowledges the answer of another server passed for one of this server's if its number lay within 64 MB of the server's sequence (once in 64 times); the server returned it, and the agent reset a flow that lives elsewhere.

Change: the span is 64 KB, and a packet that is returned on a flow on which the server has said nothing yet is passed on instead of answered with a reset. Test: keepsAFlowThatItsServerNeverOpened, seen to fail without the change.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -125,6 +125,7 @@
         std::optional<TimePoint> heldSince; ///< the start of a request waits here
         bool hasCallerEnded = false;
         bool hasServerEnded = false;
+        bool hasServerSpoken = false; ///< beyond its answer to the opening packet, which proves that it holds the flow
     };
 
     AgentDecision open(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// A caller acknowledges at most this far beyond the start of the server's sequence: the largest answer with room to spare.
-constexpr std::uint32_t sequenceSpan = 64U << 20U;
+/// The packet that opens a flow acknowledges at most this far beyond the start of the server's sequence: more than a server sends
+/// before anything is acknowledged. Another server's random sequence lies in it once in 65,536 times.
+constexpr std::uint32_t sequenceSpan = 64U << 10U;
 /// A new flow is offered to at most this many servers after the first; the copies of the packet follow after 200 ms.
 constexpr std::uint8_t maxOpeningHops = 2;
 /// Balancers that sent nothing for this long get no load notices.
@@ -283,6 +284,7 @@
         flow.serverSequence = segment.sequence;
         return SendToCaller{};
     }
+    flow.hasServerSpoken = true;
     if (flow.state == FlowState::Asked || flow.state == FlowState::Elsewhere) {
         if (flow.state == FlowState::Elsewhere) {
             ++m_held;
@@ -322,6 +324,12 @@
         return segment.isOpening ? passOpeningOn(header, segment, SteerCause::NotAccepted) : passOn(now, header, segment);
     }
     case FlowState::Open:
+        if (!flow.hasServerSpoken) {
+            // The packet has acknowledged the answer of another server, where the flow lives.
+            forget(flow);
+            m_flows.erase(known);
+            return passOn(now, header, segment);
+        }
         // The server itself says that it does not hold the flow any more.
         end(now, flow);
         flow.state = FlowState::Lost;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(AgentSteeringTest);
     CPPUNIT_TEST(opensAFlowAndTellsItsHomes);
     CPPUNIT_TEST(passesOnWhatAnotherServerHasOpened);
+    CPPUNIT_TEST(keepsAFlowThatItsServerNeverOpened);
     CPPUNIT_TEST(followsAPointer);
     CPPUNIT_TEST(asksItsServerAfterARestart);
     CPPUNIT_TEST(doesNotAskAServerThatItHasSeenStart);
@@ -113,6 +114,28 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
     }
 
+    /// Sequence numbers are random, so the acknowledgement of another server's answer may look like one of this server's. The server
+    /// returns the packet; a reset would end a flow that lives elsewhere.
+    void keepsAFlowThatItsServerNeverOpened()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowEnds ends = flowAtHome(agent.directory(), agentAddress(1));
+        agent.fromPeer(m_now, header(), opening(ends), m_notices);
+        agent.fromServer(m_now, openingAnswer(ends, 1000), m_notices);
+        const Segment other = data(ends, 1000 + 40'000'000);
+        agent.fromPeer(m_now, header(), other, m_notices);
+        const AgentDecision decision = agent.fromServer(m_now, returned(other), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision) || std::holds_alternative<DropPacket>(decision));
+
+        const FlowEnds near = flow(4998);
+        agent.fromPeer(m_now, header(), opening(near), m_notices);
+        agent.fromServer(m_now, openingAnswer(near, 1000), m_notices);
+        const Segment guess = data(near, 1001);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.fromPeer(m_now, header(), guess, m_notices)));
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(agent.fromServer(m_now, returned(guess), m_notices)));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().waiting);
+    }
+
     void followsAPointer()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
