Look servers up by agent, and drop state that nothing reads

A balancer searched all servers one after the other for each packet, and all departures for each known flow; the directory keeps an index now. A control host that had just started copied all registry entries 20 times a second to count them.

Dropped: the cold mark of servers (servers that are starting are no candidates), the copies of a placed flow, two accessors without callers. Derived instead of kept: whether a leader has been known (the replica knows), whether a member is leaving. The leader's member is found in one place.

--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -93,6 +93,8 @@
     /// Disk identity of the leader in this term; empty if unknown. A new learner may hear a leader that is not in its
     /// membership yet; answers go back the way that the message came.
     const std::string &leader() const;
+    /// True once a leader, maybe this replica itself, has been known since the start.
+    bool hasHadLeader() const;
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
     std::uint64_t lastIndex() const;
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -92,6 +92,8 @@
     bool isRegistrySettled();
     void handleJoin(const jujubequay::pb::JoinRequest &request);
     bool hasEnoughVoters() const;
+    /// Null if the leader is unknown.
+    const jujubequay::pb::Member *leader() const;
     std::string leaderAddress() const;
     void fillStatus(const jujubequay::pb::StatusRequest &request, jujubequay::pb::StatusAnswer &status) const;
     jujubequay::pb::ControlHostStatus statusOf(const jujubequay::pb::Member &member) const;
@@ -114,7 +116,6 @@
     TimePoint m_registryChangedAt{};
     std::size_t m_registryServers = 0;
     const TimePoint m_startedAt;
-    bool m_hasHadLeader = false;
     TimePoint m_leaderHeardAt{};
     TimePoint m_leadingSince{};
     std::uint64_t m_leadingTerm = 0;
--- a/include/jujubequay/control/lease_registry.h
+++ b/include/jujubequay/control/lease_registry.h
@@ -64,6 +64,8 @@
     std::uint64_t sequence() const;
     /// Null if the name is unknown or forgotten.
     const jujubequay::pb::ServerEntry *find(const std::string &name) const;
+    /// Number of entries without those that left.
+    std::size_t serverCount() const;
     /// Entries without those that left.
     std::vector<jujubequay::pb::ServerEntry> servers() const;
     /// Changes after a position, in messages of bounded size. Full if the position is 0 or tombstones after it were
--- a/include/jujubequay/control/membership_keeper.h
+++ b/include/jujubequay/control/membership_keeper.h
@@ -53,10 +53,9 @@
         TimePoint requestedAt{};
     };
 
-    std::optional<Consensus::MembershipChange> admit(TimePoint now, const std::vector<MemberStatus> &members);
+    std::optional<Consensus::MembershipChange> admit(const std::vector<MemberStatus> &members);
     std::optional<Consensus::MembershipChange> promote(const std::vector<MemberStatus> &members) const;
-    std::optional<Consensus::MembershipChange> removeSurplus(TimePoint now, const std::vector<MemberStatus> &members) const;
-    bool isLeaving(TimePoint now, const std::string &id) const;
+    std::optional<Consensus::MembershipChange> removeSurplus(const std::vector<MemberStatus> &members) const;
 
     const MembershipKeeperOptions m_options;
     std::map<std::string, Candidate> m_candidates; // by disk identity
--- a/include/jujubequay/policy/least_loaded.h
+++ b/include/jujubequay/policy/least_loaded.h
@@ -13,7 +13,6 @@
     double openFlows = 0;
     double slots = 1; ///< requests that it runs at the same time
     bool isLocal = true; ///< in the availability zone of the balancer
-    bool isCold = false; ///< has started recently and is slow
 };
 
 struct LeastLoadedOptions {
@@ -21,8 +20,6 @@
     double openFlowWeight = 0.03;
     /// Requests for each slot that the way to another availability zone is worth: below this difference a flow stays local.
     double remotePenalty = 0.25;
-    /// Factor on the load of a cold server.
-    double coldFactor = 1.6;
 };
 
 /// Pattern: least outstanding requests, availability zone first with spill-over. Returns the index of the server for a new flow;
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -97,7 +97,6 @@
     bool isServerTrusted() const;
     /// Balancers that have sent packets within the last seconds.
     std::vector<HostAddress> recentBalancers() const;
-    std::size_t flowCount() const;
     const ServerDirectory &directory() const;
 
 private:
@@ -120,8 +119,7 @@
         Incarnation elsewhereIncarnation; ///< as far as it is known
         bool isWaiting = false; ///< the caller has sent data that has not been answered yet
         TimePoint waitingSince{};
-        std::uint32_t callerEnd = 0; ///< sequence number after the caller's last new data
-        bool hasCallerData = false;
+        std::optional<std::uint32_t> callerEnd; ///< sequence number after the caller's last new data
         std::optional<TimePoint> heldSince; ///< the start of a request waits here
         bool hasCallerEnded = false;
         bool hasServerEnded = false;
@@ -142,13 +140,13 @@
     void stopWaiting(Flow &flow);
     /// The time after which a caller of this address has given up.
     Duration requestTimeout(const HostAddress &service) const;
-    bool isNewData(Flow &flow, const Segment &segment) const;
+    static bool isNewData(Flow &flow, const Segment &segment);
     bool mustHold(TimePoint now, Flow &flow);
     void endHold(Flow &flow);
     void end(TimePoint now, Flow &flow);
     Flow &insert(const FlowEnds &ends, FlowState state, TimePoint now);
     void forget(Flow &flow);
-    static bool isHeld(const Flow &flow);
+    static bool isAtServer(const Flow &flow);
 
     const AgentSteeringOptions m_options;
     ServerDirectory m_directory;
@@ -161,7 +159,7 @@
     std::unordered_map<FlowEnds, Flow> m_flows;
     std::unordered_map<HostAddress, TimePoint> m_balancers;
     std::size_t m_waiting = 0;
-    std::size_t m_held = 0;
+    std::size_t m_atServer = 0;
     std::size_t m_heldRequests = 0;
 };
 
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -77,7 +77,6 @@
     void expire(TimePoint now);
 
     bool isReady() const;
-    std::size_t flowCount() const;
     const ServerDirectory &directory() const;
 
 private:
@@ -85,7 +84,6 @@
         HostAddress agent;
         Incarnation incarnation;
         TimePoint lastUsed{};
-        std::uint32_t copies = 0; ///< of the opening packet that went to this agent
     };
     struct Load {
         LoadNotice notice;
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -6,8 +6,11 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Jujubequay {
@@ -19,7 +22,6 @@
     std::string zone;
     Incarnation incarnation;
     bool takesNewFlows = false;
-    bool isCold = false;
     /// Set once it is in no list any more; it may still hold flows.
     std::optional<TimePoint> goneSince;
 };
@@ -32,12 +34,11 @@
 /// All servers, with those that left recently, and their order for a flow.
 ///
 /// Every host orders the servers alike for a flow (rendezvous hashing over availability zones, and within each over the agents'
-/// addresses). The first one is the flow's home: it
-/// is told when another server holds the flow. A host that does not know the holder asks the home; a home that does not know it
-/// passes the packet on along the order. Servers that are in no list any more come last: their agents may be gone, and
-/// packets to them lost. So servers that join or leave change the order of few flows. Services play no part in the
-/// order, since a route may have led to another service when the flow was opened, and a host that has just started knows only the
-/// present one.
+/// addresses), so servers that join or leave change the order of few flows. The first one is the flow's home: it is told when another
+/// server holds the flow. A host that does not know the holder asks the home; a home that does not know it passes the packet on along
+/// the order. Servers that are in no list any more come last: their agents may be gone, and packets to them lost. Services play no
+/// part in the order, since a route may have led to another service when the flow was opened, and a host that has just started knows
+/// only the present one.
 class ServerDirectory
 {
 public:
@@ -64,13 +65,21 @@
     std::optional<HostAddress> next(const FlowEnds &ends, const HostAddress &after) const;
 
 private:
+    /// Where a server stands in m_servers.
+    struct Position {
+        ServiceKey service;
+        std::size_t index = 0;
+    };
+
     bool updateServers(TimePoint now, const ConfigSnapshot &snapshot);
+    void indexServers();
 
     const ServerDirectoryOptions m_options;
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
     bool m_isRegistryKnown = false;
-    std::vector<DepartedServer> m_departed;
+    std::set<std::pair<HostAddress, Incarnation>> m_departed;
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
+    std::unordered_map<HostAddress, Position> m_positions; ///< asked for each packet
 };
 
 }
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -270,6 +270,11 @@
     return m_leader;
 }
 
+bool Replica::hasHadLeader() const
+{
+    return m_hasHadLeader;
+}
+
 std::uint64_t Replica::commitIndex() const
 {
     return m_commit;
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -164,8 +164,7 @@
     m_exchange.tick();
     m_watchServer.setRegistryReady(m_exchange.isFilled());
     m_watchServer.setRegistrySettled(isRegistrySettled());
-    m_hasHadLeader = m_hasHadLeader || !m_driver.replica().leader().empty();
-    m_watchServer.setStarting(!m_hasHadLeader && now - m_startedAt < m_options.startupGrace);
+    m_watchServer.setStarting(!m_driver.replica().hasHadLeader() && now - m_startedAt < m_options.startupGrace);
     m_watch.tick();
     if (now - m_lastPromotion >= promotionInterval) {
         m_lastPromotion = now;
@@ -333,7 +332,7 @@
     }
     // Servers that are known already go on to confirm what their agents have announced; only new ones count.
     const TimePoint now = m_environment.clock.now();
-    const std::size_t servers = m_registry.servers().size();
+    const std::size_t servers = m_registry.serverCount();
     if (servers != m_registryServers) {
         m_registryServers = servers;
         m_registryChangedAt = now;
@@ -419,8 +418,8 @@
         const auto result = static_cast<ResultCode>(answer.result());
         std::string leaderHost;
         if (result == ResultCode::NotLeader) {
-            const pb::Member *leader = Consensus::findMember(m_driver.replica().membership(), m_driver.replica().leader());
-            leaderHost = leader == nullptr ? std::string() : leader->host();
+            const pb::Member *member = leader();
+            leaderHost = member == nullptr ? std::string() : member->host();
         }
         m_environment.logger.info("route-change",
                                   {{"version", version},
@@ -439,10 +438,15 @@
 
 // ---- Status ----
 
+const pb::Member *ControlHostService::leader() const
+{
+    return Consensus::findMember(m_driver.replica().membership(), m_driver.replica().leader());
+}
+
 std::string ControlHostService::leaderAddress() const
 {
-    const pb::Member *leader = Consensus::findMember(m_driver.replica().membership(), m_driver.replica().leader());
-    return leader == nullptr ? std::string() : leader->address();
+    const pb::Member *member = leader();
+    return member == nullptr ? std::string() : member->address();
 }
 
 void ControlHostService::fillStatus(const pb::StatusRequest &request, pb::StatusAnswer &status) const
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -186,9 +186,8 @@
 bool AnnounceService::isAllowed(std::uint64_t id, const std::string &peer, const pb::ServerEntry &entry)
 {
     Permission &last = m_permissions[id];
-    const bool isChecked
-        = m_mode == Permissions::AnyService || last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
-    if (!isChecked && !m_state.mayAnnounce(entry.service(), entry.name())) {
+    const bool isChecked = last.revision == m_state.revision() && last.service == entry.service() && last.name == entry.name();
+    if (m_mode == Permissions::Bundles && !isChecked && !m_state.mayAnnounce(entry.service(), entry.name())) {
         return false;
     }
     last = {entry.service(), entry.name(), m_state.revision()};
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -439,6 +439,13 @@
     return found == m_records.end() ? nullptr : &found->second.entry;
 }
 
+std::size_t LeaseRegistry::serverCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [](const auto &record) {
+        return !hasLeft(record.second.entry);
+    }));
+}
+
 std::vector<pb::ServerEntry> LeaseRegistry::servers() const
 {
     std::vector<Entry> entries;
--- a/src/jujubequay/control/membership_keeper.cpp
+++ b/src/jujubequay/control/membership_keeper.cpp
@@ -42,19 +42,19 @@
     if (auto change = promote(members)) {
         return change;
     }
-    if (auto change = removeSurplus(now, members)) {
+    if (auto change = removeSurplus(members)) {
         return change;
     }
-    return admit(now, members);
+    return admit(members);
 }
 
-std::optional<Consensus::MembershipChange> MembershipKeeper::admit(TimePoint now, const std::vector<MemberStatus> &members)
+std::optional<Consensus::MembershipChange> MembershipKeeper::admit(const std::vector<MemberStatus> &members)
 {
     for (const auto &[id, candidate] : m_candidates) {
         const bool isKnown = std::any_of(members.begin(), members.end(), [&id = id](const MemberStatus &member) {
             return member.id == id;
         });
-        if (isKnown || isLeaving(now, id)) {
+        if (isKnown || m_leaving.contains(id)) {
             continue;
         }
         const auto previous = std::find_if(members.begin(), members.end(), [&candidate = candidate](const MemberStatus &member) {
@@ -90,12 +90,12 @@
     return std::nullopt;
 }
 
-std::optional<Consensus::MembershipChange> MembershipKeeper::removeSurplus(TimePoint now, const std::vector<MemberStatus> &members) const
+std::optional<Consensus::MembershipChange> MembershipKeeper::removeSurplus(const std::vector<MemberStatus> &members) const
 {
     const bool hasSpareVoter = countVoters(members) > m_options.voters;
     const MemberStatus *silent = nullptr;
     for (const MemberStatus &member : members) {
-        const bool isGone = isLeaving(now, member.id) || member.silence > m_options.removeAfter;
+        const bool isGone = m_leaving.contains(member.id) || member.silence > m_options.removeAfter;
         const bool isSurplus = member.isVoter ? hasSpareVoter && isGone : member.silence > m_options.forgetLearnerAfter;
         if (!member.isSelf && isSurplus && (silent == nullptr || member.silence > silent->silence)) {
             silent = &member;
@@ -104,10 +104,4 @@
     return silent == nullptr ? std::nullopt : std::optional<Consensus::MembershipChange>(Consensus::RemoveMember{silent->id});
 }
 
-bool MembershipKeeper::isLeaving(TimePoint now, const std::string &id) const
-{
-    const auto leaving = m_leaving.find(id);
-    return leaving != m_leaving.end() && now - leaving->second <= m_options.joinValidity;
-}
-
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -48,7 +48,7 @@
         m_outliers = OutlierDetector({});
         for (auto &[ends, flow] : m_flows) {
             const bool wasOpen = flow.state == FlowState::Open;
-            if (!isFirst && isHeld(flow)) {
+            if (!isFirst && isAtServer(flow)) {
                 forget(flow);
                 flow.state = FlowState::Lost;
                 flow.lastUsed = now;
@@ -86,7 +86,7 @@
     const auto known = m_flows.find(ends);
     if (known != m_flows.end()) {
         Flow &flow = known->second;
-        if (isHeld(flow)) {
+        if (isAtServer(flow)) {
             return deliver(now, flow, header, segment, notices);
         }
         if (flow.state == FlowState::Elsewhere && header.hops < maxOpeningHops) {
@@ -287,7 +287,7 @@
     flow.hasServerSpoken = true;
     if (flow.state == FlowState::Asked || flow.state == FlowState::Elsewhere) {
         if (flow.state == FlowState::Elsewhere) {
-            ++m_held;
+            ++m_atServer;
         }
         flow.state = FlowState::Open;
         opened(ends, notices);
@@ -381,11 +381,11 @@
     flow = {};
     flow.state = state;
     flow.lastUsed = now;
-    ++m_held;
+    ++m_atServer;
     return flow;
 }
 
-bool AgentSteering::isHeld(const Flow &flow)
+bool AgentSteering::isAtServer(const Flow &flow)
 {
     return flow.state == FlowState::Offered || flow.state == FlowState::Accepted || flow.state == FlowState::Open || flow.state == FlowState::Asked;
 }
@@ -414,12 +414,11 @@
 }
 
 // A repeated packet must not count as another request.
-bool AgentSteering::isNewData(Flow &flow, const Segment &segment) const
+bool AgentSteering::isNewData(Flow &flow, const Segment &segment)
 {
     const std::uint32_t end = segment.sequence + segment.length;
-    const bool isNew = segment.length > 0 && (!flow.hasCallerData || static_cast<std::int32_t>(end - flow.callerEnd) > 0);
+    const bool isNew = segment.length > 0 && (!flow.callerEnd || static_cast<std::int32_t>(end - *flow.callerEnd) > 0);
     if (isNew) {
-        flow.hasCallerData = true;
         flow.callerEnd = end;
     }
     return isNew;
@@ -465,9 +464,9 @@
 void AgentSteering::forget(Flow &flow)
 {
     endHold(flow);
-    if (isHeld(flow)) {
+    if (isAtServer(flow)) {
         stopWaiting(flow);
-        --m_held;
+        --m_atServer;
     }
 }
 
@@ -508,7 +507,7 @@
     LoadNotice notice;
     notice.agent = m_options.agent;
     notice.waiting = limited(m_waiting + m_heldRequests);
-    notice.openFlows = limited(m_held);
+    notice.openFlows = limited(m_atServer);
     notice.slots = m_server ? m_server->slots : 0;
     notice.takesNewFlows = m_server && m_server->takesNewFlows && isServerTrusted();
     return notice;
@@ -528,11 +527,6 @@
     return balancers;
 }
 
-std::size_t AgentSteering::flowCount() const
-{
-    return m_flows.size();
-}
-
 const ServerDirectory &AgentSteering::directory() const
 {
     return m_directory;
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -87,7 +87,7 @@
     if (server == nullptr) {
         return ResetCaller{ends, segment.acknowledgement, SteerCause::NoServer};
     }
-    m_flows[ends] = {server->agent, server->incarnation, now, 1};
+    m_flows[ends] = {server->agent, server->incarnation, now};
     ++m_loads[server->agent].placedSince;
     return RelayToAgent{server->agent, header(service, false), SteerCause::Placed};
 }
@@ -155,7 +155,6 @@
 {
     ServerLoad load;
     load.isLocal = server.zone == m_options.zone;
-    load.isCold = server.isCold;
     const auto found = m_loads.find(server.agent);
     if (found != m_loads.end()) {
         const bool isRecent = now - found->second.at < m_options.loadValidity;
@@ -181,7 +180,7 @@
 void BalancerSteering::notice(TimePoint now, const OwnerNotice &notice)
 {
     const SteerServer *server = m_directory.find(notice.owner);
-    m_flows[notice.ends] = {notice.owner, server == nullptr ? Incarnation() : server->incarnation, now, 0};
+    m_flows[notice.ends] = {notice.owner, server == nullptr ? Incarnation() : server->incarnation, now};
 }
 
 void BalancerSteering::notice(TimePoint now, const LoadNotice &notice)
@@ -204,11 +203,6 @@
     return m_directory.isReady();
 }
 
-std::size_t BalancerSteering::flowCount() const
-{
-    return m_flows.size();
-}
-
 const ServerDirectory &BalancerSteering::directory() const
 {
     return m_directory;
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -29,13 +29,7 @@
 
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
-    return {server.relayAddress,
-            serviceKey(server.service),
-            server.zone,
-            server.incarnation,
-            server.takesNewWork(),
-            server.state == ServerAvailability::Starting,
-            std::nullopt};
+    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.takesNewWork(), std::nullopt};
 }
 
 }
@@ -50,7 +44,10 @@
     m_routes = snapshot.routes;
     if (snapshot.isRegistryKnown) {
         m_isRegistryKnown = true;
-        m_departed = snapshot.departed;
+        m_departed.clear();
+        for (const DepartedServer &server : snapshot.departed) {
+            m_departed.emplace(server.relayAddress, server.incarnation);
+        }
         return updateServers(now, snapshot);
     }
     return false;
@@ -85,9 +82,20 @@
         return left.first == right.first && std::equal(left.second.begin(), left.second.end(), right.second.begin(), right.second.end(), isSameServer);
     });
     m_servers = std::move(servers);
+    indexServers();
     return !isSame;
 }
 
+void ServerDirectory::indexServers()
+{
+    m_positions.clear();
+    for (const auto &[service, servers] : m_servers) {
+        for (std::size_t index = 0; index < servers.size(); ++index) {
+            m_positions[servers[index].agent] = {service, index};
+        }
+    }
+}
+
 const RouteTable &ServerDirectory::routes() const
 {
     return *m_routes;
@@ -100,15 +108,8 @@
 
 const SteerServer *ServerDirectory::find(const HostAddress &agent) const
 {
-    for (const auto &[service, servers] : m_servers) {
-        const auto found = std::find_if(servers.begin(), servers.end(), [&agent](const SteerServer &server) {
-            return server.agent == agent;
-        });
-        if (found != servers.end()) {
-            return &*found;
-        }
-    }
-    return nullptr;
+    const auto found = m_positions.find(agent);
+    return found == m_positions.end() ? nullptr : &m_servers.at(found->second.service)[found->second.index];
 }
 
 std::span<const SteerServer> ServerDirectory::servers(ServiceKey service) const
@@ -119,7 +120,7 @@
 
 bool ServerDirectory::hasDeparted(const HostAddress &agent, Incarnation incarnation) const
 {
-    return std::find(m_departed.begin(), m_departed.end(), DepartedServer{agent, incarnation}) != m_departed.end();
+    return m_departed.contains({agent, incarnation});
 }
 
 std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
