Read batches, repeat work and count packets in one place each

Balancers and agents of both kinds waited for datagrams with seven copies of one loop (readBatches now), timers that repeat were written five times (PeriodicTimer), and counters, their publishing and two log lines stood twice (PacketCounters, logReset, logDrop). An agent decoded a packet again for each log line about it.

The steering programs read up to eight batches a turn now, as the others did.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -107,6 +107,7 @@
         key_file.cpp
         message_server.cpp
         peer_identity.cpp
+        periodic_timer.cpp
         tls_context.cpp
         traffic.cpp
     TESTS
@@ -264,6 +265,7 @@
     SOURCES
         agent_traffic.cpp
         balancer_traffic.cpp
+        packet_report.cpp
         route_control_process.cpp
         server_announcements.cpp
         settings_watcher.cpp
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -3,15 +3,16 @@
 #include <jujubequay/core/log.h>
 #include <jujubequay/daemon/steering_settings.h>
 #include <jujubequay/datapath/datagram_batch.h>
+#include <jujubequay/net/periodic_timer.h>
 #include <jujubequay/policy/packet_queue.h>
 #include <jujubequay/steering/agent_steering.h>
 #include <jujubequay/steering/packet_codec.h>
+#include <jujubequay/steering_program/packet_report.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <atomic>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -19,18 +20,6 @@
 
 namespace Jujubequay {
 
-/// Counted on the traffic thread, read by the control thread.
-struct AgentTrafficCounters {
-    std::atomic<std::uint64_t> delivered = 0;
-    std::atomic<std::uint64_t> answered = 0;
-    std::atomic<std::uint64_t> passedOn = 0;
-    std::atomic<std::uint64_t> held = 0;
-    std::atomic<std::uint64_t> reset = 0;
-    std::atomic<std::uint64_t> dropped = 0;
-    std::atomic<std::uint64_t> unreadable = 0;
-    std::atomic<std::uint64_t> notSent = 0;
-};
-
 /// The sockets of an agent beside a server that opens and ends flows by itself. Used on the traffic thread, apart from the counters.
 class AgentTraffic
 {
@@ -43,7 +32,7 @@
     void update(const ConfigSnapshotPointer &snapshot);
     /// Tells the callers of a server that is gone.
     void setServer(const std::optional<LocalServer> &server, bool isFresh);
-    const AgentTrafficCounters &counters() const;
+    const PacketCounters &counters() const;
 
 private:
     AgentTraffic(asio::io_context &context,
@@ -53,19 +42,14 @@
                  const SteeringAgentSettings &settings,
                  asio::ip::udp::socket peers,
                  asio::ip::udp::socket server);
-    void waitForPeers();
-    void waitForServer();
-    void scheduleExpiry();
-    void scheduleLoadNotices();
     void sendLoad();
-    void receiveFromPeers();
-    void receiveFromServer();
+    void receiveFromPeers(std::size_t received);
+    void receiveFromServer(std::size_t received);
     void handle(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram);
-    void carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
-    void relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom);
+    /// `withHeadroom` is the packet with room for a header in front of it.
+    void carryOut(const AgentDecision &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom);
+    void relay(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom);
     void reset(const ResetCaller &decision);
-    void drop(const DropPacket &decision, std::span<const std::uint8_t> packet);
-    void logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet);
     void releaseHeld(TimePoint now);
     void hold(std::span<const std::uint8_t> packet);
     void scheduleRelease();
@@ -80,8 +64,8 @@
     AgentSteering m_steering;
     asio::ip::udp::socket m_peers;
     asio::ip::udp::socket m_server;
-    asio::steady_timer m_expiryTimer;
-    asio::steady_timer m_loadTimer;
+    PeriodicTimer m_expiryTimer;
+    PeriodicTimer m_loadTimer;
     asio::steady_timer m_releaseTimer;
     DatagramReader m_reader;
     DatagramWriter m_toPeers; ///< agents, balancers and callers
@@ -91,7 +75,7 @@
     PacketQueue m_heldRequests; ///< that the server would refuse now
     bool m_isReleaseScheduled = false;
     bool m_wasServerTrusted = true;
-    AgentTrafficCounters m_counters;
+    PacketCounters m_counters;
 };
 
 }
--- a/include/jujubequay/steering_program/settings_watcher.h
+++ b/include/jujubequay/steering_program/settings_watcher.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <jujubequay/net/periodic_timer.h>
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <filesystem>
 #include <functional>
@@ -20,12 +21,12 @@
 
 private:
     void waitForSignal();
-    void schedulePoll();
+    void poll();
 
     const std::filesystem::path m_file;
     const std::function<void()> m_changed;
     asio::signal_set m_signals;
-    asio::steady_timer m_timer;
+    PeriodicTimer m_timer;
     std::filesystem::file_time_type m_lastWrite{};
 };
 
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -46,7 +46,6 @@
     void checkServer();
     void reloadSeeds();
     void waitForStop();
-    void scheduleCheck();
     void publishMetrics();
 
     const SteeringAgentSettings m_settings;
@@ -56,7 +55,7 @@
     SteeringServices m_services;
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
-    asio::steady_timer m_checkTimer;
+    PeriodicTimer m_checkTimer;
     asio::steady_timer m_endTimer;
     TrafficLoop m_loop;
     std::unique_ptr<AgentTraffic> m_traffic;
--- a/include/jujubequay/steering_program/steering_balancer_process.h
+++ b/include/jujubequay/steering_program/steering_balancer_process.h
@@ -45,7 +45,7 @@
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
     asio::steady_timer m_drainTimer;
-    asio::steady_timer m_metricsTimer;
+    PeriodicTimer m_metricsTimer;
     TrafficLoop m_loop;
     std::unique_ptr<BalancerTraffic> m_traffic;
     std::shared_ptr<ConfigWatcher> m_watcher;
--- a/include/jujubequay/steering_program/steering_services.h
+++ b/include/jujubequay/steering_program/steering_services.h
@@ -35,6 +35,9 @@
     void reloadSeeds(const SeedReader &read, const std::function<void(std::vector<HostAddress>)> &use);
     std::shared_ptr<ConfigWatcher> createWatcher(ConfigSnapshotHandler onConfig, std::function<void(const std::vector<HostAddress> &)> onControlHosts);
 
+    /// Publishes how many log lines were dropped.
+    void publishLogCounters();
+
     const Clock &clock() const;
     Logger &logger();
     Metrics &metrics();
--- a/src/jujubequay/datapath/balancer_path.cpp
+++ b/src/jujubequay/datapath/balancer_path.cpp
@@ -1,16 +1,10 @@
 #include <jujubequay/datapath/balancer_path.h>
+#include <jujubequay/datapath/read_batches.h>
 
 #include <algorithm>
 
 namespace Jujubequay {
 
-namespace {
-
-/// Batches that are read from one socket before the others get their turn.
-constexpr int maxBatchesPerTurn = 8;
-
-}
-
 Result<std::unique_ptr<BalancerPath>> BalancerPath::create(asio::io_context &context, const HostAddress &relayAddress, StaleHandler onStale)
 {
     BOOST_LEAF_AUTO(relay, bindUdpSocket(context, relayAddress));
@@ -73,35 +67,15 @@
 
 void BalancerPath::waitForCallers(const std::shared_ptr<Entry> &entry)
 {
-    entry->socket.async_wait(asio::ip::udp::socket::wait_read, [this, entry](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        for (int batch = 0; batch < maxBatchesPerTurn; ++batch) {
-            const std::size_t count = m_reader.read(entry->socket.native_handle());
-            forwardBatch(*entry, count);
-            if (count < datagramBatchSize) {
-                break;
-            }
-        }
-        waitForCallers(entry);
+    readBatches(entry->socket, m_reader, [this, entry](std::size_t count) {
+        forwardBatch(*entry, count);
     });
 }
 
 void BalancerPath::waitForAgents()
 {
-    m_relay.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        for (int batch = 0; batch < maxBatchesPerTurn; ++batch) {
-            const std::size_t count = m_reader.read(m_relay.native_handle());
-            replyBatch(count);
-            if (count < datagramBatchSize) {
-                break;
-            }
-        }
-        waitForAgents();
+    readBatches(m_relay, m_reader, [this](std::size_t count) {
+        replyBatch(count);
     });
 }
 
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -1,3 +1,4 @@
+#include <jujubequay/datapath/read_batches.h>
 #include <jujubequay/service/agent_path.h>
 #include <jujubequay/wire/flow_close.h>
 
@@ -7,7 +8,6 @@
 
 namespace {
 
-constexpr int maxBatchesPerTurn = 8;
 /// Upper bound of the time between two ticks of the request windows.
 constexpr auto tickInterval = std::chrono::milliseconds(200);
 /// Closes a flow whose last answers may not have arrived.
@@ -288,21 +288,13 @@
 
 void AgentPath::waitForDatagrams()
 {
-    m_socket.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        for (int batch = 0; batch < maxBatchesPerTurn; ++batch) {
-            const std::size_t count = m_reader.read(m_socket.native_handle());
-            for (std::size_t index = 0; index < count; ++index) {
-                receive(m_reader.source(index), m_reader.datagram(index));
-            }
-            if (count < datagramBatchSize) {
-                break;
-            }
+    const auto receiveBatch = [this](std::size_t count) {
+        for (std::size_t index = 0; index < count; ++index) {
+            receive(m_reader.source(index), m_reader.datagram(index));
         }
+    };
+    readBatches(m_socket, m_reader, receiveBatch, [this] {
         processEvents();
-        waitForDatagrams();
     });
 }
 
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -1,7 +1,10 @@
 #include <jujubequay/steering_program/agent_traffic.h>
 
+#include <jujubequay/datapath/read_batches.h>
 #include <jujubequay/datapath/udp_socket.h>
 
+#include <array>
+
 namespace Jujubequay {
 
 namespace {
@@ -14,10 +17,14 @@
 /// Receive and send buffers: half a second of packets at the packet rate of one small host.
 constexpr int socketBufferBytes = 1 << 20;
 
-void count(std::atomic<std::uint64_t> &counter)
-{
-    counter.fetch_add(1, std::memory_order_relaxed);
-}
+constexpr std::array events{PacketEvent::Delivered,
+                            PacketEvent::Answered,
+                            PacketEvent::PassedOn,
+                            PacketEvent::Held,
+                            PacketEvent::Reset,
+                            PacketEvent::Dropped,
+                            PacketEvent::Unreadable,
+                            PacketEvent::NotSent};
 
 AgentSteeringOptions steeringOptions(const SteeringAgentSettings &settings)
 {
@@ -50,20 +57,33 @@
     , m_steering(steeringOptions(settings))
     , m_peers(std::move(peers))
     , m_server(std::move(server))
-    , m_expiryTimer(context)
-    , m_loadTimer(context)
+    , m_expiryTimer(context,
+                    expiryInterval,
+                    [this] {
+                        m_steering.expire(m_clock.now());
+                    })
+    , m_loadTimer(context,
+                  loadNoticeInterval,
+                  [this] {
+                      sendLoad();
+                  })
     , m_releaseTimer(context)
     , m_reader(steerHeaderLength)
     , m_heldRequests({.maxAge = 2 * AgentSteeringOptions().maxHold})
+    , m_counters(events)
 {
 }
 
 void AgentTraffic::start()
 {
-    waitForPeers();
-    waitForServer();
-    scheduleExpiry();
-    scheduleLoadNotices();
+    readBatches(m_peers, m_reader, [this](std::size_t received) {
+        receiveFromPeers(received);
+    });
+    readBatches(m_server, m_reader, [this](std::size_t received) {
+        receiveFromServer(received);
+    });
+    m_expiryTimer.start();
+    m_loadTimer.start();
 }
 
 void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
@@ -79,54 +99,11 @@
     flush();
 }
 
-const AgentTrafficCounters &AgentTraffic::counters() const
+const PacketCounters &AgentTraffic::counters() const
 {
     return m_counters;
 }
 
-void AgentTraffic::waitForPeers()
-{
-    m_peers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (!error) {
-            receiveFromPeers();
-            waitForPeers();
-        }
-    });
-}
-
-void AgentTraffic::waitForServer()
-{
-    m_server.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (!error) {
-            receiveFromServer();
-            waitForServer();
-        }
-    });
-}
-
-void AgentTraffic::scheduleExpiry()
-{
-    m_expiryTimer.expires_after(expiryInterval);
-    m_expiryTimer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            m_steering.expire(m_clock.now());
-            scheduleExpiry();
-        }
-    });
-}
-
-void AgentTraffic::scheduleLoadNotices()
-{
-    m_loadTimer.expires_after(loadNoticeInterval);
-    m_loadTimer.async_wait([this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        sendLoad();
-        scheduleLoadNotices();
-    });
-}
-
 void AgentTraffic::sendLoad()
 {
     const LoadNotice load = m_steering.load();
@@ -144,15 +121,14 @@
     }
 }
 
-void AgentTraffic::receiveFromPeers()
+void AgentTraffic::receiveFromPeers(std::size_t received)
 {
-    const std::size_t received = m_reader.read(m_peers.native_handle());
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         const auto datagram = m_reader.datagram(index);
         const auto message = decodeSteerMessage(datagram);
         if (!message) {
-            count(m_counters.unreadable);
+            m_counters.add(PacketEvent::Unreadable);
         } else if (const auto *packet = std::get_if<SteeredPacket>(&*message)) {
             handle(now, *packet, datagram);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
@@ -166,34 +142,28 @@
 {
     const auto segment = m_codec.decode(packet.packet);
     if (!segment) {
-        count(m_counters.unreadable);
+        m_counters.add(PacketEvent::Unreadable);
         return;
     }
-    carryOut(m_steering.fromPeer(now, packet.header, *segment, m_notices), packet.packet, datagram);
+    carryOut(m_steering.fromPeer(now, packet.header, *segment, m_notices), *segment, datagram);
     sendNotices();
 }
 
-void AgentTraffic::receiveFromServer()
+void AgentTraffic::receiveFromServer(std::size_t received)
 {
-    const std::size_t received = m_reader.read(m_server.native_handle());
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         const auto packet = m_reader.datagram(index);
         const auto segment = m_codec.decode(packet);
         if (!segment) {
-            count(m_counters.unreadable);
+            m_counters.add(PacketEvent::Unreadable);
             continue;
         }
         const AgentDecision decision = m_steering.fromServer(now, *segment, m_notices);
         if (segment->isReturned) {
             m_codec.clearMarks(packet);
         }
-        if (std::holds_alternative<SendToCaller>(decision)) {
-            m_toPeers.add(m_codec.callerEndpoint(endsFromServer(*segment)), packet);
-            count(m_counters.answered);
-        } else {
-            carryOut(decision, packet, m_reader.withHeadroom(index));
-        }
+        carryOut(decision, *segment, m_reader.withHeadroom(index));
         sendNotices();
     }
     releaseHeld(now);
@@ -211,7 +181,7 @@
         if (!m_steering.mayStartRequest() && now - *oldest < maxHold) {
             return;
         }
-        const auto packet = m_heldRequests.takeOldest(now);
+        auto packet = m_heldRequests.takeOldest(now);
         const auto segment = packet ? m_codec.decode(*packet) : std::nullopt;
         if (!segment || !std::holds_alternative<DeliverToServer>(m_steering.startHeld(now, *segment))) {
             continue;
@@ -219,15 +189,16 @@
         if (m_toServer.isFull()) {
             flush();
         }
-        m_toServer.add(m_serverInput, keep(*packet));
-        count(m_counters.delivered);
+        m_kept.push_back(std::move(*packet));
+        m_toServer.add(m_serverInput, m_kept.back());
+        m_counters.add(PacketEvent::Delivered);
     }
 }
 
 void AgentTraffic::hold(std::span<const std::uint8_t> packet)
 {
     m_heldRequests.hold(m_clock.now(), packet);
-    count(m_counters.held);
+    m_counters.add(PacketEvent::Held);
     if (!m_isReleaseScheduled) {
         m_isReleaseScheduled = true;
         scheduleRelease();
@@ -249,22 +220,30 @@
     });
 }
 
-void AgentTraffic::carryOut(const AgentDecision &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
+void AgentTraffic::carryOut(const AgentDecision &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom)
 {
     struct Visitor {
         AgentTraffic &traffic;
-        std::span<std::uint8_t> packet;
+        const Segment &segment;
         std::span<std::uint8_t> withHeadroom;
 
+        std::span<std::uint8_t> packet() const
+        {
+            return withHeadroom.subspan(steerHeaderLength);
+        }
         void operator()(const DeliverToServer &) const
         {
-            traffic.m_toServer.add(traffic.m_serverInput, packet);
-            count(traffic.m_counters.delivered);
+            traffic.m_toServer.add(traffic.m_serverInput, packet());
+            traffic.m_counters.add(PacketEvent::Delivered);
+        }
+        void operator()(const SendToCaller &) const
+        {
+            traffic.m_toPeers.add(traffic.m_codec.callerEndpoint(endsFromServer(segment)), packet());
+            traffic.m_counters.add(PacketEvent::Answered);
         }
-        void operator()(const SendToCaller &) const { }
         void operator()(const RelayToAgent &relayed) const
         {
-            traffic.relay(relayed, packet, withHeadroom);
+            traffic.relay(relayed, segment, withHeadroom);
         }
         void operator()(const ResetCaller &refused) const
         {
@@ -272,57 +251,36 @@
         }
         void operator()(const DropPacket &dropped) const
         {
-            traffic.drop(dropped, packet);
+            traffic.m_counters.add(PacketEvent::Dropped);
+            logDrop(traffic.m_logger, dropped, segment, traffic.m_steering.directory().routes().version());
         }
         void operator()(const HoldPacket &) const
         {
-            traffic.hold(packet);
+            traffic.hold(packet());
         }
     };
-    std::visit(Visitor{*this, packet, withHeadroom}, decision);
+    std::visit(Visitor{*this, segment, withHeadroom}, decision);
 }
 
-void AgentTraffic::relay(const RelayToAgent &decision, std::span<std::uint8_t> packet, std::span<std::uint8_t> withHeadroom)
+void AgentTraffic::relay(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom)
 {
     encodeSteerHeader(decision.header, withHeadroom.first<steerHeaderLength>());
     m_toPeers.add(decision.agent, withHeadroom);
-    count(m_counters.passedOn);
-    logPass(decision, packet);
-}
-
-void AgentTraffic::logPass(const RelayToAgent &decision, std::span<const std::uint8_t> packet)
-{
-    const auto segment = m_codec.decode(packet);
+    m_counters.add(PacketEvent::PassedOn);
     m_logger.info("packet-passed-on",
-                  {{"caller", toString(segment->source)},
-                   {"address", toString(segment->destination)},
+                  {{"caller", toString(segment.source)},
+                   {"address", toString(segment.destination)},
                    {"agent", toString(decision.agent)},
-                   {"opening", segment->isOpening},
+                   {"opening", segment.isOpening},
                    {"hops", decision.header.hops},
                    {"cause", steerCauseName(decision.cause)}});
 }
 
-void AgentTraffic::drop(const DropPacket &decision, std::span<const std::uint8_t> packet)
-{
-    count(m_counters.dropped);
-    const auto segment = m_codec.decode(packet);
-    m_logger.info("packet-dropped",
-                  {{"source", toString(segment->source)},
-                   {"destination", toString(segment->destination)},
-                   {"opening", segment->isOpening},
-                   {"cause", steerCauseName(decision.cause)},
-                   {"routes_version", m_steering.directory().routes().version()}});
-}
-
 void AgentTraffic::reset(const ResetCaller &decision)
 {
     m_toPeers.add(m_codec.callerEndpoint(decision.ends), keep(m_codec.encodeReset(decision)));
-    count(m_counters.reset);
-    m_logger.info("flow-reset",
-                  {{"caller", toString(decision.ends.caller)},
-                   {"address", toString(decision.ends.service)},
-                   {"cause", steerCauseName(decision.cause)},
-                   {"routes_version", m_steering.directory().routes().version()}});
+    m_counters.add(PacketEvent::Reset);
+    logReset(m_logger, decision, m_steering.directory().routes().version());
     if (m_toPeers.isFull()) {
         flush();
     }
@@ -350,7 +308,7 @@
 void AgentTraffic::flush()
 {
     const std::size_t lost = m_toPeers.flush(m_peers.native_handle()) + m_toServer.flush(m_server.native_handle());
-    m_counters.notSent.fetch_add(lost, std::memory_order_relaxed);
+    m_counters.add(PacketEvent::NotSent, lost);
     m_kept.clear();
 }
 
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -1,7 +1,10 @@
 #include <jujubequay/steering_program/balancer_traffic.h>
 
+#include <jujubequay/datapath/read_batches.h>
 #include <jujubequay/datapath/udp_socket.h>
 
+#include <array>
+
 namespace Jujubequay {
 
 namespace {
@@ -10,10 +13,8 @@
 /// Receive and send buffers: half a second of packets at the packet rate of one small host.
 constexpr int socketBufferBytes = 1 << 20;
 
-void count(std::atomic<std::uint64_t> &counter)
-{
-    counter.fetch_add(1, std::memory_order_relaxed);
-}
+constexpr std::array events{
+    PacketEvent::Relayed, PacketEvent::Placed, PacketEvent::AskedHome, PacketEvent::Reset, PacketEvent::Dropped, PacketEvent::Unreadable, PacketEvent::NotSent};
 
 BalancerSteeringOptions steeringOptions(const SteeringBalancerSettings &settings)
 {
@@ -47,16 +48,25 @@
     , m_startupQueue({})
     , m_callers(std::move(callers))
     , m_peers(std::move(peers))
-    , m_expiryTimer(context)
+    , m_expiryTimer(context,
+                    expiryInterval,
+                    [this] {
+                        m_steering.expire(m_clock.now());
+                    })
     , m_reader(steerHeaderLength)
+    , m_counters(events)
 {
 }
 
 void BalancerTraffic::start()
 {
-    waitForCallers();
-    waitForPeers();
-    scheduleExpiry();
+    readBatches(m_callers, m_reader, [this](std::size_t received) {
+        receiveFromCallers(received);
+    });
+    readBatches(m_peers, m_reader, [this](std::size_t received) {
+        receiveFromPeers(received);
+    });
+    m_expiryTimer.start();
 }
 
 void BalancerTraffic::update(const ConfigSnapshotPointer &snapshot)
@@ -67,50 +77,13 @@
     }
 }
 
-bool BalancerTraffic::isReady() const
-{
-    return m_steering.isReady();
-}
-
-const BalancerTrafficCounters &BalancerTraffic::counters() const
+const PacketCounters &BalancerTraffic::counters() const
 {
     return m_counters;
 }
 
-void BalancerTraffic::waitForCallers()
-{
-    m_callers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (!error) {
-            receiveFromCallers();
-            waitForCallers();
-        }
-    });
-}
-
-void BalancerTraffic::waitForPeers()
-{
-    m_peers.async_wait(asio::ip::udp::socket::wait_read, [this](const asio::error_code &error) {
-        if (!error) {
-            receiveFromPeers();
-            waitForPeers();
-        }
-    });
-}
-
-void BalancerTraffic::scheduleExpiry()
-{
-    m_expiryTimer.expires_after(expiryInterval);
-    m_expiryTimer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            m_steering.expire(m_clock.now());
-            scheduleExpiry();
-        }
-    });
-}
-
-void BalancerTraffic::receiveFromCallers()
+void BalancerTraffic::receiveFromCallers(std::size_t received)
 {
-    const std::size_t received = m_reader.read(m_callers.native_handle());
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         handle(now, m_reader.withHeadroom(index));
@@ -123,7 +96,7 @@
     const auto packet = datagram.subspan(steerHeaderLength);
     const auto segment = m_codec.decode(packet);
     if (!segment) {
-        count(m_counters.unreadable);
+        m_counters.add(PacketEvent::Unreadable);
         return;
     }
     if (!m_steering.isReady()) {
@@ -145,13 +118,8 @@
         }
         void operator()(const DropPacket &decision) const
         {
-            count(traffic.m_counters.dropped);
-            traffic.m_logger.info("packet-dropped",
-                                  {{"source", toString(segment.source)},
-                                   {"destination", toString(segment.destination)},
-                                   {"opening", segment.isOpening},
-                                   {"cause", steerCauseName(decision.cause)},
-                                   {"routes_version", traffic.m_steering.directory().routes().version()}});
+            traffic.m_counters.add(PacketEvent::Dropped);
+            logDrop(traffic.m_logger, decision, segment, traffic.m_steering.directory().routes().version());
         }
     };
     std::visit(Visitor{*this, *segment, datagram}, m_steering.decide(now, *segment));
@@ -177,9 +145,9 @@
 {
     encodeSteerHeader(decision.header, datagram.first<steerHeaderLength>());
     m_toAgents.add(decision.agent, datagram);
-    count(m_counters.relayed);
+    m_counters.add(PacketEvent::Relayed);
     if (decision.cause == SteerCause::Placed) {
-        count(m_counters.placed);
+        m_counters.add(PacketEvent::Placed);
         m_logger.info("flow-placed",
                       {{"caller", toString(segment.source)},
                        {"address", toString(segment.destination)},
@@ -187,7 +155,7 @@
                        {"copy", segment.copy},
                        {"routes_version", decision.header.tableVersion}});
     } else if (decision.cause == SteerCause::Home) {
-        count(m_counters.askedHome);
+        m_counters.add(PacketEvent::AskedHome);
     }
 }
 
@@ -195,29 +163,24 @@
 {
     m_resets.push_back(m_codec.encodeReset(decision));
     m_toCallers.add(m_codec.callerEndpoint(decision.ends), m_resets.back());
-    count(m_counters.reset);
-    m_logger.info("flow-reset",
-                  {{"caller", toString(decision.ends.caller)},
-                   {"address", toString(decision.ends.service)},
-                   {"cause", steerCauseName(decision.cause)},
-                   {"routes_version", m_steering.directory().routes().version()}});
+    m_counters.add(PacketEvent::Reset);
+    logReset(m_logger, decision, m_steering.directory().routes().version());
 }
 
 void BalancerTraffic::flush()
 {
     const std::size_t lost = m_toAgents.flush(m_peers.native_handle()) + m_toCallers.flush(m_callers.native_handle());
-    m_counters.notSent.fetch_add(lost, std::memory_order_relaxed);
+    m_counters.add(PacketEvent::NotSent, lost);
     m_resets.clear();
 }
 
-void BalancerTraffic::receiveFromPeers()
+void BalancerTraffic::receiveFromPeers(std::size_t received)
 {
-    const std::size_t received = m_reader.read(m_peers.native_handle());
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         const auto message = decodeSteerMessage(m_reader.datagram(index));
         if (!message || std::holds_alternative<SteeredPacket>(*message)) {
-            count(m_counters.unreadable);
+            m_counters.add(PacketEvent::Unreadable);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
             m_steering.notice(now, *owner);
         } else {
--- /dev/null
+++ b/src/jujubequay/steering_program/packet_report.cpp
@@ -0,0 +1,67 @@
+#include <jujubequay/steering_program/packet_report.h>
+
+#include <jujubequay/core/name_table.h>
+
+namespace Jujubequay {
+
+namespace {
+
+constexpr NameTable<PacketEvent, 11> eventNames{{{
+    {PacketEvent::Relayed, "relayed"},
+    {PacketEvent::Placed, "placed"},
+    {PacketEvent::AskedHome, "asked-home"},
+    {PacketEvent::Delivered, "delivered"},
+    {PacketEvent::Answered, "answered"},
+    {PacketEvent::PassedOn, "passed-on"},
+    {PacketEvent::Held, "held"},
+    {PacketEvent::Reset, "reset"},
+    {PacketEvent::Dropped, "dropped"},
+    {PacketEvent::Unreadable, "unreadable"},
+    {PacketEvent::NotSent, "not-sent"},
+}}};
+
+}
+
+std::string_view packetEventName(PacketEvent event)
+{
+    return eventNames.name(event);
+}
+
+PacketCounters::PacketCounters(std::span<const PacketEvent> events)
+    : m_events(events)
+{
+}
+
+void PacketCounters::add(PacketEvent event, std::uint64_t packets)
+{
+    m_counts[static_cast<std::size_t>(event)].fetch_add(packets, std::memory_order_relaxed);
+}
+
+void PacketCounters::publish(Metrics &metrics) const
+{
+    for (const PacketEvent event : m_events) {
+        const std::uint64_t packets = m_counts[static_cast<std::size_t>(event)].load(std::memory_order_relaxed);
+        metrics.counter("packets", packetEventName(event)).store(packets, std::memory_order_relaxed);
+    }
+}
+
+void logReset(Logger &logger, const ResetCaller &decision, std::uint64_t routesVersion)
+{
+    logger.info("flow-reset",
+                {{"caller", toString(decision.ends.caller)},
+                 {"address", toString(decision.ends.service)},
+                 {"cause", steerCauseName(decision.cause)},
+                 {"routes_version", routesVersion}});
+}
+
+void logDrop(Logger &logger, const DropPacket &decision, const Segment &segment, std::uint64_t routesVersion)
+{
+    logger.info("packet-dropped",
+                {{"source", toString(segment.source)},
+                 {"destination", toString(segment.destination)},
+                 {"opening", segment.isOpening},
+                 {"cause", steerCauseName(decision.cause)},
+                 {"routes_version", routesVersion}});
+}
+
+}
--- a/src/jujubequay/steering_program/settings_watcher.cpp
+++ b/src/jujubequay/steering_program/settings_watcher.cpp
@@ -21,7 +21,11 @@
     : m_file(std::move(file))
     , m_changed(std::move(changed))
     , m_signals(context, SIGHUP)
-    , m_timer(context)
+    , m_timer(context,
+              pollInterval,
+              [this] {
+                  poll();
+              })
     , m_lastWrite(writeTime(m_file))
 {
 }
@@ -29,14 +33,14 @@
 void SettingsWatcher::start()
 {
     waitForSignal();
-    schedulePoll();
+    m_timer.start();
 }
 
 void SettingsWatcher::stop()
 {
     asio::error_code ignored;
     m_signals.cancel(ignored);
-    m_timer.cancel();
+    m_timer.stop();
 }
 
 void SettingsWatcher::waitForSignal()
@@ -50,20 +54,13 @@
     });
 }
 
-void SettingsWatcher::schedulePoll()
+void SettingsWatcher::poll()
 {
-    m_timer.expires_after(pollInterval);
-    m_timer.async_wait([this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        const auto time = writeTime(m_file);
-        if (time != m_lastWrite) {
-            m_lastWrite = time;
-            m_changed();
-        }
-        schedulePoll();
-    });
+    const auto time = writeTime(m_file);
+    if (time != m_lastWrite) {
+        m_lastWrite = time;
+        m_changed();
+    }
 }
 
 }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -30,7 +30,12 @@
                             reloadSeeds();
                         })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
-    , m_checkTimer(m_context)
+    , m_checkTimer(m_context,
+                   checkInterval,
+                   [this] {
+                       applyServer(false);
+                       publishMetrics();
+                   })
     , m_endTimer(m_context)
     , m_announcements(missedAnnouncements * m_settings.announceInterval)
     , m_check(m_context)
@@ -75,7 +80,7 @@
     m_watcher->start();
     m_settingsWatcher.start();
     checkServer();
-    scheduleCheck();
+    m_checkTimer.start();
     m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"server", toString(m_settings.serverInput)}});
     return {};
 }
@@ -269,34 +274,10 @@
     });
 }
 
-void SteeringAgentProcess::scheduleCheck()
-{
-    m_checkTimer.expires_after(checkInterval);
-    m_checkTimer.async_wait([this](const asio::error_code &error) {
-        if (error) {
-            return;
-        }
-        applyServer(false);
-        publishMetrics();
-        scheduleCheck();
-    });
-}
-
 void SteeringAgentProcess::publishMetrics()
 {
-    const AgentTrafficCounters &counters = m_traffic->counters();
-    const auto publish = [this](std::string_view cause, const std::atomic<std::uint64_t> &value) {
-        m_services.metrics().counter("packets", cause).store(value.load(std::memory_order_relaxed), std::memory_order_relaxed);
-    };
-    publish("delivered", counters.delivered);
-    publish("answered", counters.answered);
-    publish("passed-on", counters.passedOn);
-    publish("held", counters.held);
-    publish("reset", counters.reset);
-    publish("dropped", counters.dropped);
-    publish("unreadable", counters.unreadable);
-    publish("not-sent", counters.notSent);
-    m_services.metrics().counter("log_lines", "dropped").store(m_services.logger().droppedLines(), std::memory_order_relaxed);
+    m_traffic->counters().publish(m_services.metrics());
+    m_services.publishLogCounters();
 }
 
 }
--- a/src/jujubequay/steering_program/steering_balancer_process.cpp
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -25,7 +25,9 @@
                         })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_drainTimer(m_context)
-    , m_metricsTimer(m_context)
+    , m_metricsTimer(m_context, metricsInterval, [this] {
+        publishMetrics();
+    })
 {
 }
 
@@ -54,6 +56,7 @@
     m_watcher->start();
     m_settingsWatcher.start();
     publishMetrics();
+    m_metricsTimer.start();
     m_services.logger().info("started", {{"caller_address", toString(m_settings.callerAddress)}, {"seeds", m_settings.discovery.seeds.size()}});
     return {};
 }
@@ -116,24 +119,8 @@
 
 void SteeringBalancerProcess::publishMetrics()
 {
-    const BalancerTrafficCounters &counters = m_traffic->counters();
-    const auto publish = [this](std::string_view cause, const std::atomic<std::uint64_t> &value) {
-        m_services.metrics().counter("packets", cause).store(value.load(std::memory_order_relaxed), std::memory_order_relaxed);
-    };
-    publish("relayed", counters.relayed);
-    publish("placed", counters.placed);
-    publish("asked-home", counters.askedHome);
-    publish("reset", counters.reset);
-    publish("dropped", counters.dropped);
-    publish("unreadable", counters.unreadable);
-    publish("not-sent", counters.notSent);
-    m_services.metrics().counter("log_lines", "dropped").store(m_services.logger().droppedLines(), std::memory_order_relaxed);
-    m_metricsTimer.expires_after(metricsInterval);
-    m_metricsTimer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            publishMetrics();
-        }
-    });
+    m_traffic->counters().publish(m_services.metrics());
+    m_services.publishLogCounters();
 }
 
 }
--- a/src/jujubequay/steering_program/steering_services.cpp
+++ b/src/jujubequay/steering_program/steering_services.cpp
@@ -76,6 +76,11 @@
         m_context, m_clock, m_logger, *m_client, std::move(options), std::vector<HostAddress>(), m_random, std::move(onConfig), std::move(onControlHosts));
 }
 
+void SteeringServices::publishLogCounters()
+{
+    m_metrics->counter("log_lines", "dropped").store(m_logger.droppedLines(), std::memory_order_relaxed);
+}
+
 const Clock &SteeringServices::clock() const
 {
     return m_clock;
