Accept connections in one place and serve metrics over the HTTP/1.1 server

Two servers had the same loop around a failed accept (AcceptLoop now), and the metrics page had an HTTP server of its own beside the general one. Limits of the metrics page are unchanged: 16 connections, 8 KB of header, 10 s, one request each, loopback only.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -95,6 +95,7 @@
 
 jujubequay_module(net
     SOURCES
+        accept_loop.cpp
         backend_client.cpp
         certificate.cpp
         http1_server.cpp
--- a/include/jujubequay/daemon/process_services.h
+++ b/include/jujubequay/daemon/process_services.h
@@ -55,7 +55,7 @@
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<TlsContext> m_tls;
     std::shared_ptr<Http2MessageClient> m_client;
-    std::shared_ptr<MetricsHttpServer> m_metricsServer;
+    std::shared_ptr<Http1Server> m_metricsServer;
     asio::signal_set m_reloadSignals;
 };
 
--- a/include/jujubequay/net/http1_server.h
+++ b/include/jujubequay/net/http1_server.h
@@ -4,10 +4,10 @@
 #include <jujubequay/core/error.h>
 #include <jujubequay/core/identifiers.h>
 #include <jujubequay/core/log.h>
+#include <jujubequay/net/accept_loop.h>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -35,6 +35,7 @@
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxConnections = 512; ///< further connections are closed at once
     Duration idleTimeout = std::chrono::seconds(20); ///< between bytes, also within a request
+    bool keepsConnections = true; ///< answers more than one request on a connection
 };
 
 /// Answers HTTP/1.1 requests one after the other on each connection. The handler gets a function that sends the response, now or
@@ -56,14 +57,13 @@
     class Connection;
 
     Http1Server(asio::io_context &context, Logger &logger, Handler handler, Http1ServerOptions options);
-    void acceptNext();
+    void accept(asio::ip::tcp::socket socket);
 
     asio::io_context &m_context;
     Logger &m_logger;
     const Handler m_handler;
     const Http1ServerOptions m_options;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptRetry;
+    std::shared_ptr<AcceptLoop> m_acceptLoop;
     std::set<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/include/jujubequay/net/message_server.h
+++ b/include/jujubequay/net/message_server.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/core/error.h>
 #include <jujubequay/core/log.h>
+#include <jujubequay/net/accept_loop.h>
 #include <jujubequay/net/http2_session.h>
 #include <jujubequay/net/message_stream.h>
 #include <jujubequay/net/tls_context.h>
@@ -54,7 +55,6 @@
                   std::shared_ptr<TlsContext> tls,
                   MessageStreamAcceptor accept,
                   MessageServerOptions options);
-    void acceptNext();
     void startHandshake(asio::ip::tcp::socket socket);
     void startSecureSession(const std::shared_ptr<Handshake> &handshake);
     /// `peer` is empty without TLS; each stream then names its sender.
@@ -67,8 +67,7 @@
     std::shared_ptr<TlsContext> m_tls;
     MessageStreamAcceptor m_accept;
     MessageServerOptions m_options;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptRetry;
+    std::shared_ptr<AcceptLoop> m_acceptLoop;
     std::set<std::shared_ptr<Handshake>> m_handshakes;
     std::set<std::shared_ptr<Http2Session>> m_sessions;
     TrafficCounters m_traffic;
--- a/include/jujubequay/steering_program/steering_services.h
+++ b/include/jujubequay/steering_program/steering_services.h
@@ -54,7 +54,7 @@
     std::mt19937_64 m_random;
     std::shared_ptr<Metrics> m_metrics;
     std::shared_ptr<Http2MessageClient> m_client;
-    std::shared_ptr<MetricsHttpServer> m_metricsServer;
+    std::shared_ptr<Http1Server> m_metricsServer;
 };
 
 }
--- a/src/jujubequay/control_program/control_process.cpp
+++ b/src/jujubequay/control_program/control_process.cpp
@@ -114,7 +114,7 @@
         };
         BOOST_LEAF_ASSIGN(m_server, MessageServer::listen(m_context, m_clock, m_logger, m_tls, m_settings.controlAddress, accept, serverOptions));
         if (m_settings.common.metricsAddress) {
-            BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.common.metricsAddress, m_metrics));
+            BOOST_LEAF_ASSIGN(m_metricsServer, listenForMetrics(m_context, m_logger, *m_settings.common.metricsAddress, m_metrics));
         }
         return {};
     }
@@ -203,7 +203,7 @@
     std::shared_ptr<Http2MessageClient> m_client;
     std::optional<ControlHostService> m_service;
     std::shared_ptr<MessageServer> m_server;
-    std::shared_ptr<MetricsHttpServer> m_metricsServer;
+    std::shared_ptr<Http1Server> m_metricsServer;
     std::optional<Failure> m_failure;
 };
 
--- a/src/jujubequay/daemon/metrics_test.cpp
+++ b/src/jujubequay/daemon/metrics_test.cpp
@@ -128,14 +128,16 @@
     void readableOverHttp()
     {
         asio::io_context context;
+        SteadyClock clock;
+        QuietLogger logger(clock);
         const auto server = valueOf([&] {
-            return MetricsHttpServer::listen(context, {0x7F000001, 0}, sampleMetrics());
+            return listenForMetrics(context, logger, {0x7F000001, 0}, sampleMetrics());
         });
         assertLine(get(context, server->address(), "GET /metrics HTTP/1.1\r\nHost: test\r\n\r\n"), "jujubequay_open_flows 12");
         CPPUNIT_ASSERT(get(context, server->address(), "GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 404"));
         CPPUNIT_ASSERT(get(context, server->address(), "POST /metrics HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 405"));
         CPPUNIT_ASSERT(codeOf([&] {
-                           return MetricsHttpServer::listen(context, {0xC0000201, 80}, sampleMetrics());
+                           return listenForMetrics(context, logger, {0xC0000201, 80}, sampleMetrics());
                        })
                        == ResultCode::AddressUnavailable);
     }
--- a/src/jujubequay/daemon/process_services.cpp
+++ b/src/jujubequay/daemon/process_services.cpp
@@ -39,7 +39,7 @@
     m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, options);
     m_kernel.add<MessageClient>("message-client", m_client);
     if (m_settings.metricsAddress) {
-        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.metricsAddress, m_metrics));
+        BOOST_LEAF_ASSIGN(m_metricsServer, listenForMetrics(m_context, *m_logger, *m_settings.metricsAddress, m_metrics));
     }
     waitForReload();
     return {};
--- a/src/jujubequay/net/http1_server.cpp
+++ b/src/jujubequay/net/http1_server.cpp
@@ -1,5 +1,3 @@
-#include "jujubequay/net/endpoint.h"
-
 #include <jujubequay/net/http1_server.h>
 
 #include <asio/write.hpp>
@@ -14,8 +12,6 @@
 namespace {
 
 constexpr std::size_t readBytes = 4096;
-// A wait after a failed accept, mostly for want of file descriptors.
-constexpr auto acceptRetryWait = std::chrono::milliseconds(100);
 
 std::string encodeResponse(const Http1Response &response, bool keepsAlive)
 {
@@ -138,7 +134,7 @@
             return;
         }
         m_isComplete = false;
-        m_keepsAlive = http_should_keep_alive(&m_parser) != 0;
+        m_keepsAlive = m_options.keepsConnections && http_should_keep_alive(&m_parser) != 0;
         m_request.method = http_method_str(static_cast<http_method>(m_parser.method));
         m_timer.cancel();
         server->m_handler(std::exchange(m_request, {}), [weak = weak_from_this()](const Http1Response &response) {
@@ -191,10 +187,12 @@
     asio::io_context &context, Logger &logger, const HostAddress &address, Handler handler, Http1ServerOptions options)
 {
     std::shared_ptr<Http1Server> server(new Http1Server(context, logger, std::move(handler), options));
-    if (const auto error = listenOn(server->m_acceptor, address)) {
-        return fail(ResultCode::AddressUnavailable, fmt::format("{}: {}", toString(address), error.message()));
-    }
-    server->acceptNext();
+    const auto accepted = [weak = server->weak_from_this()](asio::ip::tcp::socket socket) {
+        if (const auto self = weak.lock()) {
+            self->accept(std::move(socket));
+        }
+    };
+    BOOST_LEAF_ASSIGN(server->m_acceptLoop, AcceptLoop::listen(context, logger, address, accepted));
     return server;
 }
 
@@ -203,56 +201,32 @@
     , m_logger(logger)
     , m_handler(std::move(handler))
     , m_options(options)
-    , m_acceptor(context)
-    , m_acceptRetry(context)
 {
 }
 
 HostAddress Http1Server::address() const
 {
-    return hostAddress(m_acceptor.local_endpoint());
+    return m_acceptLoop->address();
 }
 
 void Http1Server::stop()
 {
-    asio::error_code ignored;
-    m_acceptor.close(ignored);
-    m_acceptRetry.cancel();
+    m_acceptLoop->stop();
     const auto connections = m_connections;
     for (const auto &connection : connections) {
         connection->close();
     }
 }
 
-void Http1Server::acceptNext()
+void Http1Server::accept(asio::ip::tcp::socket socket)
 {
-    m_acceptor.async_accept([weak = weak_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
-        const auto self = weak.lock();
-        if (!self || !self->m_acceptor.is_open()) {
-            return;
-        }
-        if (error) {
-            self->m_logger.error("accept-failed", {{"error", error.message()}});
-            self->m_acceptRetry.expires_after(acceptRetryWait);
-            self->m_acceptRetry.async_wait([weak](const asio::error_code &timerError) {
-                const auto server = weak.lock();
-                if (!timerError && server && server->m_acceptor.is_open()) {
-                    server->acceptNext();
-                }
-            });
-            return;
-        }
-        if (self->m_connections.size() < self->m_options.maxConnections) {
-            asio::error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            const auto connection = std::make_shared<Connection>(self, std::move(socket));
-            self->m_connections.insert(connection);
-            connection->read();
-        } else {
-            self->m_logger.warning("connection-limit-reached", {{"limit", self->m_options.maxConnections}});
-        }
-        self->acceptNext();
-    });
+    if (m_connections.size() >= m_options.maxConnections) {
+        m_logger.warning("connection-limit-reached", {{"limit", m_options.maxConnections}});
+        return;
+    }
+    const auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    m_connections.insert(connection);
+    connection->read();
 }
 
 }
--- a/src/jujubequay/net/message_server.cpp
+++ b/src/jujubequay/net/message_server.cpp
@@ -7,13 +7,6 @@
 
 namespace Jujubequay {
 
-namespace {
-
-// A wait after a failed accept, mostly for want of file descriptors; trying again at once would use a whole core.
-constexpr auto acceptRetryWait = std::chrono::milliseconds(100);
-
-}
-
 struct MessageServer::Handshake {
     std::shared_ptr<TlsStream> stream;
     asio::steady_timer timer;
@@ -28,10 +21,12 @@
                                                              MessageServerOptions options)
 {
     std::shared_ptr<MessageServer> server(new MessageServer(context, clock, logger, std::move(tls), std::move(accept), options));
-    if (const auto error = listenOn(server->m_acceptor, address)) {
-        return fail(ResultCode::AddressUnavailable, fmt::format("{}: {}", toString(address), error.message()));
-    }
-    server->acceptNext();
+    const auto accepted = [weak = server->weak_from_this()](asio::ip::tcp::socket socket) {
+        if (const auto self = weak.lock()) {
+            self->startHandshake(std::move(socket));
+        }
+    };
+    BOOST_LEAF_ASSIGN(server->m_acceptLoop, AcceptLoop::listen(context, logger, address, accepted));
     return server;
 }
 
@@ -43,14 +38,12 @@
     , m_tls(std::move(tls))
     , m_accept(std::move(accept))
     , m_options(options)
-    , m_acceptor(context)
-    , m_acceptRetry(context)
 {
 }
 
 HostAddress MessageServer::address() const
 {
-    return hostAddress(m_acceptor.local_endpoint());
+    return m_acceptLoop->address();
 }
 
 std::size_t MessageServer::connectionCount() const
@@ -67,8 +60,7 @@
 {
     m_isStopped = true;
     asio::error_code ignored;
-    m_acceptor.close(ignored);
-    m_acceptRetry.cancel();
+    m_acceptLoop->stop();
     for (const auto &handshake : m_handshakes) {
         handshake->timer.cancel();
         handshake->stream->lowest_layer().close(ignored);
@@ -83,37 +75,12 @@
     }
 }
 
-void MessageServer::acceptNext()
-{
-    m_acceptor.async_accept([weak = weak_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
-        const auto self = weak.lock();
-        if (!self || self->m_isStopped) {
-            return;
-        }
-        if (!error) {
-            self->startHandshake(std::move(socket));
-            self->acceptNext();
-            return;
-        }
-        self->m_logger.error("accept-failed", {{"error", error.message()}});
-        self->m_acceptRetry.expires_after(acceptRetryWait);
-        self->m_acceptRetry.async_wait([weak](const asio::error_code &timerError) {
-            const auto server = weak.lock();
-            if (!timerError && server && !server->m_isStopped) {
-                server->acceptNext();
-            }
-        });
-    });
-}
-
 void MessageServer::startHandshake(asio::ip::tcp::socket socket)
 {
     if (m_sessions.size() + m_handshakes.size() >= m_options.maxConnections) {
         m_logger.warning("connection-limit-reached", {{"limit", m_options.maxConnections}});
         return;
     }
-    asio::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     if (!m_tls) {
         startSession(std::nullopt, std::make_unique<SocketTransport<asio::ip::tcp::socket>>(std::make_shared<asio::ip::tcp::socket>(std::move(socket))));
         return;
--- a/src/jujubequay/steering_program/steering_services.cpp
+++ b/src/jujubequay/steering_program/steering_services.cpp
@@ -42,7 +42,7 @@
 Result<void> SteeringServices::start()
 {
     if (m_settings.metricsAddress) {
-        BOOST_LEAF_ASSIGN(m_metricsServer, MetricsHttpServer::listen(m_context, *m_settings.metricsAddress, m_metrics));
+        BOOST_LEAF_ASSIGN(m_metricsServer, listenForMetrics(m_context, m_logger, *m_settings.metricsAddress, m_metrics));
     }
     return {};
 }
