Start control services of every program in one place

Cause: ProcessServices and SteeringServices created the kernel, logger, metrics, message client and reload signals each for itself. A steering program differs only in that it has no TLS, logs to standard output and finds control hosts by seeds.

Change: ProcessServices serves both; what is left of SteeringServices (watcher with seeds, reload of seeds) are free functions in discovery. Behaviour is unchanged.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -266,13 +266,13 @@
     SOURCES
         agent_traffic.cpp
         balancer_traffic.cpp
+        discovery.cpp
         packet_report.cpp
         route_control_process.cpp
         server_announcements.cpp
         settings_watcher.cpp
         steering_agent_process.cpp
         steering_balancer_process.cpp
-        steering_services.cpp
         traffic_loop.cpp
     TESTS
         server_announcements_test.cpp
--- a/include/jujubequay/daemon/common_settings.h
+++ b/include/jujubequay/daemon/common_settings.h
@@ -29,9 +29,9 @@
 struct CommonSettings {
     Placement placement;
     LogLevel logLevel = LogLevel::Info;
-    TlsFiles tls;
-    std::vector<ControlHost> controlHosts;
-    std::optional<HostAddress> metricsAddress; ///< plain HTTP, loopback only
+    std::optional<TlsFiles> tls; ///< empty in a network without keys
+    std::vector<ControlHost> controlHosts; ///< empty if seeds are known instead
+    std::optional<HostAddress> metricsAddress; ///< plain HTTP
     KeepAliveOptions keepAlive;
     std::chrono::milliseconds connectTimeout{};
 };
--- a/include/jujubequay/daemon/process_services.h
+++ b/include/jujubequay/daemon/process_services.h
@@ -16,20 +16,29 @@
 
 namespace Jujubequay {
 
-/// What balancers and agents have in common on their control thread: clock, log, metrics and the client of the control
-/// hosts, registered with the kernel under "clock", "logger", "metrics" and "message-client".
+struct ProcessOptions {
+    std::size_t maxMetricsCustomers = 200; ///< customers with metrics of their own; further ones are counted together
+    LogOutput logOutput = LogOutput::StandardError;
+    std::uint32_t maxLogRepeats = Logger::Options().maxRepeats; ///< lines of one event in ten seconds
+    std::string plaintextRole; ///< sent to control hosts in a network without keys
+};
+
+/// What balancers, agents and the control hosts of a network without keys have in common on their control thread: clock, log, metrics and the client of the
+/// control hosts, registered with the kernel under "clock", "logger", "metrics" and "message-client".
 class ProcessServices
 {
 public:
     /// `context` outlives the services.
-    ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, std::size_t maxMetricsCustomers = 200);
+    ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, ProcessOptions options = {});
     ~ProcessServices();
     ProcessServices(const ProcessServices &) = delete;
     ProcessServices &operator=(const ProcessServices &) = delete;
 
-    /// Loads certificates, serves metrics, and reads the certificates again at each SIGHUP. Fails with BadKeyFile or
-    /// AddressUnavailable.
+    /// Loads certificates if there are any, serves metrics, and reads the certificates again at each SIGHUP. Fails with
+    /// BadKeyFile or AddressUnavailable.
     Result<void> start();
+    /// Closes the client's connections, if it has been started.
+    void stopClient();
 
     Kernel &kernel();
     Clock &clock() const;
@@ -48,12 +57,13 @@
 
     asio::io_context &m_context;
     const CommonSettings m_settings;
+    const ProcessOptions m_options;
     Kernel m_kernel;
     std::mt19937_64 m_random;
     std::shared_ptr<Clock> m_clock;
     std::shared_ptr<Logger> m_logger;
     std::shared_ptr<Metrics> m_metrics;
-    std::shared_ptr<TlsContext> m_tls;
+    std::shared_ptr<TlsContext> m_tls; ///< null in a network without keys
     std::shared_ptr<Http2MessageClient> m_client;
     std::shared_ptr<Http1Server> m_metricsServer;
     asio::signal_set m_reloadSignals;
--- a/include/jujubequay/daemon/steering_settings.h
+++ b/include/jujubequay/daemon/steering_settings.h
@@ -13,13 +13,9 @@
 
 /// How a process of a network without keys finds and watches the control hosts.
 struct DiscoverySettings {
-    Placement placement;
-    LogLevel logLevel = LogLevel::Info;
+    CommonSettings common;
     std::uint32_t maxLogRepeats = 0; ///< lines of one event in ten seconds
     std::vector<HostAddress> seeds; ///< control hosts to begin with; others are learned from them
-    std::optional<HostAddress> metricsAddress;
-    KeepAliveOptions keepAlive;
-    std::chrono::milliseconds connectTimeout{};
     std::chrono::milliseconds retryLimit{};
     std::chrono::milliseconds silenceLimit{};
 };
--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -3,8 +3,8 @@
 #include <jujubequay/consensus/disk_log_storage.h>
 #include <jujubequay/control/control_host_service.h>
 #include <jujubequay/net/message_server.h>
+#include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/settings_watcher.h>
-#include <jujubequay/steering_program/steering_services.h>
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -61,7 +61,7 @@
     const RouteControlSettings m_settings;
     const SeedReader m_readSeeds;
     asio::io_context m_context{1};
-    SteeringServices m_services;
+    ProcessServices m_services;
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
     asio::steady_timer m_tickTimer;
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -2,9 +2,9 @@
 
 #include <jujubequay/service/announce_client.h>
 #include <jujubequay/steering_program/agent_traffic.h>
+#include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/server_announcements.h>
 #include <jujubequay/steering_program/settings_watcher.h>
-#include <jujubequay/steering_program/steering_services.h>
 #include <jujubequay/steering_program/traffic_loop.h>
 
 #include <asio/signal_set.hpp>
@@ -52,7 +52,7 @@
     const SeedReader m_readSeeds;
     const PacketCodec &m_codec;
     asio::io_context m_context{1};
-    SteeringServices m_services;
+    ProcessServices m_services;
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
     PeriodicTimer m_checkTimer;
--- a/include/jujubequay/steering_program/steering_balancer_process.h
+++ b/include/jujubequay/steering_program/steering_balancer_process.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <jujubequay/steering_program/balancer_traffic.h>
+#include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/settings_watcher.h>
-#include <jujubequay/steering_program/steering_services.h>
 #include <jujubequay/steering_program/traffic_loop.h>
 
 #include <asio/signal_set.hpp>
@@ -41,7 +41,7 @@
     const SeedReader m_readSeeds;
     const PacketCodec &m_codec;
     asio::io_context m_context{1};
-    SteeringServices m_services;
+    ProcessServices m_services;
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
     asio::steady_timer m_drainTimer;
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -118,7 +118,7 @@
 AgentProcess::AgentProcess(const AgentSettings &settings)
     : m_settings(settings)
     , m_trafficWork(asio::make_work_guard(m_traffic))
-    , m_services(m_context, "jjq-agent", settings.common, settings.metricsCustomers)
+    , m_services(m_context, "jjq-agent", settings.common, {.maxMetricsCustomers = settings.metricsCustomers})
     , m_healthTimer(m_traffic)
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_statusTimer(m_context)
--- a/src/jujubequay/control_program/control_process.cpp
+++ b/src/jujubequay/control_program/control_process.cpp
@@ -96,7 +96,7 @@
 private:
     Result<void> open()
     {
-        BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.common.tls));
+        BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(*m_settings.common.tls));
         BOOST_LEAF_ASSIGN(m_files, Consensus::PosixFileSystem::open(m_settings.dataDirectory));
         m_storage.emplace(*m_files, m_settings.common.placement.hostName);
         BOOST_LEAF_AUTO(stored, m_storage->load());
--- a/src/jujubequay/daemon/process_services.cpp
+++ b/src/jujubequay/daemon/process_services.cpp
@@ -4,15 +4,16 @@
 
 namespace Jujubequay {
 
-ProcessServices::ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, std::size_t maxMetricsCustomers)
+ProcessServices::ProcessServices(asio::io_context &context, std::string program, CommonSettings settings, ProcessOptions options)
     : m_context(context)
     , m_settings(std::move(settings))
+    , m_options(std::move(options))
     , m_random(std::random_device()())
     , m_clock(std::make_shared<SteadyClock>())
     , m_logger(std::make_shared<Logger>(*m_clock,
                                         LogOrigin{std::move(program), m_settings.placement.hostName, m_settings.placement.availabilityZone},
-                                        Logger::Options{.level = m_settings.logLevel}))
-    , m_metrics(std::make_shared<Metrics>(maxMetricsCustomers))
+                                        Logger::Options{.level = m_settings.logLevel, .output = m_options.logOutput, .maxRepeats = m_options.maxLogRepeats}))
+    , m_metrics(std::make_shared<Metrics>(m_options.maxMetricsCustomers))
     , m_reloadSignals(context, SIGHUP)
 {
     m_kernel.add<Clock>("clock", m_clock);
@@ -22,9 +23,7 @@
 
 ProcessServices::~ProcessServices()
 {
-    if (m_client) {
-        m_client->stop();
-    }
+    stopClient();
     if (m_metricsServer) {
         m_metricsServer->stop();
     }
@@ -32,19 +31,29 @@
 
 Result<void> ProcessServices::start()
 {
-    BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(m_settings.tls));
+    if (m_settings.tls) {
+        BOOST_LEAF_ASSIGN(m_tls, TlsContext::load(*m_settings.tls));
+        waitForReload();
+    }
     MessageClientOptions options;
     options.http2.keepAlive = m_settings.keepAlive;
     options.connectTimeout = m_settings.connectTimeout;
+    options.plaintextIdentity = {m_settings.placement.hostName, m_options.plaintextRole};
     m_client = Http2MessageClient::create(m_context, *m_clock, *m_logger, m_tls, options);
     m_kernel.add<MessageClient>("message-client", m_client);
     if (m_settings.metricsAddress) {
         BOOST_LEAF_ASSIGN(m_metricsServer, listenForMetrics(m_context, *m_logger, *m_settings.metricsAddress, m_metrics));
     }
-    waitForReload();
     return {};
 }
 
+void ProcessServices::stopClient()
+{
+    if (m_client) {
+        m_client->stop();
+    }
+}
+
 Kernel &ProcessServices::kernel()
 {
     return m_kernel;
--- a/src/jujubequay/daemon/settings_test.cpp
+++ b/src/jujubequay/daemon/settings_test.cpp
@@ -147,7 +147,7 @@
         const auto control = readExample("jjq-control", readControlSettings);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, control.common.controlHosts.size());
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.12:7400"), toString(control.common.controlHosts[1].address));
-        CPPUNIT_ASSERT(control.common.tls.key == sourceDirectory / "examples/settings/keys/host-control-1.key");
+        CPPUNIT_ASSERT(control.common.tls->key == sourceDirectory / "examples/settings/keys/host-control-1.key");
         const auto balancer = readExample("jjq-balancer", readBalancerSettings);
         CPPUNIT_ASSERT_EQUAL(std::string("cert-vault"), balancer.callerAddresses.at(1).service);
         const auto agent = readExample("jjq-agent", readAgentSettings);
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -23,15 +23,16 @@
 DiscoverySettings readDiscoverySettings(SettingsReader &reader)
 {
     DiscoverySettings settings;
-    settings.placement = readPlacement(reader);
-    settings.logLevel = readLogLevel(reader);
+    settings.common.placement = readPlacement(reader);
+    settings.common.logLevel = readLogLevel(reader);
     settings.maxLogRepeats = static_cast<std::uint32_t>(
         reader.integer("max_log_repeats", 100, {1, 1'000'000}, "lines of one event in ten seconds; more are counted and left out"));
     settings.seeds = readSeeds(reader);
-    settings.metricsAddress = reader.optionalAddress("metrics_address", "address that answers HTTP GET /metrics");
-    settings.keepAlive.interval = reader.duration("ping_interval_ms", 1s, {100ms, 10min}, "silence on a control connection after which the peer is probed");
-    settings.keepAlive.timeout = reader.duration("ping_timeout_ms", 700ms, {100ms, 10min}, "silence after a probe until the peer is considered dead");
-    settings.connectTimeout = reader.duration("connect_timeout_ms", 120ms, {50ms, 1min}, "time limit of a control connection attempt");
+    settings.common.metricsAddress = reader.optionalAddress("metrics_address", "address that answers HTTP GET /metrics");
+    settings.common.keepAlive.interval
+        = reader.duration("ping_interval_ms", 1s, {100ms, 10min}, "silence on a control connection after which the peer is probed");
+    settings.common.keepAlive.timeout = reader.duration("ping_timeout_ms", 700ms, {100ms, 10min}, "silence after a probe until the peer is considered dead");
+    settings.common.connectTimeout = reader.duration("connect_timeout_ms", 120ms, {50ms, 1min}, "time limit of a control connection attempt");
     settings.retryLimit = reader.duration("retry_limit_ms", 500ms, {50ms, 1min}, "longest wait before another control host is tried");
     settings.silenceLimit = reader.duration("silence_limit_ms", 1500ms, {200ms, 10min}, "silence of a control host after which another one is watched");
     return settings;
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr auto role = "control";
 /// A disk that is full or stalled gets better within seconds.
 constexpr auto reopenInterval = std::chrono::milliseconds(500);
 /// Lets the notice that this host leaves reach the leader, one way between availability zones.
@@ -72,7 +73,7 @@
 RouteControlProcess::RouteControlProcess(RouteControlSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds)
     : m_settings(std::move(settings))
     , m_readSeeds(std::move(readSeeds))
-    , m_services(m_context, "jjq-control", "control", m_settings.discovery)
+    , m_services(m_context, "jjq-control", m_settings.discovery.common, steeringProcessOptions(role, m_settings.discovery))
     , m_settingsWatcher(m_context,
                         std::move(settingsFile),
                         [this] {
@@ -92,7 +93,7 @@
     if (m_server) {
         m_server->stop();
     }
-    m_services.client().stop();
+    m_services.stopClient();
     m_context.restart();
     m_context.poll();
 }
@@ -102,7 +103,7 @@
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
     MessageServerOptions options;
-    options.http2.keepAlive = m_settings.discovery.keepAlive;
+    options.http2.keepAlive = m_settings.discovery.common.keepAlive;
     const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
         return m_session ? m_session->service->accept(path, stream) : MessageStreamHandlers{};
     };
@@ -139,7 +140,7 @@
         return {};
     }
     Consensus::InitialiseOptions options;
-    options.identity = {Consensus::randomDiskIdentity(), m_settings.discovery.placement.hostName};
+    options.identity = {Consensus::randomDiskIdentity(), m_settings.discovery.common.placement.hostName};
     const auto &seeds = m_settings.discovery.seeds;
     const bool isFounder = m_settings.isFirstStart && std::find(seeds.begin(), seeds.end(), m_settings.peerAddress) != seeds.end();
     if (isFounder) {
@@ -152,7 +153,7 @@
 ControlHostOptions RouteControlProcess::options()
 {
     ControlHostOptions options;
-    options.host = m_settings.discovery.placement.hostName;
+    options.host = m_settings.discovery.common.placement.hostName;
     options.address = toString(m_settings.peerAddress);
     options.epoch = m_services.random()() | 1U; // never 0
     options.replica.heartbeatInterval = m_settings.heartbeat;
@@ -186,7 +187,7 @@
     auto session = std::make_unique<Session>();
     BOOST_LEAF_ASSIGN(session->files, Consensus::PosixFileSystem::open(m_settings.dataDirectory));
     BOOST_LEAF_CHECK(initialiseIfEmpty(*session->files));
-    session->storage.emplace(*session->files, m_settings.discovery.placement.hostName);
+    session->storage.emplace(*session->files, m_settings.discovery.common.placement.hostName);
     BOOST_LEAF_AUTO(stored, session->storage->load());
     ControlHostService::Environment environment{
         .clock = m_services.clock(),
@@ -235,7 +236,7 @@
         if (error) {
             return;
         }
-        m_services.client().stop();
+        m_services.stopClient();
         m_server->closeConnections();
         asio::post(m_context, [this] {
             m_session.reset();
@@ -272,7 +273,7 @@
 
 void RouteControlProcess::reloadSeeds()
 {
-    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+    applySeeds(m_services.logger(), m_readSeeds, [this](std::vector<HostAddress> seeds) {
         m_seeds = std::move(seeds);
         if (m_session) {
             m_session->service->setSeeds(m_seeds);
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr auto role = "agent";
 constexpr auto checkInterval = std::chrono::milliseconds(250);
 /// Announcements that may be lost in a row before the server gets no new flows.
 constexpr int missedAnnouncements = 3;
@@ -23,7 +24,7 @@
     : m_settings(std::move(settings))
     , m_readSeeds(std::move(readSeeds))
     , m_codec(codec)
-    , m_services(m_context, "jjq-agent", "agent", m_settings.discovery)
+    , m_services(m_context, "jjq-agent", m_settings.discovery.common, steeringProcessOptions(role, m_settings.discovery))
     , m_settingsWatcher(m_context,
                         std::move(settingsFile),
                         [this] {
@@ -70,7 +71,11 @@
     announcer.heartbeat = m_settings.announceInterval;
     m_announceClient = std::make_shared<AnnounceClient>(
         m_context, m_services.clock(), m_services.logger(), m_services.client(), Announcer(announcer, entry(), m_services.random()));
-    m_watcher = m_services.createWatcher(
+    m_watcher = createWatcher(
+        m_context,
+        m_services,
+        role,
+        m_settings.discovery,
         [this](const ConfigSnapshotPointer &snapshot) {
             apply(snapshot);
         },
@@ -214,8 +219,8 @@
 {
     pb::ServerEntry entry;
     entry.set_name(toString(m_settings.relayAddress));
-    entry.set_host(m_settings.discovery.placement.hostName);
-    entry.set_zone(m_settings.discovery.placement.availabilityZone);
+    entry.set_host(m_settings.discovery.common.placement.hostName);
+    entry.set_zone(m_settings.discovery.common.placement.availabilityZone);
     entry.set_relay_address(toString(m_settings.relayAddress));
     entry.set_weight(ordinaryWeight);
     const auto &current = m_announcements.current();
@@ -250,7 +255,7 @@
 
 void SteeringAgentProcess::reloadSeeds()
 {
-    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+    applySeeds(m_services.logger(), m_readSeeds, [this](std::vector<HostAddress> seeds) {
         m_watcher->setControlHosts(std::move(seeds));
     });
 }
@@ -277,7 +282,7 @@
 void SteeringAgentProcess::publishMetrics()
 {
     m_traffic->counters().publish(m_services.metrics());
-    m_services.publishLogCounters();
+    publishLogCounters(m_services);
 }
 
 }
--- a/src/jujubequay/steering_program/steering_balancer_process.cpp
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr auto role = "balancer";
 constexpr auto metricsInterval = std::chrono::seconds(1);
 
 }
@@ -17,7 +18,7 @@
     : m_settings(std::move(settings))
     , m_readSeeds(std::move(readSeeds))
     , m_codec(codec)
-    , m_services(m_context, "jjq-balancer", "balancer", m_settings.discovery)
+    , m_services(m_context, "jjq-balancer", m_settings.discovery.common, steeringProcessOptions(role, m_settings.discovery))
     , m_settingsWatcher(m_context,
                         std::move(settingsFile),
                         [this] {
@@ -48,11 +49,14 @@
         traffic->start();
     });
     m_loop.start();
-    m_watcher = m_services.createWatcher(
-        [this](const ConfigSnapshotPointer &snapshot) {
-            apply(snapshot);
-        },
-        {});
+    m_watcher = createWatcher(m_context,
+                              m_services,
+                              role,
+                              m_settings.discovery,
+                              [this](const ConfigSnapshotPointer &snapshot) {
+                                  apply(snapshot);
+                              },
+                              {});
     m_watcher->start();
     m_settingsWatcher.start();
     publishMetrics();
@@ -97,7 +101,7 @@
 
 void SteeringBalancerProcess::reloadSeeds()
 {
-    m_services.reloadSeeds(m_readSeeds, [this](std::vector<HostAddress> seeds) {
+    applySeeds(m_services.logger(), m_readSeeds, [this](std::vector<HostAddress> seeds) {
         m_watcher->setControlHosts(std::move(seeds));
     });
 }
@@ -120,7 +124,7 @@
 void SteeringBalancerProcess::publishMetrics()
 {
     m_traffic->counters().publish(m_services.metrics());
-    m_services.publishLogCounters();
+    publishLogCounters(m_services);
 }
 
 }
