--- a/cmake/JujubequayOptions.cmake
+++ b/cmake/JujubequayOptions.cmake
@@ -13,6 +13,7 @@
 endif()
 
 option(JUJUBEQUAY_SANITIZE "Build with the address and undefined behaviour sanitizers" OFF)
+option(JUJUBEQUAY_STATIC_LIBRARIES "Link static libraries where there are any, apart from the C library" OFF)
 option(JUJUBEQUAY_FUZZ "Build the fuzz targets with libFuzzer (needs clang++)" OFF)
 
 add_compile_options(-Wall -Wextra -Wno-missing-field-initializers)
@@ -24,3 +25,10 @@
     add_compile_options(-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined)
     add_link_options(-fsanitize=address,undefined)
 endif()
+# Nine tenths of the processor time of a start are spent on binding symbols of shared libraries, which is 0.1 s on a host with
+# a twentieth of a core.
+if(JUJUBEQUAY_STATIC_LIBRARIES)
+    list(PREPEND CMAKE_FIND_LIBRARY_SUFFIXES .a)
+    set(OPENSSL_USE_STATIC_LIBS TRUE)
+    add_link_options(-static-libstdc++ -static-libgcc)
+endif()
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -7,7 +7,7 @@
         result_code.cpp
     TESTS
         core_test.cpp
-    DEPENDS fmt::fmt PkgConfig::xxhash)
+    DEPENDS jujubequay_fmt PkgConfig::xxhash)
 
 jujubequay_module(wire
     SOURCES
