--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -126,6 +126,7 @@
         control_services.cpp
         control_state.cpp
         join_service.cpp
+        known_hosts_keeper.cpp
         lease_registry.cpp
         membership_keeper.cpp
         operation_log.cpp
@@ -141,6 +142,7 @@
         control_random_test.cpp
         control_state_test.cpp
         lease_registry_test.cpp
+        known_hosts_keeper_test.cpp
         membership_keeper_test.cpp
         operator_request_test.cpp
         route_table_test.cpp
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/control/control_services.h>
 #include <jujubequay/control/join_service.h>
+#include <jujubequay/control/known_hosts_keeper.h>
 #include <jujubequay/control/membership_keeper.h>
 
 #include <cstdint>
@@ -57,6 +58,8 @@
         std::mt19937_64 &random;
         /// Storage failed; the process must stop.
         std::function<void(const Failure &)> failed;
+        /// Sends a start notice to a balancer or an agent, which may not be there; empty if none are sent.
+        std::function<void(const HostAddress &)> sendStartNotice = {};
     };
 
     ControlHostService(ControlHostOptions options, Environment environment, Consensus::StoredState stored);
@@ -80,6 +83,8 @@
     const ReplicaDriver &driver() const;
     const LeaseRegistry &registry() const;
     const WatchServer &watchServer() const;
+    /// True once every server that is known durably was heard of, or agents had time to return.
+    bool isRegistryComplete() const;
 
 private:
     MessageStreamHandlers acceptRaft(const std::shared_ptr<MessageStream> &stream);
@@ -90,6 +95,10 @@
     void keepMembership();
     void joinIfNeeded();
     bool isRegistrySettled();
+    void checkRegistry();
+    void keepKnownHosts();
+    void proposeKnownHosts(const jujubequay::pb::ChangeKnownHosts &change);
+    void sendStartNotices();
     void handleJoin(const jujubequay::pb::JoinRequest &request);
     bool hasEnoughVoters() const;
     /// Null if the leader is unknown.
@@ -111,10 +120,14 @@
     OperatorService m_operators;
     std::optional<MembershipKeeper> m_keeper;
     JoinService m_join;
+    KnownHostsKeeper m_knownHosts;
+    bool m_isChangingKnownHosts = false;
+    std::string m_lastNotified; ///< known hosts get start notices in turn
     std::vector<HostAddress> m_seeds;
     bool m_isChangingMembership = false;
     TimePoint m_registryChangedAt{};
     std::size_t m_registryServers = 0;
+    bool m_isRegistryComplete = false;
     const TimePoint m_startedAt;
     TimePoint m_leaderHeardAt{};
     TimePoint m_leadingSince{};
--- a/include/jujubequay/control/control_state.h
+++ b/include/jujubequay/control/control_state.h
@@ -53,6 +53,8 @@
     std::vector<std::uint32_t> flowKeyNumbers() const;
     /// The route table in force with the operator's document; version 0 before the first one.
     const jujubequay::pb::ReplaceRoutes &routes() const;
+    /// Balancers and agents that the control hosts have heard of, by the address that takes datagrams.
+    const std::map<std::string, jujubequay::pb::KnownHost> &knownHosts() const;
     /// Adds services, bundles, signers and flow keys (without secrets).
     void fillStatus(jujubequay::pb::StatusAnswer &status) const;
 
@@ -78,6 +80,7 @@
     Answer retireFlowKey(const jujubequay::pb::RetireFlowKey &command, const jujubequay::pb::LoggedCommand &logged);
 
     Answer replaceRoutes(const jujubequay::pb::ReplaceRoutes &command);
+    Answer changeKnownHosts(const jujubequay::pb::ChangeKnownHosts &command);
 
     Answer refuseVersion(const Service &service, const jujubequay::pb::BundleContent &content) const;
     Answer refuseRoll(const std::string &name, const Service &service, const jujubequay::pb::RollBundle &command) const;
@@ -99,6 +102,7 @@
     std::map<std::uint32_t, jujubequay::pb::FlowKeyEntry> m_flowKeys;
     jujubequay::pb::ReplaceRoutes m_routes;
     std::uint64_t m_routesRevision = 0;
+    std::map<std::string, jujubequay::pb::KnownHost> m_knownHosts;
     OperationLog m_operations;
 };
 
--- a/include/jujubequay/control/peer_links.h
+++ b/include/jujubequay/control/peer_links.h
@@ -26,6 +26,8 @@
 
     /// Replaces the hosts; streams to those that are not named end.
     void setPeers(const std::map<std::string, HostAddress> &peers);
+    /// The host has opened a stream to this one, so it is up: an attempt that hangs is made again at once.
+    void hostAnswers(const std::string &host);
     void tick(TimePoint now);
     /// False if the host has not accepted a stream yet; what is sent to it may be lost.
     bool isEstablished(const std::string &host) const;
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -71,6 +71,9 @@
     void setStarting(bool starting);
     /// True once no server has been added for a while. Watchers that have no list get the registry then.
     void setRegistrySettled(bool settled);
+    /// True once every agent that is known durably has announced itself again or was given up. Watchers that have no list get the
+    /// registry then, and all are told.
+    void setRegistryComplete(bool complete);
     /// Addresses of all control hosts; watchers are told when they change.
     void setControlHosts(std::vector<std::string> addresses);
 
@@ -93,6 +96,7 @@
         std::uint64_t revision = 0;
         std::uint64_t flowKeyRevision = 0;
         std::uint64_t registrySequence = 0;
+        bool isListComplete = false; ///< as the watcher was told
         bool hasOlderList = false; ///< of servers, from another start or another control host
         std::uint64_t controlHostsNumber = 0; ///< last list that was sent
         std::size_t queued = 0;
@@ -121,6 +125,7 @@
     std::optional<TimePoint> m_confirmedAt;
     bool m_isRegistryReady = false;
     bool m_isRegistrySettled = false;
+    bool m_isRegistryComplete = false;
     bool m_isStarting = false;
     std::vector<std::string> m_controlHosts;
     std::uint64_t m_controlHostsNumber = 0;
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -51,6 +51,9 @@
     std::string role; ///< "balancer" or "agent"
     std::vector<HostAddress> controlHosts;
     std::vector<std::string> services; ///< empty means all
+    std::string noticeAddress; ///< "ip:port" that takes start notices; empty for none
+    /// How long control hosts repeat a start notice; a stream that was opened within it belongs to the new start.
+    Duration startNoticeTime = std::chrono::seconds(2);
     Duration retryBase = std::chrono::milliseconds(200); ///< the first retry waits at most this long
     Duration retryLimit = std::chrono::seconds(10); ///< no retry waits longer
     Duration silenceLimit = std::chrono::seconds(15); ///< a stream without messages for this long is given up
@@ -75,6 +78,8 @@
     Effects receive(TimePoint now, std::uint64_t stream, const jujubequay::pb::WatchDown &message);
     /// A stream ended or could not be opened.
     Effects closed(TimePoint now, std::uint64_t stream);
+    /// A control host says that it has started. Goes to it at once unless another one serves this host.
+    Effects controlHostStarted(TimePoint now, const HostAddress &address);
     /// A peer's answer to AskPeers; taken if it is newer than the own state.
     Effects takePeerState(const jujubequay::pb::PeerState &state);
     /// Replaces the control hosts of the options, for example when the settings have changed.
@@ -123,6 +128,8 @@
     std::uint64_t m_stream = 0;
     bool m_isOpen = false;
     bool m_isServed = false; // the open stream carried state
+    bool m_isNoticed = false; // the open stream follows a start notice
+    TimePoint m_openedAt{};
     std::size_t m_choice = 0;
     std::uint32_t m_failures = 0;
     TimePoint m_nextAttempt{};
@@ -135,6 +142,7 @@
     std::vector<jujubequay::pb::FlowKeyEntry> m_flowKeys;
     std::uint64_t m_registryEpoch = 0;
     std::uint64_t m_registrySequence = 0;
+    bool m_isRegistryComplete = false;
     Entries m_servers;
     std::deque<DepartedServer> m_departed;
     std::optional<Entries> m_arriving; // a full registry of which more messages follow
--- a/include/jujubequay/service/announcer.h
+++ b/include/jujubequay/service/announcer.h
@@ -55,6 +55,8 @@
     AnnouncerEffects setState(TimePoint now, jujubequay::pb::ServerState state);
     /// Announces another server at once, for example a new process at the same address. Name and relay address stay.
     AnnouncerEffects setServer(TimePoint now, jujubequay::pb::ServerEntry server);
+    /// A control host is known to be up. Goes to it at once unless another one answers.
+    AnnouncerEffects controlHostAnswers(TimePoint now, const HostAddress &address);
     /// Replaces the control hosts of the options.
     void setControlHosts(std::vector<HostAddress> addresses);
 
@@ -80,6 +82,7 @@
     Duration m_heartbeat;
     TimePoint m_nextAttempt{};
     TimePoint m_nextHeartbeat{};
+    TimePoint m_openedAt{};
     TimePoint m_lastAnswer{};
 };
 
--- a/include/jujubequay/service/config_watcher.h
+++ b/include/jujubequay/service/config_watcher.h
@@ -33,6 +33,7 @@
     /// A refused opening showed that a newer state exists; a stream that is slow to deliver it is replaced at once.
     void refresh(std::uint64_t revision);
     void setFlowKeysInUse(std::vector<std::uint32_t> numbers);
+    void controlHostStarted(const HostAddress &address);
     /// The control hosts of the settings, after a change.
     void setControlHosts(std::vector<HostAddress> addresses);
 
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -34,7 +34,12 @@
 /// refusing some.
 struct HoldPacket {
 };
-using AgentDecision = std::variant<DeliverToServer, SendToCaller, RelayToAgent, ResetCaller, DropPacket, HoldPacket>;
+/// No server that is known holds the flow, but not all may be known. Keep the packet until `isListSettled`, then pass it to
+/// `repeatSearch`.
+struct HoldSearch {
+    SteerHeader header;
+};
+using AgentDecision = std::variant<DeliverToServer, SendToCaller, RelayToAgent, ResetCaller, DropPacket, HoldPacket, HoldSearch>;
 
 /// A notice that goes with a decision.
 struct NoticeTo {
@@ -86,6 +91,10 @@
     bool mayStartRequest() const;
     /// A packet that was held, once the server takes another request.
     AgentDecision startHeld(TimePoint now, const Segment &segment);
+    /// True once this agent knows all servers, and so do the others as far as it can tell.
+    bool isListSettled(TimePoint now) const;
+    /// A packet whose search was held.
+    AgentDecision repeatSearch(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     void notice(TimePoint now, const OwnerNotice &notice);
     /// Forgets flows without packets; call about once a second.
     void expire(TimePoint now);
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -49,6 +49,8 @@
 
     const RouteTable &routes() const;
     bool isReady() const; ///< a route table and a list of servers have arrived
+    /// False while servers may exist that are not listed, because the control hosts have restarted.
+    bool isComplete() const;
     /// Null for an unknown agent.
     const SteerServer *find(const HostAddress &agent) const;
     /// Servers of a service, with those that are gone.
@@ -77,6 +79,7 @@
     const ServerDirectoryOptions m_options;
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
     bool m_isRegistryKnown = false;
+    bool m_isComplete = false;
     std::set<std::pair<HostAddress, Incarnation>> m_departed;
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
     std::unordered_map<HostAddress, Position> m_positions; ///< asked for each packet
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -19,6 +19,7 @@
     std::uint64_t tableVersion = 0; ///< route table of the balancer
     ServiceKey service; ///< chosen for an opening packet
     HostAddress balancer; ///< where notices go
+    bool isSearchPartial = false; ///< a host on the way did not know all servers, so one may have been left out
 };
 
 /// Tells a balancer or an agent which agent holds a flow.
@@ -36,21 +37,29 @@
     bool takesNewFlows = false;
 };
 
+/// A control host says that it has started.
+struct StartNotice {
+    HostAddress controlHost; ///< of its control streams
+};
+
 constexpr std::size_t steerHeaderLength = 22;
 constexpr std::size_t ownerNoticeLength = 20;
 constexpr std::size_t loadNoticeLength = 15;
+constexpr std::size_t startNoticeLength = 8;
 
-/// A datagram between balancers and agents.
+/// A packet between balancers and agents.
 struct SteeredPacket {
     SteerHeader header;
     std::span<std::uint8_t> packet;
 };
-using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice>;
+/// What balancers and agents receive from each other and from control hosts.
+using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice>;
 
 /// Writes the header into the given bytes.
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
 std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice);
 std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
+std::array<std::uint8_t, startNoticeLength> encode(const StartNotice &notice);
 /// Empty for anything that is not a complete message of this version.
 std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram);
 
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -7,6 +7,7 @@
 #include <jujubequay/policy/packet_queue.h>
 #include <jujubequay/steering/agent_steering.h>
 #include <jujubequay/steering/packet_codec.h>
+#include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/packet_report.h>
 
 #include <asio/io_context.hpp>
@@ -25,8 +26,12 @@
 {
 public:
     /// Fails with AddressUnavailable.
-    static Result<std::unique_ptr<AgentTraffic>> open(
-        asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings);
+    static Result<std::unique_ptr<AgentTraffic>> open(asio::io_context &context,
+                                                      const Clock &clock,
+                                                      Logger &logger,
+                                                      const PacketCodec &codec,
+                                                      const SteeringAgentSettings &settings,
+                                                      StartNoticeHandler onStartNotice);
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
@@ -40,6 +45,7 @@
                  Logger &logger,
                  const PacketCodec &codec,
                  const SteeringAgentSettings &settings,
+                 StartNoticeHandler onStartNotice,
                  asio::ip::udp::socket peers,
                  asio::ip::udp::socket server);
     void sendLoad();
@@ -53,6 +59,9 @@
     void releaseHeld(TimePoint now);
     void hold(std::span<const std::uint8_t> packet);
     void scheduleRelease();
+    void holdSearch(const HoldSearch &decision, std::span<std::uint8_t> withHeadroom);
+    void scheduleSearches();
+    void repeatSearches();
     void sendNotices();
     std::vector<std::uint8_t> &keep(std::span<const std::uint8_t> bytes);
     void flush();
@@ -61,6 +70,7 @@
     Logger &m_logger;
     const PacketCodec &m_codec;
     const HostAddress m_serverInput;
+    const StartNoticeHandler m_onStartNotice;
     AgentSteering m_steering;
     asio::ip::udp::socket m_peers;
     asio::ip::udp::socket m_server;
@@ -73,6 +83,8 @@
     std::deque<std::vector<std::uint8_t>> m_kept; ///< bytes that wait for the next flush
     std::vector<NoticeTo> m_notices;
     PacketQueue m_heldRequests; ///< that the server would refuse now
+    PacketQueue m_heldSearches; ///< with their steer headers, until all servers are known
+    asio::steady_timer m_searchTimer;
     bool m_isReleaseScheduled = false;
     bool m_wasServerTrusted = true;
     PacketCounters m_counters;
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -7,6 +7,7 @@
 #include <jujubequay/policy/packet_queue.h>
 #include <jujubequay/steering/balancer_steering.h>
 #include <jujubequay/steering/packet_codec.h>
+#include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/packet_report.h>
 
 #include <asio/io_context.hpp>
@@ -22,8 +23,12 @@
 {
 public:
     /// Fails with AddressUnavailable.
-    static Result<std::unique_ptr<BalancerTraffic>> open(
-        asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings);
+    static Result<std::unique_ptr<BalancerTraffic>> open(asio::io_context &context,
+                                                         const Clock &clock,
+                                                         Logger &logger,
+                                                         const PacketCodec &codec,
+                                                         const SteeringBalancerSettings &settings,
+                                                         StartNoticeHandler onStartNotice);
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
@@ -35,6 +40,7 @@
                     Logger &logger,
                     const PacketCodec &codec,
                     const SteeringBalancerSettings &settings,
+                    StartNoticeHandler onStartNotice,
                     asio::ip::udp::socket callers,
                     asio::ip::udp::socket peers);
     void receiveFromCallers(std::size_t received);
@@ -49,6 +55,7 @@
     const Clock &m_clock;
     Logger &m_logger;
     const PacketCodec &m_codec;
+    const StartNoticeHandler m_onStartNotice;
     BalancerSteering m_steering;
     PacketQueue m_startupQueue; ///< packets that arrive before the configuration
     asio::ip::udp::socket m_callers;
--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -6,6 +6,7 @@
 #include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/settings_watcher.h>
 
+#include <asio/ip/udp.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -52,6 +53,7 @@
     Result<void> openSession();
     void tryOpenSession();
     void sessionFailed(const Failure &failure);
+    void sendStartNotice(const HostAddress &host);
     ControlHostOptions options();
     void reloadSeeds();
     void waitForStop();
@@ -67,6 +69,7 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_retryTimer;
     asio::steady_timer m_stopTimer;
+    asio::ip::udp::socket m_notices; ///< sends only
     std::shared_ptr<MessageServer> m_server;
     std::vector<HostAddress> m_seeds;
     std::unique_ptr<Session> m_session;
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -44,6 +44,7 @@
     bool hasStartedWithAgent(const ServerAnnouncement &announcement) const;
     /// Finds out whether the server runs already, so that a restarted agent need not wait for its next announcement.
     void checkServer();
+    void answeredBy(const HostAddress &controlHost);
     void reloadSeeds();
     void waitForStop();
     void publishMetrics();
@@ -65,6 +66,8 @@
     /// Wall clock, to compare with the server's own.
     const std::chrono::system_clock::time_point m_startedAt = std::chrono::system_clock::now();
     asio::ip::tcp::socket m_check;
+    const std::uint32_t m_absentIncarnation; ///< that no server has; above unconfirmedIncarnation
+    bool m_isServerAbsent = false; ///< nothing listened where the server should when this agent started
     bool m_isServerRunning = false; ///< it accepts connections and has not announced itself yet
     std::optional<LocalServer> m_local;
     bool m_isAnnouncing = false;
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -14,6 +14,8 @@
 /// A tick walks all entries: 4.8 ms with 33,000 of them, so 20 ticks a second would take a tenth of a core.
 constexpr auto registryTickInterval = std::chrono::milliseconds(250);
 constexpr std::uint64_t noReplyStream = 0;
+/// Start notices of one tick, so that a restart in a large network does not fill the link: 4,000 a second.
+constexpr std::size_t startNoticesPerTick = 200;
 /// A member that hears no leader for this long may have been removed while it was cut off.
 constexpr auto joinAfterSilence = std::chrono::seconds(2);
 
@@ -26,9 +28,9 @@
     return request;
 }
 
-std::string randomOperation(std::mt19937_64 &random)
+std::string randomOperation(std::string_view kind, std::mt19937_64 &random)
 {
-    return fmt::format("routes-{:016x}{:016x}", random(), random());
+    return fmt::format("{}-{:016x}{:016x}", kind, random(), random());
 }
 
 }
@@ -106,6 +108,7 @@
                   [this](const pb::JoinRequest &request) {
                       handleJoin(request);
                   }})
+    , m_knownHosts({})
     , m_startedAt(m_environment.clock.now())
 {
     if (m_options.keeper) {
@@ -164,6 +167,8 @@
     m_exchange.tick();
     m_watchServer.setRegistryReady(m_exchange.isFilled());
     m_watchServer.setRegistrySettled(isRegistrySettled());
+    checkRegistry();
+    m_watchServer.setRegistryComplete(m_isRegistryComplete);
     m_watchServer.setStarting(!m_driver.replica().hasHadLeader() && now - m_startedAt < m_options.startupGrace);
     m_watch.tick();
     if (now - m_lastPromotion >= promotionInterval) {
@@ -176,6 +181,8 @@
     if (m_keeper) {
         keepMembership();
         joinIfNeeded();
+        keepKnownHosts();
+        sendStartNotices();
     }
 }
 
@@ -205,6 +212,7 @@
 {
     const std::string host = stream->peer().name;
     const std::uint64_t id = m_raftStreams.add(stream);
+    m_raftLinks.hostAnswers(host);
     MessageStreamHandlers handlers;
     handlers.message = [this, host, id](const Bytes &bytes) {
         receiveRaft(host, bytes, id);
@@ -340,6 +348,116 @@
     return servers > 0 && now - m_registryChangedAt >= m_options.registrySettleTime;
 }
 
+bool ControlHostService::isRegistryComplete() const
+{
+    return m_isRegistryComplete;
+}
+
+void ControlHostService::checkRegistry()
+{
+    if (m_isRegistryComplete) {
+        return;
+    }
+    std::size_t known = 0;
+    std::vector<std::string> missing;
+    for (const auto &[address, host] : m_driver.state().knownHosts()) {
+        known += host.has_server() ? 1 : 0;
+        if (host.has_server() && m_registry.find(address) == nullptr) {
+            missing.push_back(address);
+        }
+    }
+    m_isRegistryComplete = m_exchange.isFilled() || (known > 0 && missing.empty());
+    if (m_isRegistryComplete) {
+        m_environment.logger.info("registry-complete",
+                                  {{"servers", known}, {"missing", missing.size()}, {"first_missing", missing.empty() ? std::string() : missing.front()}});
+    }
+}
+
+// ---- Known hosts ----
+
+void ControlHostService::keepKnownHosts()
+{
+    const TimePoint now = m_environment.clock.now();
+    if (m_driver.replica().role() != Consensus::Role::Leader) {
+        m_knownHosts.reset();
+        return;
+    }
+    if (m_isChangingKnownHosts || !m_exchange.isFilled() || !m_knownHosts.isDue(now)) {
+        return;
+    }
+    KnownHosts present;
+    for (const pb::HostInForce &report : m_reports.reports(now)) {
+        if (report.connected() && !report.notice_address().empty()) {
+            pb::KnownHost &host = present[report.notice_address()];
+            host.set_address(report.notice_address());
+        }
+    }
+    for (const pb::ServerEntry &server : m_registry.servers()) {
+        pb::KnownHost &host = present[server.name()];
+        host.set_address(server.name());
+        host.set_has_server(true);
+    }
+    std::set<std::string> ended;
+    for (const auto &entry : m_driver.state().knownHosts()) {
+        const pb::ServerEntry *server = m_registry.find(entry.first);
+        if (server != nullptr && server->state() == pb::SERVER_STATE_LEFT) {
+            ended.insert(entry.first);
+        }
+    }
+    if (const auto change = m_knownHosts.next(now, m_driver.state().knownHosts(), present, ended)) {
+        proposeKnownHosts(*change);
+    }
+}
+
+void ControlHostService::proposeKnownHosts(const pb::ChangeKnownHosts &change)
+{
+    pb::Command command;
+    command.set_operation_id(randomOperation("hosts", m_environment.random));
+    command.set_operations_seen(m_driver.state().operationsApplied());
+    *command.mutable_change_known_hosts() = change;
+    pb::LoggedCommand logged;
+    logged.set_command(command.SerializeAsString());
+    m_isChangingKnownHosts = true;
+    m_driver.propose(logged, [this, added = change.added_size(), removed = change.removed_size()](const pb::CommandAnswer &answer) {
+        m_isChangingKnownHosts = false;
+        m_environment.logger.info("known-hosts-change",
+                                  {{"added", added},
+                                   {"removed", removed},
+                                   {"known", m_driver.state().knownHosts().size()},
+                                   {"result", resultName(static_cast<ResultCode>(answer.result()))}});
+    });
+}
+
+// Balancers and agents that have restarted as well know only the seeds, and try them with pauses.
+void ControlHostService::sendStartNotices()
+{
+    const TimePoint now = m_environment.clock.now();
+    const bool hasConfig = m_driver.state().revision() > 0;
+    if (!m_environment.sendStartNotice || !hasConfig || now - m_startedAt > m_options.startupGrace) {
+        return;
+    }
+    std::set<std::string> connected;
+    for (const pb::HostInForce &report : m_reports.reports(now)) {
+        if (report.connected()) {
+            connected.insert(report.notice_address());
+        }
+    }
+    const KnownHosts &known = m_driver.state().knownHosts();
+    auto next = known.upper_bound(m_lastNotified);
+    const std::size_t count = std::min(known.size(), startNoticesPerTick);
+    for (std::size_t sent = 0; sent < count; ++sent) {
+        next = next == known.end() ? known.begin() : next;
+        const auto address = parseHostAddress(next->first);
+        if (address && !connected.contains(next->first)) {
+            m_environment.sendStartNotice(*address);
+        }
+        m_lastNotified = next->first;
+        ++next;
+    }
+}
+
+// ---- Joining ----
+
 void ControlHostService::joinIfNeeded()
 {
     const Consensus::Replica &replica = m_driver.replica();
@@ -409,7 +527,7 @@
         return;
     }
     pb::Command command;
-    command.set_operation_id(randomOperation(m_environment.random));
+    command.set_operation_id(randomOperation("routes", m_environment.random));
     command.set_operations_seen(m_driver.state().operationsApplied());
     *command.mutable_replace_routes() = change;
     pb::LoggedCommand logged;
--- a/src/jujubequay/control/control_host_service_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(restartedHostKeepsTheState);
     CPPUNIT_TEST(cutOffHostServesNoNewWatcher);
     CPPUNIT_TEST(agentOnOneHostIsSeenByWatchersOfAnother);
+    CPPUNIT_TEST(restartedControlHostsTellTheHostsThatTheyKnow);
     CPPUNIT_TEST(rolesUseOnlyTheirPaths);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,12 +173,7 @@
     void restartedHostKeepsTheState()
     {
         rollOut(1);
-        for (auto &host : m_hosts) {
-            stopHost(*host);
-        }
-        for (auto &host : m_hosts) {
-            startHost(*host);
-        }
+        restartAll();
         run(seconds(5));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, statusOf(leader()).revision());
         rollOut(2);
@@ -236,6 +232,34 @@
         }
     }
 
+    // Guards against an outage that goes on after a loss of power because balancers and agents look for control hosts with pauses,
+    // and against a list of servers that passes for complete before the agents have returned.
+    void restartedControlHostsTellTheHostsThatTheyKnow()
+    {
+        rollOut(1);
+        m_isKeepingKnownHosts = true;
+        restartAll();
+        // Known hosts are recorded once the registry has had time to fill.
+        run(seconds(11));
+        const auto agent = announce(0, "127.0.0.1:4500");
+        WatchSubscriberOptions options = subscriberOptions(leader());
+        options.noticeAddress = "127.0.0.1:7720";
+        WatchSubscriber subscriber(options, m_random);
+        watch(subscriber, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_hosts[leader()]->control->driver().state().knownHosts().size());
+
+        m_notified.clear();
+        restartAll();
+        run(milliseconds(200));
+        CPPUNIT_ASSERT(m_notified == (std::set<std::string>{"127.0.0.1:4500", "127.0.0.1:7720"}));
+        CPPUNIT_ASSERT(!m_hosts[0]->control->isRegistryComplete());
+        const auto again = announce(0, "127.0.0.1:4500");
+        run(milliseconds(500));
+        for (const auto &host : m_hosts) {
+            CPPUNIT_ASSERT(host->control->isRegistryComplete());
+        }
+    }
+
     // Guards against an agent or balancer that acts as an operator or as a control host.
     void rolesUseOnlyTheirPaths()
     {
@@ -258,6 +282,13 @@
         ControlHostOptions options;
         options.host = host.name;
         options.epoch = m_random() | 1U;
+        if (m_isKeepingKnownHosts) {
+            options.keeper = MembershipKeeperOptions();
+            options.acceptsAnyService = true;
+            options.startupGrace = seconds(2);
+            options.replica.recordsCommit = true;
+            options.address = toString(host.address);
+        }
         ControlHostService::Environment environment{
             .clock = m_clock,
             .wallClock =
@@ -272,6 +303,10 @@
                 [](const Failure &failure) {
                     CPPUNIT_FAIL(failure.detail);
                 },
+            .sendStartNotice =
+                [this](const HostAddress &address) {
+                    m_notified.insert(toString(address));
+                },
         };
         host.control = std::make_unique<ControlHostService>(options, environment, host.storage.stored);
         host.control->start();
@@ -287,6 +322,36 @@
         host.control.reset();
     }
 
+    void restartAll()
+    {
+        for (auto &host : m_hosts) {
+            stopHost(*host);
+        }
+        for (auto &host : m_hosts) {
+            startHost(*host);
+        }
+    }
+
+    /// An agent whose server serves "inspect-desk"; it is connected for as long as the stream exists.
+    std::shared_ptr<MessageStream> announce(std::size_t host, const std::string &relayAddress)
+    {
+        MessageStreamHandlers handlers;
+        handlers.message = [](const Bytes &) {};
+        handlers.closed = [](ResultCode) {};
+        const auto stream = m_network->client({"host-1", "agent"})->open(m_hosts[host]->address, "/announce", handlers);
+        pb::AnnounceUp message;
+        pb::ServerEntry &server = *message.mutable_server();
+        server.set_name(relayAddress);
+        server.set_service("inspect-desk");
+        server.set_host("host-1");
+        server.set_relay_address(relayAddress);
+        server.set_incarnation(7);
+        server.set_state(pb::SERVER_STATE_SERVING);
+        stream->send(message);
+        run(seconds(1));
+        return stream;
+    }
+
     void run(Duration time)
     {
         for (Duration passed{}; passed < time; passed += milliseconds(50)) {
@@ -427,6 +492,8 @@
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::shared_ptr<MessageStream> m_watchStream;
     CommandBuilder m_anna{"anna"};
+    bool m_isKeepingKnownHosts = false;
+    std::set<std::string> m_notified;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlHostTest);
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -219,6 +219,7 @@
     const std::string host = stream->peer().name;
     const std::uint64_t id = m_streams.add(stream);
     m_registry.peerReturned(host);
+    m_links.hostAnswers(host);
     MessageStreamHandlers handlers;
     handlers.message = [this, host](const Bytes &bytes) {
         receive(host, bytes);
--- a/src/jujubequay/control/control_state.cpp
+++ b/src/jujubequay/control/control_state.cpp
@@ -125,6 +125,8 @@
         return retireFlowKey(command.retire_flow_key(), logged);
     case pb::Command::kReplaceRoutes:
         return replaceRoutes(command.replace_routes());
+    case pb::Command::kChangeKnownHosts:
+        return changeKnownHosts(command.change_known_hosts());
     case pb::Command::kMembership:
     case pb::Command::KIND_NOT_SET:
         break;
@@ -464,6 +466,31 @@
     return m_routes;
 }
 
+// ---- Known hosts ----
+
+ControlState::Answer ControlState::changeKnownHosts(const pb::ChangeKnownHosts &command)
+{
+    const auto &added = command.added();
+    const bool areAddressesValid = std::all_of(added.begin(), added.end(), [](const pb::KnownHost &host) {
+        return parseHostAddress(host.address()).has_value();
+    });
+    if (!areAddressesValid) {
+        return refusal(ResultCode::BadRequest, "added: an address is not of the form ip:port");
+    }
+    for (const std::string &address : command.removed()) {
+        m_knownHosts.erase(address);
+    }
+    for (const pb::KnownHost &host : added) {
+        m_knownHosts[host.address()] = host;
+    }
+    return accepted();
+}
+
+const std::map<std::string, pb::KnownHost> &ControlState::knownHosts() const
+{
+    return m_knownHosts;
+}
+
 // ---- Queries ----
 
 std::uint64_t ControlState::revision() const
@@ -602,6 +629,9 @@
     }
     *snapshot.mutable_routes() = m_routes;
     snapshot.set_routes_revision(m_routesRevision);
+    for (const auto &entry : m_knownHosts) {
+        *snapshot.add_known_hosts() = entry.second;
+    }
     m_operations.save(snapshot);
 
     Bytes bytes(snapshot.ByteSizeLong());
@@ -637,6 +667,9 @@
     }
     state.m_routes = snapshot.routes();
     state.m_routesRevision = snapshot.routes_revision();
+    for (const pb::KnownHost &host : snapshot.known_hosts()) {
+        state.m_knownHosts[host.address()] = host;
+    }
     state.m_operations.load(snapshot);
     if (!state.holdsInvariants()) {
         return fail(ResultCode::DiskDamaged, "the snapshot of the control state breaks an invariant");
--- a/src/jujubequay/control/peer_links.cpp
+++ b/src/jujubequay/control/peer_links.cpp
@@ -1,6 +1,7 @@
 #include <jujubequay/control/peer_links.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -86,6 +87,21 @@
     link.nextAttempt = m_now + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(m_random));
 }
 
+void PeerLinks::hostAnswers(const std::string &host)
+{
+    const auto found = m_links.find(host);
+    if (found == m_links.end() || (found->second.stream && found->second.stream->isEstablished())) {
+        return;
+    }
+    Link &link = found->second;
+    // The number keeps the end of the former stream from delaying the next attempt.
+    link.number = ++m_lastNumber;
+    link.nextAttempt = m_now;
+    if (const auto former = std::exchange(link.stream, nullptr)) {
+        former->close();
+    }
+}
+
 bool PeerLinks::isEstablished(const std::string &host) const
 {
     const auto found = m_links.find(host);
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -56,6 +56,7 @@
         report.set_host(watcher.request->host());
         report.set_zone(watcher.request->zone());
         report.set_role(watcher.request->role());
+        report.set_notice_address(watcher.request->notice_address());
         report.set_revision(message.report().revision_in_force());
         report.set_flow_key_revision(message.report().flow_key_revision());
         *report.mutable_flow_keys_in_use() = message.report().flow_keys_in_use();
@@ -124,6 +125,11 @@
     m_isRegistrySettled = settled;
 }
 
+void WatchServer::setRegistryComplete(bool complete)
+{
+    m_isRegistryComplete = complete;
+}
+
 void WatchServer::setControlHosts(std::vector<std::string> addresses)
 {
     std::sort(addresses.begin(), addresses.end());
@@ -235,17 +241,28 @@
 
 void WatchServer::sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
 {
-    const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence;
-    const bool isServed = m_isRegistryReady || (m_isRegistrySettled && !watcher.hasOlderList);
-    if (!isServed || isCurrent || now - watcher.lastRegistry < m_options.registryInterval) {
+    const bool isToldAll = watcher.isListComplete || !m_isRegistryComplete;
+    const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence && isToldAll;
+    const bool isUsable = m_isRegistrySettled || m_isRegistryComplete;
+    const bool isServed = m_isRegistryReady || (isUsable && !watcher.hasOlderList);
+    const bool isDue = now - watcher.lastRegistry >= m_options.registryInterval || !isToldAll;
+    if (!isServed || isCurrent || !isDue) {
         return;
     }
-    for (pb::RegistryDelta &delta : m_registry.changesAfter(watcher.registrySequence, watcher.services)) {
+    std::vector<pb::RegistryDelta> deltas = m_registry.changesAfter(watcher.registrySequence, watcher.services);
+    if (deltas.empty() && !isToldAll) {
+        pb::RegistryDelta &delta = deltas.emplace_back();
+        delta.set_epoch(m_registry.epoch());
+        delta.set_sequence(m_registry.sequence());
+    }
+    for (pb::RegistryDelta &delta : deltas) {
+        delta.set_complete(m_isRegistryComplete);
         pb::WatchDown message;
         *message.mutable_registry() = std::move(delta);
         send(id, std::move(message), effects);
     }
     watcher.registrySequence = m_registry.sequence();
+    watcher.isListComplete = m_isRegistryComplete;
     watcher.lastRegistry = now;
 }
 
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t frameHeader = 4;
 constexpr std::uint32_t maxDoublings = 16;
+/// An attempt that follows a start notice is not given up for another notice within this time, which is several round trips.
+constexpr auto noticedAttemptTime = std::chrono::milliseconds(200);
 /// Departures are of use until the callers of their flows know; the most servers that leave within that time.
 constexpr std::size_t keptDepartures = 256;
 
@@ -179,6 +181,8 @@
     m_isOpen = true;
     m_isServed = false;
     m_lastHeard = now;
+    m_openedAt = now;
+    m_isNoticed = false;
     effects.emplace_back(OpenWatchStream{m_choices[m_choice], m_stream});
 
     pb::WatchUp message;
@@ -190,6 +194,7 @@
     request.set_flow_key_revision(m_flowKeyRevision);
     request.set_registry_epoch(m_registryEpoch);
     request.set_registry_sequence(m_registrySequence);
+    request.set_notice_address(m_options.noticeAddress);
     request.mutable_services()->Add(m_options.services.begin(), m_options.services.end());
     send(std::move(message), effects);
     report(effects);
@@ -212,6 +217,32 @@
     retryLater(now, effects);
 }
 
+WatchSubscriber::Effects WatchSubscriber::controlHostStarted(TimePoint now, const HostAddress &address)
+{
+    Effects effects;
+    const Duration openFor = now - m_openedAt;
+    // The stream to a host that has started again is dead, unless it was opened since.
+    const bool isStreamDead = m_isServed && address == m_choices[m_choice] && openFor > m_options.startNoticeTime;
+    const bool isServed = m_isOpen && m_isServed && now - m_lastHeard < m_options.silenceLimit / 2;
+    const bool isAttemptNew = m_isOpen && m_isNoticed && openFor < noticedAttemptTime;
+    if ((isServed && !isStreamDead) || isAttemptNew) {
+        return effects;
+    }
+    if (m_isOpen) {
+        effects.emplace_back(CloseWatchStream());
+        m_isOpen = false;
+    }
+    m_arriving.reset();
+    if (std::find(m_choices.begin(), m_choices.end(), address) == m_choices.end()) {
+        m_learned.push_back(address);
+        rankChoices();
+    }
+    m_choice = static_cast<std::size_t>(std::find(m_choices.begin(), m_choices.end(), address) - m_choices.begin());
+    open(now, effects);
+    m_isNoticed = true;
+    return effects;
+}
+
 // Full jitter, so that the watchers of a lost control host do not arrive at the others at once.
 void WatchSubscriber::retryLater(TimePoint now, Effects &effects)
 {
@@ -342,6 +373,7 @@
     std::erase_if(m_servers, [](const auto &entry) {
         return entry.second.state() == pb::SERVER_STATE_LEFT;
     });
+    m_isRegistryComplete = delta.complete();
     m_registryEpoch = delta.epoch();
     m_registrySequence = delta.sequence();
     return true;
@@ -355,6 +387,7 @@
     snapshot->routes = m_routes;
     snapshot->departed.assign(m_departed.begin(), m_departed.end());
     snapshot->isRegistryKnown = m_registrySequence != 0;
+    snapshot->isRegistryComplete = m_isRegistryComplete;
     snapshot->flowKeys = flowKeySetOf(m_flowKeys);
     for (const auto &[name, config] : m_services) {
         snapshot->services.push_back(serviceOf(config));
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -123,6 +123,9 @@
     CPPUNIT_TEST(drainReachesTheBalancerWithinFiveSeconds);
     CPPUNIT_TEST(unconfirmedControlHostServesNoWatcher);
     CPPUNIT_TEST(startingControlHostServesWatchersThatHoldNothing);
+    CPPUNIT_TEST(tellsWhenAllServersHaveReturned);
+    CPPUNIT_TEST(goesToAControlHostThatHasStarted);
+    CPPUNIT_TEST(staysWithAControlHostThatServesIt);
     CPPUNIT_TEST(isolatedControlHostSendsWatchersElsewhere);
     CPPUNIT_TEST(olderControlHostCannotReinstateAState);
     CPPUNIT_TEST(slowWatcherHoldsNothingBackAndCatchesUp);
@@ -213,6 +216,49 @@
         CPPUNIT_ASSERT(!fresh.isConnected());
     }
 
+    /// Agents may not conclude from a list that is still filling that a flow has no server.
+    void tellsWhenAllServersHaveReturned()
+    {
+        m_link->rollOut(1);
+        m_link->server.setRegistryReady(false);
+        m_link->server.setRegistrySettled(true);
+        m_link->announce(m_now, "inspect-desk-1", pb::SERVER_STATE_SERVING, 1);
+        step();
+        CPPUNIT_ASSERT(m_subscriber->snapshot()->isRegistryKnown);
+        CPPUNIT_ASSERT(!m_subscriber->snapshot()->isRegistryComplete);
+        m_link->server.setRegistryComplete(true);
+        step();
+        CPPUNIT_ASSERT(m_subscriber->snapshot()->isRegistryComplete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_subscriber->snapshot()->servers.size());
+    }
+
+    /// Guards against hosts that wait for their next attempt while a control host is up already.
+    void goesToAControlHostThatHasStarted()
+    {
+        const HostAddress started{0x7F000009, 1}; // not one of the seeds
+        m_subscriber->tick(m_now);
+        const auto effects = m_subscriber->controlHostStarted(m_now + milliseconds(10), started);
+        CPPUNIT_ASSERT(std::holds_alternative<CloseWatchStream>(effects.at(0)));
+        CPPUNIT_ASSERT(std::get<OpenWatchStream>(effects.at(1)).address == started);
+        CPPUNIT_ASSERT(m_subscriber->controlHost() == started);
+        // Notices of others follow within milliseconds; they must not interrupt an attempt that is under way.
+        CPPUNIT_ASSERT(m_subscriber->controlHostStarted(m_now + milliseconds(20), {0x7F000008, 1}).empty());
+        CPPUNIT_ASSERT(!m_subscriber->controlHostStarted(m_now + milliseconds(300), {0x7F000008, 1}).empty());
+    }
+
+    /// The restart of one control host must not move the watchers of the others to it.
+    void staysWithAControlHostThatServesIt()
+    {
+        m_link->rollOut(1);
+        step();
+        CPPUNIT_ASSERT(m_subscriber->isConnected());
+        CPPUNIT_ASSERT(m_subscriber->controlHostStarted(m_now, {0x7F000009, 1}).empty());
+        // Its own control host has started again, so the stream leads nowhere.
+        const HostAddress own = m_subscriber->controlHost();
+        CPPUNIT_ASSERT(m_subscriber->controlHostStarted(m_now, own).empty());
+        CPPUNIT_ASSERT(!m_subscriber->controlHostStarted(m_now + seconds(3), own).empty());
+    }
+
     void isolatedControlHostSendsWatchersElsewhere()
     {
         m_link->rollOut(1);
--- a/src/jujubequay/service/announce_client.cpp
+++ b/src/jujubequay/service/announce_client.cpp
@@ -48,6 +48,11 @@
     apply(m_announcer.setServer(m_clock.now(), std::move(server)));
 }
 
+void AnnounceClient::controlHostAnswers(const HostAddress &address)
+{
+    apply(m_announcer.controlHostAnswers(m_clock.now(), address));
+}
+
 void AnnounceClient::setControlHosts(std::vector<HostAddress> addresses)
 {
     m_announcer.setControlHosts(std::move(addresses));
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -11,6 +11,9 @@
 
 namespace pb = jujubequay::pb;
 
+/// An attempt at a control host that is up gets several round trips.
+constexpr auto promptedAttemptTime = std::chrono::milliseconds(200);
+
 /// Control hosts in rendezvous order for one server name, so that servers spread over them.
 std::vector<HostAddress> rendezvousOrder(std::vector<HostAddress> hosts, const std::string &name)
 {
@@ -124,6 +127,26 @@
     return effects;
 }
 
+AnnouncerEffects Announcer::controlHostAnswers(TimePoint now, const HostAddress &address)
+{
+    AnnouncerEffects effects;
+    const bool isAnswered = isAccepted() && now - m_lastAnswer < 2 * m_heartbeat;
+    const bool isAttemptNew = m_isOpen && m_choices[m_choice] == address && now - m_openedAt < promptedAttemptTime;
+    if (isAnswered || isAttemptNew) {
+        return effects;
+    }
+    if (m_isOpen) {
+        effects.emplace_back(CloseAnnounceStream{});
+    }
+    auto position = std::find(m_choices.begin(), m_choices.end(), address);
+    if (position == m_choices.end()) {
+        position = m_choices.insert(m_choices.end(), address);
+    }
+    m_choice = static_cast<std::size_t>(position - m_choices.begin());
+    open(now, effects);
+    return effects;
+}
+
 void Announcer::setControlHosts(std::vector<HostAddress> addresses)
 {
     if (!addresses.empty()) {
@@ -156,6 +179,7 @@
 {
     m_isOpen = true;
     ++m_stream;
+    m_openedAt = now;
     m_lastAnswer = now;
     m_acceptedSequence = 0;
     effects.emplace_back(OpenAnnounceStream{m_choices[m_choice], m_stream});
--- a/src/jujubequay/service/announcer_test.cpp
+++ b/src/jujubequay/service/announcer_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(silentControlHostIsReplaced);
     CPPUNIT_TEST(announcesADrainAtOnce);
     CPPUNIT_TEST(followsAnEarlierStart);
+    CPPUNIT_TEST(goesToAControlHostThatAnswers);
     CPPUNIT_TEST(serversSpreadOverControlHosts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, only<CloseAnnounceStream>(refused).size());
     }
 
+    // Guards against a server that is unknown after a restart while a control host is up already.
+    void goesToAControlHostThatAnswers()
+    {
+        Announcer announcer = announcerOf("inspect-desk-1");
+        announcer.tick(m_now);
+        const HostAddress answering{0x7F000009, 1};
+        const auto effects = announcer.controlHostAnswers(m_now, answering);
+        const OpenAnnounceStream opened = only<OpenAnnounceStream>(effects).at(0);
+        CPPUNIT_ASSERT(opened.address == answering);
+        CPPUNIT_ASSERT(announcer.controlHostAnswers(m_now, answering).empty());
+        announcer.receive(m_now, opened.stream, answerWith(ResultCode::Ok, 7));
+        CPPUNIT_ASSERT(announcer.controlHostAnswers(m_now + std::chrono::milliseconds(300), controlHosts.front()).empty());
+        // The answers have stopped: the stream may be dead.
+        CPPUNIT_ASSERT(!announcer.controlHostAnswers(m_now + std::chrono::seconds(5), controlHosts.front()).empty());
+    }
+
     // Guards against one control host that keeps the leases of all servers.
     void serversSpreadOverControlHosts()
     {
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -61,6 +61,15 @@
     apply(m_subscriber.setFlowKeysInUse(std::move(numbers)));
 }
 
+void ConfigWatcher::controlHostStarted(const HostAddress &address)
+{
+    const WatchSubscriberEffects effects = m_subscriber.controlHostStarted(m_clock.now(), address);
+    if (!effects.empty()) {
+        m_logger.info("control-host-started", {{"control_host", toString(address)}});
+    }
+    apply(effects);
+}
+
 void ConfigWatcher::setControlHosts(std::vector<HostAddress> addresses)
 {
     m_subscriber.setControlHosts(std::move(addresses));
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -31,9 +31,14 @@
 
 void AgentSteering::update(TimePoint now, const ConfigSnapshot &snapshot)
 {
+    const bool wasComplete = m_directory.isComplete();
     if (m_directory.update(now, snapshot)) {
         m_listChangedAt = now;
     }
+    if (!wasComplete && m_directory.isComplete()) {
+        // Hosts that do not have the whole list yet mark the packets that they pass on.
+        m_listChangedAt = now - m_options.settleTime;
+    }
 }
 
 std::vector<ResetCaller> AgentSteering::setServer(TimePoint now, const std::optional<LocalServer> &server, bool isFresh)
@@ -241,6 +246,7 @@
     const FlowEnds ends = endsFromCaller(segment);
     SteerHeader next = header;
     ++next.hops;
+    next.isSearchPartial = header.isSearchPartial || !m_directory.isComplete();
     if (next.hops > m_options.maxHops) {
         return DropPacket{SteerCause::TooManyHops};
     }
@@ -257,9 +263,32 @@
         return RelayToAgent{*agent, next, SteerCause::Home};
     }
     // Every server of the order has been asked. The caller should not wait for a flow that nobody holds.
-    const bool isListComplete = m_directory.isReady() && now - m_listChangedAt >= m_options.settleTime;
-    return isListComplete && !segment.isReset ? AgentDecision(ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow})
-                                              : AgentDecision(DropPacket{SteerCause::UnknownFlow});
+    if (segment.isReset) {
+        return DropPacket{SteerCause::UnknownFlow};
+    }
+    if (next.isSearchPartial || !isListSettled(now)) {
+        return HoldSearch{next};
+    }
+    return ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow};
+}
+
+bool AgentSteering::isListSettled(TimePoint now) const
+{
+    return m_directory.isReady() && m_directory.isComplete() && now - m_listChangedAt >= m_options.settleTime;
+}
+
+// The search starts again at the home, since servers may have been left out.
+AgentDecision AgentSteering::repeatSearch(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
+{
+    SteerHeader first = header;
+    first.hops = 0;
+    first.isSearchPartial = false;
+    const auto home = m_directory.home(endsFromCaller(segment));
+    if (home && *home != m_options.agent) {
+        first.wantsOwner = true;
+        return RelayToAgent{*home, first, SteerCause::Home};
+    }
+    return fromPeer(now, first, segment, notices);
 }
 
 // ---- Packets of the server ----
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -174,7 +174,7 @@
 
 SteerHeader BalancerSteering::header(ServiceKey service, bool wantsOwner) const
 {
-    return {0, wantsOwner, m_directory.routes().version(), service, m_options.noticeAddress};
+    return {0, wantsOwner, m_directory.routes().version(), service, m_options.noticeAddress, !m_directory.isComplete()};
 }
 
 void BalancerSteering::notice(TimePoint now, const OwnerNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(refusesAddressesWithoutARoute);
     CPPUNIT_TEST(refusesWhenNoServerTakesFlows);
     CPPUNIT_TEST(asksTheHomeForUnknownFlows);
+    CPPUNIT_TEST(marksSearchesOfAShortList);
     CPPUNIT_TEST(followsOwnerNotices);
     CPPUNIT_TEST(resetsFlowsOfAReplacedServer);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
@@ -105,6 +106,17 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.balancer == balancerAddress(1));
     }
 
+    /// The home in a list that is still filling may not be the home of the flow.
+    void marksSearchesOfAShortList()
+    {
+        Snapshots snapshots;
+        snapshots.server(1).server(2);
+        BalancerSteering steering = this->steering(snapshots);
+        CPPUNIT_ASSERT(!std::get<RelayToAgent>(steering.decide(m_now, data(flow(7), 5))).header.isSearchPartial);
+        steering.update(m_now, snapshots.incomplete().build());
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(steering.decide(m_now, data(flow(7), 5))).header.isSearchPartial);
+    }
+
     void followsOwnerNotices()
     {
         BalancerSteering steering = this->steering(Snapshots().server(1).server(2).server(3));
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -44,6 +44,7 @@
     m_routes = snapshot.routes;
     if (snapshot.isRegistryKnown) {
         m_isRegistryKnown = true;
+        m_isComplete = snapshot.isRegistryComplete;
         m_departed.clear();
         for (const DepartedServer &server : snapshot.departed) {
             m_departed.emplace(server.relayAddress, server.incarnation);
@@ -106,6 +107,11 @@
     return m_isRegistryKnown && m_routes->version() != 0;
 }
 
+bool ServerDirectory::isComplete() const
+{
+    return m_isComplete;
+}
+
 const SteerServer *ServerDirectory::find(const HostAddress &agent) const
 {
     const auto found = m_positions.find(agent);
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -8,9 +8,10 @@
 
 constexpr std::uint8_t messageVersion = 0xA1;
 constexpr std::uint8_t wantsOwnerFlag = 1;
+constexpr std::uint8_t searchPartialFlag = 2;
 constexpr std::size_t startLength = 2; // version and kind
 
-enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3 };
+enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3, Start = 4 };
 
 std::uint8_t *putStart(std::uint8_t *out, MessageKind kind)
 {
@@ -33,7 +34,9 @@
     SteeredPacket message;
     const std::uint8_t *in = datagram.data() + startLength;
     message.header.hops = takeInteger<std::uint8_t>(in);
-    message.header.wantsOwner = (takeInteger<std::uint8_t>(in) & wantsOwnerFlag) != 0;
+    const auto flags = takeInteger<std::uint8_t>(in);
+    message.header.wantsOwner = (flags & wantsOwnerFlag) != 0;
+    message.header.isSearchPartial = (flags & searchPartialFlag) != 0;
     message.header.tableVersion = takeInteger<std::uint64_t>(in);
     message.header.service = {takeInteger<std::uint32_t>(in)};
     message.header.balancer = takeAddress(in);
@@ -63,13 +66,20 @@
     return notice;
 }
 
+StartNotice decodeStart(std::span<const std::uint8_t> datagram)
+{
+    const std::uint8_t *in = datagram.data() + startLength;
+    return {takeAddress(in)};
+}
+
 }
 
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out)
 {
     std::uint8_t *at = putStart(out.data(), MessageKind::Packet);
     at = putInteger(at, header.hops);
-    at = putInteger(at, static_cast<std::uint8_t>(header.wantsOwner ? wantsOwnerFlag : 0));
+    const int flags = (header.wantsOwner ? wantsOwnerFlag : 0) | (header.isSearchPartial ? searchPartialFlag : 0);
+    at = putInteger(at, static_cast<std::uint8_t>(flags));
     at = putInteger(at, header.tableVersion);
     at = putInteger(at, header.service.value);
     putAddress(at, header.balancer);
@@ -97,6 +107,13 @@
     return out;
 }
 
+std::array<std::uint8_t, startNoticeLength> encode(const StartNotice &notice)
+{
+    std::array<std::uint8_t, startNoticeLength> out{};
+    putAddress(putStart(out.data(), MessageKind::Start), notice.controlHost);
+    return out;
+}
+
 std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram)
 {
     if (datagram.size() < startLength || datagram[0] != messageVersion) {
@@ -109,6 +126,8 @@
         return datagram.size() == ownerNoticeLength ? std::optional<SteerMessage>(decodeOwner(datagram)) : std::nullopt;
     case MessageKind::Load:
         return datagram.size() == loadNoticeLength ? std::optional<SteerMessage>(decodeLoad(datagram)) : std::nullopt;
+    case MessageKind::Start:
+        return datagram.size() == startNoticeLength ? std::optional<SteerMessage>(decodeStart(datagram)) : std::nullopt;
     }
     return std::nullopt;
 }
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -152,6 +152,13 @@
         return *this;
     }
 
+    /// The control hosts have restarted and still wait for servers.
+    Snapshots &incomplete()
+    {
+        m_isComplete = false;
+        return *this;
+    }
+
     ConfigSnapshot build() const
     {
         ConfigSnapshot snapshot;
@@ -159,6 +166,7 @@
         snapshot.servers = m_servers;
         snapshot.departed = m_departed;
         snapshot.isRegistryKnown = true;
+        snapshot.isRegistryComplete = m_isComplete;
         return snapshot;
     }
 
@@ -166,6 +174,7 @@
     jujubequay::pb::RouteTable m_table;
     std::vector<ServerSnapshot> m_servers;
     std::vector<DepartedServer> m_departed;
+    bool m_isComplete = true;
 };
 
 }
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -14,6 +14,8 @@
 constexpr auto loadNoticeInterval = std::chrono::milliseconds(250);
 /// A held request of a server that answers nothing is released this much late at most.
 constexpr auto releaseInterval = std::chrono::milliseconds(100);
+/// Between looks at whether the list of servers has settled, which takes 400 ms after a change.
+constexpr auto searchInterval = std::chrono::milliseconds(100);
 /// Receive and send buffers: half a second of packets at the packet rate of one small host.
 constexpr int socketBufferBytes = 1 << 20;
 
@@ -35,12 +37,17 @@
 
 }
 
-Result<std::unique_ptr<AgentTraffic>> AgentTraffic::open(
-    asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringAgentSettings &settings)
+Result<std::unique_ptr<AgentTraffic>> AgentTraffic::open(asio::io_context &context,
+                                                         const Clock &clock,
+                                                         Logger &logger,
+                                                         const PacketCodec &codec,
+                                                         const SteeringAgentSettings &settings,
+                                                         StartNoticeHandler onStartNotice)
 {
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.relayAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(server, bindUdpSocket(context, settings.serverOutput, {.bufferBytes = socketBufferBytes}));
-    return std::unique_ptr<AgentTraffic>(new AgentTraffic(context, clock, logger, codec, settings, std::move(peers), std::move(server)));
+    return std::unique_ptr<AgentTraffic>(
+        new AgentTraffic(context, clock, logger, codec, settings, std::move(onStartNotice), std::move(peers), std::move(server)));
 }
 
 AgentTraffic::AgentTraffic(asio::io_context &context,
@@ -48,12 +55,14 @@
                            Logger &logger,
                            const PacketCodec &codec,
                            const SteeringAgentSettings &settings,
+                           StartNoticeHandler onStartNotice,
                            asio::ip::udp::socket peers,
                            asio::ip::udp::socket server)
     : m_clock(clock)
     , m_logger(logger)
     , m_codec(codec)
     , m_serverInput(settings.serverInput)
+    , m_onStartNotice(std::move(onStartNotice))
     , m_steering(steeringOptions(settings))
     , m_peers(std::move(peers))
     , m_server(std::move(server))
@@ -70,6 +79,8 @@
     , m_releaseTimer(context)
     , m_reader(steerHeaderLength)
     , m_heldRequests({.maxAge = 2 * AgentSteeringOptions().maxHold})
+    , m_heldSearches({})
+    , m_searchTimer(context)
     , m_counters(events)
 {
 }
@@ -89,6 +100,7 @@
 void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
 {
     m_steering.update(m_clock.now(), *snapshot);
+    repeatSearches();
 }
 
 void AgentTraffic::setServer(const std::optional<LocalServer> &server, bool isFresh)
@@ -133,6 +145,8 @@
             handle(now, *packet, datagram);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
             m_steering.notice(now, *owner);
+        } else if (const auto *started = std::get_if<StartNotice>(&*message)) {
+            m_onStartNotice(started->controlHost);
         }
     }
     flush();
@@ -220,6 +234,53 @@
     });
 }
 
+void AgentTraffic::holdSearch(const HoldSearch &decision, std::span<std::uint8_t> withHeadroom)
+{
+    encodeSteerHeader(decision.header, withHeadroom.first<steerHeaderLength>());
+    const bool isFirst = m_heldSearches.size() == 0;
+    m_heldSearches.hold(m_clock.now(), withHeadroom);
+    m_counters.add(PacketEvent::Held);
+    if (isFirst) {
+        scheduleSearches();
+    }
+}
+
+void AgentTraffic::scheduleSearches()
+{
+    m_searchTimer.expires_after(searchInterval);
+    m_searchTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            repeatSearches();
+            if (m_heldSearches.size() > 0) {
+                scheduleSearches();
+            }
+        }
+    });
+}
+
+// Packets that wait for longer than the queue keeps them are repeated by their callers.
+void AgentTraffic::repeatSearches()
+{
+    const TimePoint now = m_clock.now();
+    if (m_heldSearches.size() == 0 || !m_steering.isListSettled(now)) {
+        return;
+    }
+    std::vector<std::vector<std::uint8_t>> datagrams;
+    while (auto datagram = m_heldSearches.takeOldest(now)) {
+        datagrams.push_back(std::move(*datagram));
+    }
+    for (std::vector<std::uint8_t> &datagram : datagrams) {
+        const auto message = decodeSteerMessage(datagram);
+        const auto *packet = message ? std::get_if<SteeredPacket>(&*message) : nullptr;
+        const auto segment = packet == nullptr ? std::nullopt : m_codec.decode(packet->packet);
+        if (segment) {
+            carryOut(m_steering.repeatSearch(now, packet->header, *segment, m_notices), *segment, datagram);
+            sendNotices();
+            flush();
+        }
+    }
+}
+
 void AgentTraffic::carryOut(const AgentDecision &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom)
 {
     struct Visitor {
@@ -258,6 +319,10 @@
         {
             traffic.hold(packet());
         }
+        void operator()(const HoldSearch &held) const
+        {
+            traffic.holdSearch(held, withHeadroom);
+        }
     };
     std::visit(Visitor{*this, segment, withHeadroom}, decision);
 }
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -26,12 +26,17 @@
 
 }
 
-Result<std::unique_ptr<BalancerTraffic>> BalancerTraffic::open(
-    asio::io_context &context, const Clock &clock, Logger &logger, const PacketCodec &codec, const SteeringBalancerSettings &settings)
+Result<std::unique_ptr<BalancerTraffic>> BalancerTraffic::open(asio::io_context &context,
+                                                               const Clock &clock,
+                                                               Logger &logger,
+                                                               const PacketCodec &codec,
+                                                               const SteeringBalancerSettings &settings,
+                                                               StartNoticeHandler onStartNotice)
 {
     BOOST_LEAF_AUTO(callers, bindUdpSocket(context, settings.callerAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.peerAddress, {.bufferBytes = socketBufferBytes}));
-    return std::unique_ptr<BalancerTraffic>(new BalancerTraffic(context, clock, logger, codec, settings, std::move(callers), std::move(peers)));
+    return std::unique_ptr<BalancerTraffic>(
+        new BalancerTraffic(context, clock, logger, codec, settings, std::move(onStartNotice), std::move(callers), std::move(peers)));
 }
 
 BalancerTraffic::BalancerTraffic(asio::io_context &context,
@@ -39,11 +44,13 @@
                                  Logger &logger,
                                  const PacketCodec &codec,
                                  const SteeringBalancerSettings &settings,
+                                 StartNoticeHandler onStartNotice,
                                  asio::ip::udp::socket callers,
                                  asio::ip::udp::socket peers)
     : m_clock(clock)
     , m_logger(logger)
     , m_codec(codec)
+    , m_onStartNotice(std::move(onStartNotice))
     , m_steering(steeringOptions(settings))
     , m_startupQueue({})
     , m_callers(std::move(callers))
@@ -183,6 +190,8 @@
             m_counters.add(PacketEvent::Unreadable);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
             m_steering.notice(now, *owner);
+        } else if (const auto *started = std::get_if<StartNotice>(&*message)) {
+            m_onStartNotice(started->controlHost);
         } else {
             m_steering.notice(now, std::get<LoadNotice>(*message));
         }
--- a/src/jujubequay/steering_program/discovery.cpp
+++ b/src/jujubequay/steering_program/discovery.cpp
@@ -14,30 +14,26 @@
     return {.logOutput = LogOutput::StandardOutput, .maxLogRepeats = settings.maxLogRepeats, .plaintextRole = std::move(role)};
 }
 
-std::shared_ptr<ConfigWatcher> createWatcher(asio::io_context &context,
-                                             ProcessServices &services,
-                                             std::string role,
-                                             const DiscoverySettings &settings,
-                                             ConfigSnapshotHandler onConfig,
-                                             std::function<void(const std::vector<HostAddress> &)> onControlHosts)
+std::shared_ptr<ConfigWatcher> createWatcher(asio::io_context &context, ProcessServices &services, const DiscoverySettings &settings, WatcherOptions options)
 {
-    WatchSubscriberOptions options;
-    options.host = settings.common.placement.hostName;
-    options.zone = settings.common.placement.availabilityZone;
-    options.role = std::move(role);
-    options.controlHosts = settings.seeds;
-    options.retryBase = retryBase;
-    options.retryLimit = settings.retryLimit;
-    options.silenceLimit = settings.silenceLimit;
+    WatchSubscriberOptions subscriber;
+    subscriber.host = settings.common.placement.hostName;
+    subscriber.zone = settings.common.placement.availabilityZone;
+    subscriber.role = std::move(options.role);
+    subscriber.controlHosts = settings.seeds;
+    subscriber.noticeAddress = toString(options.noticeAddress);
+    subscriber.retryBase = retryBase;
+    subscriber.retryLimit = settings.retryLimit;
+    subscriber.silenceLimit = settings.silenceLimit;
     return std::make_shared<ConfigWatcher>(context,
                                            services.clock(),
                                            services.logger(),
                                            services.client(),
-                                           std::move(options),
+                                           std::move(subscriber),
                                            std::vector<HostAddress>(),
                                            services.random(),
-                                           std::move(onConfig),
-                                           std::move(onControlHosts));
+                                           std::move(options.onConfig),
+                                           std::move(options.onControlHosts));
 }
 
 void applySeeds(Logger &logger, const SeedReader &read, const std::function<void(std::vector<HostAddress>)> &use)
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -1,3 +1,5 @@
+#include <jujubequay/datapath/udp_socket.h>
+#include <jujubequay/steering/steer_message.h>
 #include <jujubequay/steering_program/route_control_process.h>
 
 #include <xxhash.h>
@@ -83,6 +85,7 @@
     , m_tickTimer(m_context)
     , m_retryTimer(m_context)
     , m_stopTimer(m_context)
+    , m_notices(m_context)
     , m_seeds(m_settings.discovery.seeds)
 {
 }
@@ -102,6 +105,7 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
+    BOOST_LEAF_ASSIGN(m_notices, bindUdpSocket(m_context, {m_settings.peerAddress.ip, 0}));
     MessageServerOptions options;
     options.http2.keepAlive = m_settings.discovery.common.keepAlive;
     const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
@@ -200,6 +204,10 @@
             [this](const Failure &failure) {
                 sessionFailed(failure);
             },
+        .sendStartNotice =
+            [this](const HostAddress &host) {
+                sendStartNotice(host);
+            },
     };
     session->service.emplace(options(), environment, std::move(stored));
     m_session = std::move(session);
@@ -246,6 +254,16 @@
     });
 }
 
+void RouteControlProcess::sendStartNotice(const HostAddress &host)
+{
+    const auto notice = encode(StartNotice{m_settings.peerAddress});
+    asio::error_code error;
+    m_notices.send_to(asio::buffer(notice), asio::ip::udp::endpoint(asio::ip::address_v4(host.ip), host.port), 0, error);
+    if (error) {
+        m_services.logger().warning("start-notice-not-sent", {{"host", toString(host)}, {"cause", error.message()}});
+    }
+}
+
 // ---- Calls of operators ----
 
 void RouteControlProcess::replaceRoutes(const pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler)
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -40,6 +40,7 @@
     , m_endTimer(m_context)
     , m_announcements(missedAnnouncements * m_settings.announceInterval)
     , m_check(m_context)
+    , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
 {
 }
 
@@ -58,7 +59,13 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
-    BOOST_LEAF_ASSIGN(m_traffic, AgentTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings));
+    BOOST_LEAF_ASSIGN(
+        m_traffic, AgentTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings, [this](const HostAddress &controlHost) {
+            asio::post(m_context, [this, controlHost] {
+                m_watcher->controlHostStarted(controlHost);
+                answeredBy(controlHost);
+            });
+        }));
     m_loop.post([traffic = m_traffic.get()] {
         traffic->start();
     });
@@ -71,17 +78,14 @@
     announcer.heartbeat = m_settings.announceInterval;
     m_announceClient = std::make_shared<AnnounceClient>(
         m_context, m_services.clock(), m_services.logger(), m_services.client(), Announcer(announcer, entry(), m_services.random()));
-    m_watcher = createWatcher(
-        m_context,
-        m_services,
-        role,
-        m_settings.discovery,
-        [this](const ConfigSnapshotPointer &snapshot) {
-            apply(snapshot);
-        },
-        [this](const std::vector<HostAddress> &controlHosts) {
-            m_announceClient->setControlHosts(controlHosts);
-        });
+    WatcherOptions watcher{.role = role, .noticeAddress = m_settings.relayAddress};
+    watcher.onConfig = [this](const ConfigSnapshotPointer &snapshot) {
+        apply(snapshot);
+    };
+    watcher.onControlHosts = [this](const std::vector<HostAddress> &controlHosts) {
+        m_announceClient->setControlHosts(controlHosts);
+    };
+    m_watcher = createWatcher(m_context, m_services, m_settings.discovery, std::move(watcher));
     m_watcher->start();
     m_settingsWatcher.start();
     checkServer();
@@ -175,10 +179,13 @@
         asio::error_code ignored;
         m_check.close(ignored);
         m_services.logger().info("server-checked", {{"runs", !error}, {"announced", m_announcements.current().has_value()}});
-        if (!error && !m_announcements.current()) {
-            m_isServerRunning = true;
-            applyServer(false);
+        if (m_announcements.current()) {
+            return;
         }
+        m_isServerRunning = !error;
+        // Control hosts that have restarted need not wait for a server that is gone.
+        m_isServerAbsent = error == asio::error::connection_refused;
+        applyServer(false);
     });
 }
 
@@ -200,7 +207,7 @@
             traffic->setServer(local, isFresh);
         });
     }
-    if (!m_announcements.current() && !m_isServerRunning && !m_isAnnouncing) {
+    if (!m_announcements.current() && !m_isServerRunning && !m_isServerAbsent && !m_isAnnouncing) {
         return;
     }
     const pb::ServerEntry wanted = entry();
@@ -231,8 +238,11 @@
         return entry;
     }
     if (!current) {
-        if (m_announceClient) {
+        if (m_isAnnouncing) {
             entry = m_announceClient->announcer().server();
+        } else {
+            entry.set_service(m_settings.service);
+            entry.set_incarnation(m_absentIncarnation);
         }
         entry.set_state(pb::SERVER_STATE_LEFT);
         return entry;
@@ -248,11 +258,20 @@
 void SteeringAgentProcess::apply(const ConfigSnapshotPointer &snapshot)
 {
     m_services.metrics().setGauge("routes_version", static_cast<double>(snapshot->routes->version()));
+    answeredBy(m_watcher->subscriber().controlHost());
     m_loop.post([traffic = m_traffic.get(), snapshot] {
         traffic->update(snapshot);
     });
 }
 
+// Announcements and the watch have a stream each; what one learns helps the other.
+void SteeringAgentProcess::answeredBy(const HostAddress &controlHost)
+{
+    if (m_isAnnouncing) {
+        m_announceClient->controlHostAnswers(controlHost);
+    }
+}
+
 void SteeringAgentProcess::reloadSeeds()
 {
     applySeeds(m_services.logger(), m_readSeeds, [this](std::vector<HostAddress> seeds) {
--- a/src/jujubequay/steering_program/steering_balancer_process.cpp
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -44,19 +44,22 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
-    BOOST_LEAF_ASSIGN(m_traffic, BalancerTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings));
+    BOOST_LEAF_ASSIGN(
+        m_traffic,
+        BalancerTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings, [this](const HostAddress &controlHost) {
+            asio::post(m_context, [this, controlHost] {
+                m_watcher->controlHostStarted(controlHost);
+            });
+        }));
     m_loop.post([traffic = m_traffic.get()] {
         traffic->start();
     });
     m_loop.start();
-    m_watcher = createWatcher(m_context,
-                              m_services,
-                              role,
-                              m_settings.discovery,
-                              [this](const ConfigSnapshotPointer &snapshot) {
-                                  apply(snapshot);
-                              },
-                              {});
+    WatcherOptions watcher{.role = role, .noticeAddress = m_settings.peerAddress};
+    watcher.onConfig = [this](const ConfigSnapshotPointer &snapshot) {
+        apply(snapshot);
+    };
+    m_watcher = createWatcher(m_context, m_services, m_settings.discovery, std::move(watcher));
     m_watcher->start();
     m_settingsWatcher.start();
     publishMetrics();
