Tell the homes of a flow where it is until they acknowledge

The home of the flow did not know it, so its packets were searched at 72 servers, passed at 64 of them and dropped, for as long as the caller repeated them; agents that had started after their servers showed them the packets. Homes did not know because a notice was sent once, and not again when a server that joined became a home or the agent of a home started again.

Change: a home acknowledges a notice; the holder repeats it up to 8 times, and tells homes that are new or have started again (agents announce an epoch). The second home is asked right after the first one; a search may visit 250 servers. With one availability zone a flow has two homes as well. An agent asks its server about unknown flows for the stated idle time instead of 75 s. A later server of the same start of an agent displaces the earlier one.

--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -59,6 +59,7 @@
     HostAddress relayAddress; ///< of the agent
     Incarnation incarnation;
     ServerAvailability state = ServerAvailability::Starting;
+    std::uint32_t agentEpoch = 0; ///< differs between starts of the agent
     std::uint32_t weight = 100; ///< 1 to 1000; 100 is an ordinary server
     std::string zone;
     std::string host;
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -49,7 +50,8 @@
 
 struct AgentSteeringOptions {
     HostAddress agent; ///< own address among agents
-    /// How long a flow without packets, or a pointer to another agent, is kept.
+    /// How long a flow without packets, or a pointer to another agent, is kept, and within which a server may hold a flow that its
+    /// agent has not seen if the operator states no idle time.
     Duration flowMemory = std::chrono::seconds(75);
     /// How long the end of a flow is remembered for late copies of its packets.
     Duration endMemory = std::chrono::seconds(4);
@@ -64,7 +66,11 @@
     /// A request that has waited for this long is left to the server; its caller is about to give up.
     Duration maxHold = std::chrono::milliseconds(900);
     /// Agents that a packet may visit after the first one.
-    std::uint8_t maxHops = 64;
+    std::uint8_t maxHops = 250;
+    /// Between two notices to a home that has not acknowledged the first: many round trips.
+    Duration noticeInterval = std::chrono::milliseconds(250);
+    /// Notices to a home that acknowledges none; after that it is down, or will start again with another epoch.
+    std::uint8_t maxNotices = 8;
     /// The list of servers must have been unchanged for this long before a flow that none of them holds is reset.
     Duration settleTime = std::chrono::milliseconds(400);
 };
@@ -96,6 +102,9 @@
     /// A packet whose search was held.
     AgentDecision repeatSearch(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     void notice(TimePoint now, const OwnerNotice &notice);
+    void acknowledged(const OwnerAcknowledgement &acknowledgement);
+    /// Notices to homes that are new, have started again or have not acknowledged. Call after `update` and every `noticeInterval`.
+    void repeatNotices(TimePoint now, std::vector<NoticeTo> &notices);
     /// Forgets flows without packets; call about once a second.
     void expire(TimePoint now);
 
@@ -118,6 +127,13 @@
         Elsewhere, ///< held by the server of another agent
         Lost, ///< the server that held it is gone
     };
+    /// A home of a flow as this agent, which holds the flow, has told it.
+    struct ToldHome {
+        FlowHome home;
+        std::uint8_t notices = 0;
+        bool isAcknowledged = false;
+        TimePoint lastNotice{};
+    };
     struct Flow {
         FlowState state = FlowState::Offered;
         TimePoint lastUsed{};
@@ -130,6 +146,7 @@
         TimePoint waitingSince{};
         std::optional<std::uint32_t> callerEnd; ///< sequence number after the caller's last new data
         std::optional<TimePoint> heldSince; ///< the start of a request waits here
+        std::vector<ToldHome> homes; ///< of an open flow
         bool hasCallerEnded = false;
         bool hasServerEnded = false;
         bool hasServerSpoken = false; ///< beyond its answer to the opening packet, which proves that it holds the flow
@@ -144,7 +161,13 @@
     static AgentDecision lost(const Segment &segment);
     bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
     /// Tells the homes of a flow where it is.
-    void opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const;
+    void opened(TimePoint now, const FlowEnds &ends, Flow &flow, std::vector<NoticeTo> &notices);
+    /// Takes over the homes of the present list of servers; true if one of them has to be told.
+    bool updateHomes(const FlowEnds &ends, Flow &flow) const;
+    void tellHomes(TimePoint now, const FlowEnds &ends, Flow &flow, std::vector<NoticeTo> &notices) const;
+    static bool isAnyHomeWaiting(const Flow &flow, std::uint8_t maxNotices);
+    /// True if this agent has seen every flow of its server.
+    bool knowsAllFlows(TimePoint now) const;
     void startWaiting(TimePoint now, Flow &flow);
     void stopWaiting(Flow &flow);
     /// The time after which a caller of this address has given up.
@@ -162,10 +185,11 @@
     std::optional<LocalServer> m_server;
     OutlierDetector m_outliers;
     TimePoint m_listChangedAt{};
-    TimePoint m_knowsAllSince{}; ///< from then on the agent knows each flow of the server
+    std::optional<TimePoint> m_blindBefore; ///< the server may hold flows that it has opened before; empty if it holds none
     std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
     TimePoint m_highestTableAt{};
     std::unordered_map<FlowEnds, Flow> m_flows;
+    std::unordered_set<FlowEnds> m_untold; ///< open flows of which a home may not know yet
     std::unordered_map<HostAddress, TimePoint> m_balancers;
     std::size_t m_waiting = 0;
     std::size_t m_atServer = 0;
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -21,11 +21,19 @@
     ServiceKey service;
     std::string zone;
     Incarnation incarnation;
+    std::uint32_t agentEpoch = 0; ///< differs between starts of the agent
     bool takesNewFlows = false;
     /// Set once it is in no list any more; it may still hold flows.
     std::optional<TimePoint> goneSince;
 };
 
+/// An agent that is told where a flow is.
+struct FlowHome {
+    HostAddress agent;
+    std::uint32_t agentEpoch = 0; ///< an agent that starts again knows nothing
+    bool operator==(const FlowHome &) const = default;
+};
+
 struct ServerDirectoryOptions {
     /// How long a server that is in no list any more is remembered for its open flows.
     Duration memory = std::chrono::seconds(75);
@@ -34,17 +42,17 @@
 /// All servers, with those that left recently, and their order for a flow.
 ///
 /// Every host orders the servers alike for a flow (rendezvous hashing over availability zones, and within each over the agents'
-/// addresses), so servers that join or leave change the order of few flows. The first one is the flow's home: it is told when another
-/// server holds the flow. A host that does not know the holder asks the home; a home that does not know it passes the packet on along
-/// the order. Servers that are in no list any more come last: their agents may be gone, and packets to them lost. Services play no
-/// part in the order, since a route may have led to another service when the flow was opened, and a host that has just started knows
-/// only the present one.
+/// addresses), so servers that join or leave change the order of few flows. The first two, of different availability zones, are the
+/// flow's homes: they are told where the flow is. A host that does not know the holder asks the first home; an agent that does not
+/// know it passes the packet on along the order. Servers that are in no list any more come last: their agents may be gone, and packets to them lost. Services
+/// play no part in the order, since a route may have led to another service when the flow was opened, and a host that has just started knows only the present
+/// one.
 class ServerDirectory
 {
 public:
     explicit ServerDirectory(ServerDirectoryOptions options);
 
-    /// Returns true if servers have joined, left or moved to another service.
+    /// Returns true if servers have joined, left or moved to another service, or agents have started again.
     bool update(TimePoint now, const ConfigSnapshot &snapshot);
 
     const RouteTable &routes() const;
@@ -57,13 +65,13 @@
     std::span<const SteerServer> servers(ServiceKey service) const;
     /// True if the server has ended by itself; its flows exist no more.
     bool hasDeparted(const HostAddress &agent, Incarnation incarnation) const;
-    /// The servers in the order of a flow; at most `limit`, starting after `after` if that is set.
-    std::vector<HostAddress> order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after = std::nullopt) const;
-    /// The agents that are told where a flow is: the first of the order, and the first one of the next availability zone.
-    std::vector<HostAddress> homes(const FlowEnds &ends) const;
+    /// All servers in the order of a flow: its homes, then the rest of the second home's zone, of the first one's, and of the others.
+    std::vector<HostAddress> order(const FlowEnds &ends) const;
+    /// The agents that are told where a flow is.
+    std::vector<FlowHome> homes(const FlowEnds &ends) const;
     /// The first of the order; empty without servers.
     std::optional<HostAddress> home(const FlowEnds &ends) const;
-    /// Next of the order after an agent.
+    /// Next of the order after an agent; the first one after an agent that is not in it.
     std::optional<HostAddress> next(const FlowEnds &ends, const HostAddress &after) const;
 
 private:
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -28,6 +28,12 @@
     HostAddress owner;
 };
 
+/// Tells the holder of a flow that a home has its notice.
+struct OwnerAcknowledgement {
+    FlowEnds ends;
+    HostAddress home;
+};
+
 /// Load of the server beside an agent, for balancers.
 struct LoadNotice {
     HostAddress agent;
@@ -44,6 +50,7 @@
 
 constexpr std::size_t steerHeaderLength = 22;
 constexpr std::size_t ownerNoticeLength = 20;
+constexpr std::size_t ownerAcknowledgementLength = 20;
 constexpr std::size_t loadNoticeLength = 15;
 constexpr std::size_t startNoticeLength = 8;
 
@@ -53,12 +60,13 @@
     std::span<std::uint8_t> packet;
 };
 /// What balancers and agents receive from each other and from control hosts.
-using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice>;
+using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice, OwnerAcknowledgement>;
 
 /// Writes the header into the given bytes.
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
 std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice);
 std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
+std::array<std::uint8_t, ownerAcknowledgementLength> encode(const OwnerAcknowledgement &acknowledgement);
 std::array<std::uint8_t, startNoticeLength> encode(const StartNotice &notice);
 /// Empty for anything that is not a complete message of this version.
 std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram);
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -62,6 +62,7 @@
     void holdSearch(const HoldSearch &decision, std::span<std::uint8_t> withHeadroom);
     void scheduleSearches();
     void repeatSearches();
+    void repeatNotices();
     void sendNotices();
     std::vector<std::uint8_t> &keep(std::span<const std::uint8_t> bytes);
     void flush();
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -66,6 +66,7 @@
     /// Wall clock, to compare with the server's own.
     const std::chrono::system_clock::time_point m_startedAt = std::chrono::system_clock::now();
     asio::ip::tcp::socket m_check;
+    const std::uint32_t m_epoch; ///< of this start; not 0
     const std::uint32_t m_absentIncarnation; ///< that no server has; above unconfirmedIncarnation
     bool m_isServerAbsent = false; ///< nothing listened where the server should when this agent started
     bool m_isServerRunning = false; ///< it accepts connections and has not announced itself yet
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -28,6 +28,13 @@
     return entry.state() == pb::SERVER_STATE_LEFT;
 }
 
+// One start of an agent announces its servers one after the other, on streams to several control hosts; their entries may meet in
+// any order.
+bool isLaterOfSameAgent(const pb::ServerEntry &known, const pb::ServerEntry &given)
+{
+    return given.agent_epoch() != 0 && given.agent_epoch() == known.agent_epoch() && given.sequence() > known.sequence();
+}
+
 bool isAnnouncement(const pb::ServerEntry &entry)
 {
     const auto state = entry.state();
@@ -137,6 +144,8 @@
     }
     if (isSameIncarnation) {
         entry.set_order(std::max(found->second.entry.order(), given.order()));
+    } else if (isKnown && isLaterOfSameAgent(found->second.entry, given)) {
+        entry.set_order(std::max(given.order(), nextOrder(wallMs)));
     } else {
         entry.set_order(given.order() != 0 ? given.order() : nextOrder(wallMs));
     }
@@ -164,6 +173,9 @@
 // which only a running process can do.
 bool LeaseRegistry::displaces(SessionId session, const Record &record, const Entry &given) const
 {
+    if (isLaterOfSameAgent(record.entry, given)) {
+        return true;
+    }
     const auto offer = m_offers.find(session);
     if (offer != m_offers.end() && given.order() == offer->second && given.order() > record.entry.order()) {
         return true;
--- a/src/jujubequay/control/lease_registry_test.cpp
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(drainIsSeenAtOnceAndNeverUndone);
     CPPUNIT_TEST(lateAnnouncementOfOldIncarnationIsRefused);
     CPPUNIT_TEST(runningProcessReturnsAfterItsSuccessorLeft);
+    CPPUNIT_TEST(laterServerOfOneAgentDisplacesTheEarlierOne);
     CPPUNIT_TEST(wallClockStepDoesNotReorderIncarnations);
     CPPUNIT_TEST(reusedAddressRemovesTheOldServer);
     CPPUNIT_TEST(pausedControlHostDoesNotExpireLeases);
@@ -161,6 +162,28 @@
         CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
     }
 
+    /// kpa-quay-grown, fresh-68ff: an agent announced two servers to two control hosts, the entry of the first one got the higher
+    /// order, and the second one was refused until its lease had ended.
+    void laterServerOfOneAgentDisplacesTheEarlierOne()
+    {
+        auto first = server(0, 1);
+        first.set_agent_epoch(5);
+        first.set_order(wallStart + 500);
+        m_registry->merge(m_now, first);
+        auto second = server(0, 8, pb::SERVER_STATE_SERVING, 2);
+        second.set_agent_epoch(5);
+        second.set_order(wallStart + 100);
+        CPPUNIT_ASSERT(announce(second).order() > first.order());
+        CPPUNIT_ASSERT_EQUAL(8U, m_registry->find(second.name())->incarnation());
+        // An earlier announcement of that agent that was held up changes nothing.
+        first.set_order(0);
+        refused(first);
+        // Another start of the agent follows the ordinary rules.
+        auto other = server(0, 1, pb::SERVER_STATE_SERVING, 3);
+        other.set_agent_epoch(6);
+        refused(other);
+    }
+
     void runningProcessReturnsAfterItsSuccessorLeft()
     {
         announce(server(0, 7));
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -87,6 +87,7 @@
     server.relayAddress = parseHostAddress(entry.relay_address()).value_or(HostAddress());
     server.incarnation = Incarnation{entry.incarnation()};
     server.state = availabilityOf(entry.state());
+    server.agentEpoch = entry.agent_epoch();
     server.weight = entry.weight();
     server.zone = entry.zone();
     server.host = entry.host();
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -34,6 +34,11 @@
     const bool wasComplete = m_directory.isComplete();
     if (m_directory.update(now, snapshot)) {
         m_listChangedAt = now;
+        for (auto &[ends, flow] : m_flows) {
+            if (flow.state == FlowState::Open && updateHomes(ends, flow)) {
+                m_untold.insert(ends);
+            }
+        }
     }
     if (!wasComplete && m_directory.isComplete()) {
         // Hosts that do not have the whole list yet mark the packets that they pass on.
@@ -49,7 +54,7 @@
     if (!isSameStart || m_server->service != server->service) {
         // The first server of this agent may have taken flows before the agent started.
         const bool isFirst = !m_server;
-        m_knowsAllSince = isFresh || !isFirst ? now : now + m_options.flowMemory;
+        m_blindBefore = isFresh || !isFirst ? std::nullopt : std::optional(now);
         m_outliers = OutlierDetector({});
         for (auto &[ends, flow] : m_flows) {
             const bool wasOpen = flow.state == FlowState::Open;
@@ -64,7 +69,7 @@
         }
     }
     if (isFresh) {
-        m_knowsAllSince = std::min(m_knowsAllSince, now);
+        m_blindBefore.reset();
     }
     m_server = server;
     return resets;
@@ -148,7 +153,7 @@
         next.tableVersion = own.version();
     }
     if (next.hops <= maxOpeningHops) {
-        for (const HostAddress &agent : m_directory.order(ends, std::numeric_limits<std::size_t>::max())) {
+        for (const HostAddress &agent : m_directory.order(ends)) {
             const SteerServer *server = m_directory.find(agent);
             if (agent != m_options.agent && server->takesNewFlows && server->service == next.service) {
                 return RelayToAgent{agent, next, cause};
@@ -163,7 +168,7 @@
     const FlowEnds ends = endsFromCaller(segment);
     const auto known = m_flows.find(ends);
     if (known == m_flows.end()) {
-        if (m_server && now < m_knowsAllSince) {
+        if (m_server && !knowsAllFlows(now)) {
             Flow &flow = insert(ends, FlowState::Asked, now);
             flow.header = header;
             return DeliverToServer{};
@@ -180,7 +185,7 @@
             return passOn(now, header, segment);
         }
         flow.state = FlowState::Open;
-        opened(ends, notices);
+        opened(now, ends, flow, notices);
         return deliver(now, flow, header, segment, notices);
     case FlowState::Open:
     case FlowState::Asked:
@@ -319,7 +324,7 @@
             ++m_atServer;
         }
         flow.state = FlowState::Open;
-        opened(ends, notices);
+        opened(now, ends, flow, notices);
         if (flow.header.wantsOwner) {
             notices.push_back({flow.header.balancer, {ends, m_options.agent}});
         }
@@ -391,15 +396,82 @@
     flow.lastUsed = now;
 }
 
-void AgentSteering::opened(const FlowEnds &ends, std::vector<NoticeTo> &notices) const
+// A flow that stays quiet for longer than its idle time may be forgotten, so by then all others have been seen.
+bool AgentSteering::knowsAllFlows(TimePoint now) const
+{
+    const Duration stated = m_directory.routes().idleTimeout();
+    return !m_blindBefore || now - *m_blindBefore >= (stated > Duration::zero() ? stated : m_options.flowMemory);
+}
+
+// ---- Homes ----
+
+void AgentSteering::opened(TimePoint now, const FlowEnds &ends, Flow &flow, std::vector<NoticeTo> &notices)
+{
+    updateHomes(ends, flow);
+    tellHomes(now, ends, flow, notices);
+    if (isAnyHomeWaiting(flow, m_options.maxNotices)) {
+        m_untold.insert(ends);
+    }
+}
+
+bool AgentSteering::updateHomes(const FlowEnds &ends, Flow &flow) const
+{
+    std::vector<ToldHome> homes;
+    for (const FlowHome &home : m_directory.homes(ends)) {
+        const auto known = std::find_if(flow.homes.begin(), flow.homes.end(), [&home](const ToldHome &told) {
+            return told.home == home;
+        });
+        ToldHome &told = homes.emplace_back(known == flow.homes.end() ? ToldHome{home} : *known);
+        told.isAcknowledged = told.isAcknowledged || home.agent == m_options.agent;
+    }
+    flow.homes = std::move(homes);
+    return isAnyHomeWaiting(flow, m_options.maxNotices);
+}
+
+bool AgentSteering::isAnyHomeWaiting(const Flow &flow, std::uint8_t maxNotices)
+{
+    return std::any_of(flow.homes.begin(), flow.homes.end(), [maxNotices](const ToldHome &told) {
+        return !told.isAcknowledged && told.notices < maxNotices;
+    });
+}
+
+void AgentSteering::tellHomes(TimePoint now, const FlowEnds &ends, Flow &flow, std::vector<NoticeTo> &notices) const
+{
+    for (ToldHome &told : flow.homes) {
+        const bool isDue = told.notices == 0 || now - told.lastNotice >= m_options.noticeInterval;
+        if (!told.isAcknowledged && told.notices < m_options.maxNotices && isDue) {
+            ++told.notices;
+            told.lastNotice = now;
+            notices.push_back({told.home.agent, {ends, m_options.agent}});
+        }
+    }
+}
+
+void AgentSteering::repeatNotices(TimePoint now, std::vector<NoticeTo> &notices)
 {
-    for (const HostAddress &agent : m_directory.homes(ends)) {
-        if (agent != m_options.agent) {
-            notices.push_back({agent, {ends, m_options.agent}});
+    std::erase_if(m_untold, [&](const FlowEnds &ends) {
+        const auto known = m_flows.find(ends);
+        if (known == m_flows.end() || known->second.state != FlowState::Open) {
+            return true;
         }
+        tellHomes(now, ends, known->second, notices);
+        return !isAnyHomeWaiting(known->second, m_options.maxNotices);
+    });
+}
+
+void AgentSteering::acknowledged(const OwnerAcknowledgement &acknowledgement)
+{
+    const auto known = m_flows.find(acknowledgement.ends);
+    if (known == m_flows.end()) {
+        return;
+    }
+    for (ToldHome &told : known->second.homes) {
+        told.isAcknowledged = told.isAcknowledged || told.home.agent == acknowledgement.home;
     }
 }
 
+// ---- Load ----
+
 AgentSteering::Flow &AgentSteering::insert(const FlowEnds &ends, FlowState state, TimePoint now)
 {
     const auto known = m_flows.find(ends);
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -24,12 +25,12 @@
     return {isListed, zoneScore, scoreOf(flowHash, server.agent)};
 }
 
-/// Agents that are told where a flow is: with two, in different availability zones, the loss of one hides no flow.
-constexpr std::size_t homeCount = 2;
+/// Listed servers first, then by zone preference of the search, zone and server.
+using SearchRank = std::tuple<bool, int, std::uint64_t, std::uint64_t>;
 
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
-    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.takesNewWork(), std::nullopt};
+    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.agentEpoch, server.takesNewWork(), std::nullopt};
 }
 
 }
@@ -77,7 +78,7 @@
         }
     }
     const auto isSameServer = [](const SteerServer &left, const SteerServer &right) {
-        return left.agent == right.agent && left.goneSince.has_value() == right.goneSince.has_value();
+        return left.agent == right.agent && left.agentEpoch == right.agentEpoch && left.goneSince.has_value() == right.goneSince.has_value();
     };
     const bool isSame = std::equal(m_servers.begin(), m_servers.end(), servers.begin(), servers.end(), [&](const auto &left, const auto &right) {
         return left.first == right.first && std::equal(left.second.begin(), left.second.end(), right.second.begin(), right.second.end(), isSameServer);
@@ -129,64 +130,97 @@
     return m_departed.contains({agent, incarnation});
 }
 
-std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends, std::size_t limit, std::optional<HostAddress> after) const
+std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends) const
 {
+    const std::vector<FlowHome> homes = this->homes(ends);
+    if (homes.empty()) {
+        return {};
+    }
+    // A search goes on from the second home, so the rest of its zone comes next, and that of the first home after it.
+    const std::string &firstZone = find(homes.front().agent)->zone;
+    const std::string &secondZone = find(homes.back().agent)->zone;
     const std::uint64_t hash = hashOf(ends);
-    // A host that is in no list itself starts with the first one.
-    const SteerServer *last = after ? find(*after) : nullptr;
-    const std::optional<Rank> bound = last == nullptr ? std::nullopt : std::optional(rankOf(hash, *last, true));
-    std::vector<std::pair<Rank, HostAddress>> ranked;
+    std::vector<std::pair<SearchRank, HostAddress>> ranked;
     for (const auto &entry : m_servers) {
         for (const SteerServer &server : entry.second) {
-            const Rank rank = rankOf(hash, server, !server.goneSince);
-            if (server.agent != after && (!bound || rank < *bound)) {
-                ranked.emplace_back(rank, server.agent);
+            const bool isHome = server.agent == homes.front().agent || server.agent == homes.back().agent;
+            if (!isHome) {
+                const int zonePreference = server.zone == secondZone ? 2 : (server.zone == firstZone ? 1 : 0);
+                const auto [isListed, zoneScore, score] = rankOf(hash, server, !server.goneSince);
+                ranked.emplace_back(SearchRank{isListed, zonePreference, zoneScore, score}, server.agent);
             }
         }
     }
-    const std::size_t count = std::min(limit, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), std::greater<>());
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<HostAddress> agents;
-    for (std::size_t index = 0; index < count; ++index) {
-        agents.push_back(ranked[index].second);
+    for (const FlowHome &home : homes) {
+        agents.push_back(home.agent);
+    }
+    for (const auto &entry : ranked) {
+        agents.push_back(entry.second);
     }
     return agents;
 }
 
-std::vector<HostAddress> ServerDirectory::homes(const FlowEnds &ends) const
+std::vector<FlowHome> ServerDirectory::homes(const FlowEnds &ends) const
 {
     const std::uint64_t hash = hashOf(ends);
-    std::map<std::uint64_t, std::pair<Rank, HostAddress>> firstOfZone; // by the zone's score
+    struct Best {
+        Rank rank;
+        const SteerServer *server = nullptr;
+    };
+    std::map<std::uint64_t, Best> bestOfZone; // by the zone's score
+    Best best;
+    Best second; // in any zone, for a network with a single one
     for (const auto &entry : m_servers) {
         for (const SteerServer &server : entry.second) {
-            const Rank rank = rankOf(hash, server, !server.goneSince);
-            auto &first = firstOfZone.try_emplace(std::get<1>(rank), rank, server.agent).first->second;
-            first = std::max(first, std::pair(rank, server.agent));
+            const Best candidate{rankOf(hash, server, !server.goneSince), &server};
+            Best &zone = bestOfZone[std::get<1>(candidate.rank)];
+            if (zone.server == nullptr || zone.rank < candidate.rank) {
+                zone = candidate;
+            }
+            if (best.server == nullptr || best.rank < candidate.rank) {
+                second = std::exchange(best, candidate);
+            } else if (second.server == nullptr || second.rank < candidate.rank) {
+                second = candidate;
+            }
         }
     }
-    std::vector<std::pair<Rank, HostAddress>> firsts;
-    firsts.reserve(firstOfZone.size());
-    for (const auto &entry : firstOfZone) {
-        firsts.push_back(entry.second);
+    if (best.server == nullptr) {
+        return {};
     }
-    std::sort(firsts.begin(), firsts.end(), std::greater<>());
-    std::vector<HostAddress> homes;
-    for (std::size_t index = 0; index < std::min(homeCount, firsts.size()); ++index) {
-        homes.push_back(firsts[index].second);
+    Best other; // best one of another zone
+    for (const auto &entry : bestOfZone) {
+        const bool isOtherZone = entry.second.server->zone != best.server->zone;
+        if (isOtherZone && (other.server == nullptr || other.rank < entry.second.rank)) {
+            other = entry.second;
+        }
+    }
+    // A listed server of the same zone is better than one whose agent may be gone.
+    if (other.server == nullptr || (std::get<0>(second.rank) && !std::get<0>(other.rank))) {
+        other = second;
+    }
+    std::vector<FlowHome> homes{{best.server->agent, best.server->agentEpoch}};
+    if (other.server != nullptr) {
+        homes.push_back({other.server->agent, other.server->agentEpoch});
     }
     return homes;
 }
 
 std::optional<HostAddress> ServerDirectory::home(const FlowEnds &ends) const
 {
-    const auto first = order(ends, 1);
-    return first.empty() ? std::nullopt : std::optional(first.front());
+    const auto homes = this->homes(ends);
+    return homes.empty() ? std::nullopt : std::optional(homes.front().agent);
 }
 
 std::optional<HostAddress> ServerDirectory::next(const FlowEnds &ends, const HostAddress &after) const
 {
-    const auto following = order(ends, 1, after);
-    return following.empty() ? std::nullopt : std::optional(following.front());
+    const auto order = this->order(ends);
+    const auto position = std::find(order.begin(), order.end(), after);
+    if (position == order.end()) {
+        return order.empty() ? std::nullopt : std::optional(order.front());
+    }
+    return position + 1 == order.end() ? std::nullopt : std::optional(*(position + 1));
 }
 
 }
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint8_t searchPartialFlag = 2;
 constexpr std::size_t startLength = 2; // version and kind
 
-enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3, Start = 4 };
+enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3, Start = 4, OwnerAcknowledged = 5 };
 
 std::uint8_t *putStart(std::uint8_t *out, MessageKind kind)
 {
@@ -44,14 +44,29 @@
     return message;
 }
 
+FlowEnds takeEnds(const std::uint8_t *&in)
+{
+    const HostAddress caller = takeAddress(in);
+    return {caller, takeAddress(in)};
+}
+
+std::uint8_t *putEnds(std::uint8_t *out, const FlowEnds &ends)
+{
+    return putAddress(putAddress(out, ends.caller), ends.service);
+}
+
 OwnerNotice decodeOwner(std::span<const std::uint8_t> datagram)
 {
     const std::uint8_t *in = datagram.data() + startLength;
-    OwnerNotice notice;
-    notice.ends.caller = takeAddress(in);
-    notice.ends.service = takeAddress(in);
-    notice.owner = takeAddress(in);
-    return notice;
+    const FlowEnds ends = takeEnds(in);
+    return {ends, takeAddress(in)};
+}
+
+OwnerAcknowledgement decodeOwnerAcknowledgement(std::span<const std::uint8_t> datagram)
+{
+    const std::uint8_t *in = datagram.data() + startLength;
+    const FlowEnds ends = takeEnds(in);
+    return {ends, takeAddress(in)};
 }
 
 LoadNotice decodeLoad(std::span<const std::uint8_t> datagram)
@@ -88,10 +103,14 @@
 std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice)
 {
     std::array<std::uint8_t, ownerNoticeLength> out{};
-    std::uint8_t *at = putStart(out.data(), MessageKind::Owner);
-    at = putAddress(at, notice.ends.caller);
-    at = putAddress(at, notice.ends.service);
-    putAddress(at, notice.owner);
+    putAddress(putEnds(putStart(out.data(), MessageKind::Owner), notice.ends), notice.owner);
+    return out;
+}
+
+std::array<std::uint8_t, ownerAcknowledgementLength> encode(const OwnerAcknowledgement &acknowledgement)
+{
+    std::array<std::uint8_t, ownerAcknowledgementLength> out{};
+    putAddress(putEnds(putStart(out.data(), MessageKind::OwnerAcknowledged), acknowledgement.ends), acknowledgement.home);
     return out;
 }
 
@@ -126,6 +145,8 @@
         return datagram.size() == ownerNoticeLength ? std::optional<SteerMessage>(decodeOwner(datagram)) : std::nullopt;
     case MessageKind::Load:
         return datagram.size() == loadNoticeLength ? std::optional<SteerMessage>(decodeLoad(datagram)) : std::nullopt;
+    case MessageKind::OwnerAcknowledged:
+        return datagram.size() == ownerAcknowledgementLength ? std::optional<SteerMessage>(decodeOwnerAcknowledgement(datagram)) : std::nullopt;
     case MessageKind::Start:
         return datagram.size() == startNoticeLength ? std::optional<SteerMessage>(decodeStart(datagram)) : std::nullopt;
     }
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -42,6 +42,10 @@
         const auto loadMessage = decodeSteerMessage(load);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{600}, std::get<LoadNotice>(loadMessage.value()).openFlows);
         CPPUNIT_ASSERT(std::get<LoadNotice>(loadMessage.value()).takesNewFlows);
+        auto acknowledgement = encode(OwnerAcknowledgement{flow(8), agentAddress(6)});
+        const auto acknowledgementMessage = decodeSteerMessage(acknowledgement);
+        CPPUNIT_ASSERT(std::get<OwnerAcknowledgement>(acknowledgementMessage.value()).ends == flow(8));
+        CPPUNIT_ASSERT(std::get<OwnerAcknowledgement>(acknowledgementMessage.value()).home == agentAddress(6));
         auto start = encode(StartNotice{agentAddress(5)});
         const auto startMessage = decodeSteerMessage(start);
         CPPUNIT_ASSERT(std::get<StartNotice>(startMessage.value()).controlHost == agentAddress(5));
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -3,6 +3,7 @@
 #include <jujubequay/control/config_snapshot.h>
 #include <jujubequay/steering/segment.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -115,6 +116,16 @@
         return *this;
     }
 
+    Snapshots &agentEpoch(std::uint32_t number, std::uint32_t epoch)
+    {
+        for (ServerSnapshot &server : m_servers) {
+            if (server.relayAddress == agentAddress(number)) {
+                server.agentEpoch = epoch;
+            }
+        }
+        return *this;
+    }
+
     Snapshots &without(std::uint32_t number)
     {
         std::erase_if(m_servers, [number](const ServerSnapshot &server) {
@@ -123,6 +134,12 @@
         return *this;
     }
 
+    Snapshots &idleTimeout(std::chrono::milliseconds time)
+    {
+        m_table.set_idle_timeout_ms(static_cast<std::uint32_t>(time.count()));
+        return *this;
+    }
+
     /// The server announces its own end.
     Snapshots &departed(std::uint32_t number)
     {
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -75,6 +75,7 @@
                   loadNoticeInterval,
                   [this] {
                       sendLoad();
+                      repeatNotices();
                   })
     , m_releaseTimer(context)
     , m_reader(steerHeaderLength)
@@ -100,6 +101,7 @@
 void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
 {
     m_steering.update(m_clock.now(), *snapshot);
+    repeatNotices();
     repeatSearches();
 }
 
@@ -145,6 +147,12 @@
             handle(now, *packet, datagram);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
             m_steering.notice(now, *owner);
+            m_toPeers.add(owner->owner, keep(encode(OwnerAcknowledgement{owner->ends, m_steering.options().agent})));
+            if (m_toPeers.isFull()) {
+                flush();
+            }
+        } else if (const auto *acknowledgement = std::get_if<OwnerAcknowledgement>(&*message)) {
+            m_steering.acknowledged(*acknowledgement);
         } else if (const auto *started = std::get_if<StartNotice>(&*message)) {
             m_onStartNotice(started->controlHost);
         }
@@ -351,6 +359,13 @@
     }
 }
 
+void AgentTraffic::repeatNotices()
+{
+    m_steering.repeatNotices(m_clock.now(), m_notices);
+    sendNotices();
+    flush();
+}
+
 void AgentTraffic::sendNotices()
 {
     for (const NoticeTo &notice : m_notices) {
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -186,14 +186,16 @@
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         const auto message = decodeSteerMessage(m_reader.datagram(index));
-        if (!message || std::holds_alternative<SteeredPacket>(*message)) {
+        if (!message) {
             m_counters.add(PacketEvent::Unreadable);
         } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
             m_steering.notice(now, *owner);
+        } else if (const auto *load = std::get_if<LoadNotice>(&*message)) {
+            m_steering.notice(now, *load);
         } else if (const auto *started = std::get_if<StartNotice>(&*message)) {
             m_onStartNotice(started->controlHost);
         } else {
-            m_steering.notice(now, std::get<LoadNotice>(*message));
+            m_counters.add(PacketEvent::Unreadable);
         }
     }
 }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -40,6 +40,7 @@
     , m_endTimer(m_context)
     , m_announcements(missedAnnouncements * m_settings.announceInterval)
     , m_check(m_context)
+    , m_epoch(static_cast<std::uint32_t>(m_services.random()()) | 1U)
     , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
 {
 }
@@ -230,6 +231,7 @@
     entry.set_zone(m_settings.discovery.common.placement.availabilityZone);
     entry.set_relay_address(toString(m_settings.relayAddress));
     entry.set_weight(ordinaryWeight);
+    entry.set_agent_epoch(m_epoch);
     const auto &current = m_announcements.current();
     if (m_isServerRunning) {
         entry.set_service(m_settings.service);
