--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -3,7 +3,8 @@
     platform/calls.cpp
     platform/http_api.cpp
     platform/packet_format.cpp
-    platform/program.cpp)
+    platform/program.cpp
+    platform/stand_in.cpp)
 target_include_directories(jujubequay_platform PUBLIC ${PROJECT_SOURCE_DIR})
 target_link_libraries(jujubequay_platform PUBLIC jujubequay_steering_program nlohmann_json::nlohmann_json)
 
@@ -16,3 +17,29 @@
 target_link_libraries(platform_test PRIVATE jujubequay_platform PkgConfig::cppunit)
 add_test(NAME platform COMMAND platform_test)
 set_tests_properties(platform PROPERTIES TIMEOUT 300)
+
+# Random faults against the real programs.
+jujubequay_program(jjq-fault-soak
+    SOURCES
+        soak/child_process.cpp
+        soak/deployment.cpp
+        soak/fabric.cpp
+        soak/fault_run.cpp
+        soak/http_call.cpp
+        soak/jjq_fault_soak.cpp
+        soak/ledger.cpp
+        soak/stand_in_caller.cpp
+        soak/stand_in_server.cpp
+        soak/tcp_proxy.cpp
+    DEPENDS jujubequay_platform)
+target_include_directories(jjq-fault-soak PRIVATE ${PROJECT_SOURCE_DIR})
+add_dependencies(jjq-fault-soak platform)
+
+add_executable(soak_test soak/ledger.cpp soak/ledger_test.cpp src/jujubequay/test_main.cpp)
+target_include_directories(soak_test PRIVATE ${PROJECT_SOURCE_DIR})
+target_link_libraries(soak_test PRIVATE jujubequay_core PkgConfig::cppunit)
+add_test(NAME soak COMMAND soak_test)
+# A short run with a fixed seed; `./dev fault-soak` makes longer ones.
+add_test(NAME fault_soak
+    COMMAND jjq-fault-soak --programs ${CMAKE_BINARY_DIR} --directory ${CMAKE_BINARY_DIR}/fault-soak --seconds 10 --seed 1)
+set_tests_properties(soak fault_soak PROPERTIES TIMEOUT 120)
--- a/include/jujubequay/daemon/steering_settings.h
+++ b/include/jujubequay/daemon/steering_settings.h
@@ -45,7 +45,8 @@
 /// Settings of a control host that finds the others by itself.
 struct RouteControlSettings {
     DiscoverySettings discovery;
-    HostAddress peerAddress; ///< control streams (TCP)
+    HostAddress peerAddress; ///< where others reach its control streams (TCP)
+    HostAddress listenAddress; ///< where it accepts them
     HostAddress operatorAddress; ///< operators' calls (HTTP)
     std::filesystem::path dataDirectory;
     bool isFirstStart = false; ///< the whole system starts for the first time, with empty disks
--- /dev/null
+++ b/soak/addresses.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <jujubequay/core/identifiers.h>
+
+#include <cstdint>
+
+namespace Jujubequay::Soak {
+
+/// Addresses of a deployment on loopback: 127.NETWORK.ROLE.NUMBER. Deployments of different networks do not meet.
+struct Addresses {
+    std::uint8_t network = 77;
+
+    /// Where control hosts reach each other: the proxy in front of one.
+    HostAddress controlPeer(std::uint8_t number) const
+    {
+        return address(1, number, 7720);
+    }
+    HostAddress controlListen(std::uint8_t number) const
+    {
+        return address(2, number, 7720);
+    }
+    HostAddress controlOperator(std::uint8_t number) const
+    {
+        return address(1, number, 8166);
+    }
+    HostAddress balancerCaller(std::uint8_t number) const
+    {
+        return address(3, number, callerPort);
+    }
+    HostAddress balancerPeer(std::uint8_t number) const
+    {
+        return address(3, number, 7720);
+    }
+    HostAddress balancerReady(std::uint8_t number) const
+    {
+        return address(3, number, 8167);
+    }
+    HostAddress agentRelay(std::uint8_t number) const
+    {
+        return address(4, number, callerPort);
+    }
+    HostAddress agentServerOutput(std::uint8_t number) const
+    {
+        return address(4, number, 8173);
+    }
+    HostAddress agentReady(std::uint8_t number) const
+    {
+        return address(4, number, 8167);
+    }
+    HostAddress agentAnnounce(std::uint8_t number) const
+    {
+        return address(4, number, 8168);
+    }
+    HostAddress server(std::uint8_t number) const
+    {
+        return address(4, number, 8080);
+    }
+    HostAddress caller(std::uint8_t number) const
+    {
+        return address(5, number, callerPort);
+    }
+    /// An address that callers use; nobody listens there.
+    HostAddress route(std::uint16_t port) const
+    {
+        return address(6, 1, port);
+    }
+
+    static constexpr std::uint16_t callerPort = 8172;
+
+private:
+    HostAddress address(std::uint8_t role, std::uint8_t number, std::uint16_t port) const
+    {
+        return {(127U << 24U) | (std::uint32_t{network} << 16U) | (std::uint32_t{role} << 8U) | number, port};
+    }
+};
+
+}
--- /dev/null
+++ b/soak/http_call.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <platform/stand_in.h>
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace Jujubequay::Soak {
+
+struct HttpAnswer {
+    unsigned status = 0; ///< 0 for no answer in time
+    std::string body;
+    std::string location; ///< of a redirection
+};
+
+/// Sends one call on a connection of its own. The handler is called once.
+void sendCall(asio::io_context &context,
+              const HostAddress &address,
+              const Platform::StandInCall &call,
+              std::chrono::milliseconds timeout,
+              std::function<void(const HttpAnswer &)> handler);
+
+}
--- a/src/jujubequay/control/control_host_service_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -338,7 +338,7 @@
         MessageStreamHandlers handlers;
         handlers.message = [](const Bytes &) {};
         handlers.closed = [](ResultCode) {};
-        const auto stream = m_network->client({"host-1", "agent"})->open(m_hosts[host]->address, "/announce", handlers);
+        auto stream = m_network->client({"host-1", "agent"})->open(m_hosts[host]->address, "/announce", handlers);
         pb::AnnounceUp message;
         pb::ServerEntry &server = *message.mutable_server();
         server.set_name(relayAddress);
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -71,6 +71,8 @@
     RouteControlSettings settings;
     settings.discovery = readDiscoverySettings(reader);
     settings.peerAddress = reader.address("peer_address", "address of control streams (TCP)");
+    settings.listenAddress = reader.optionalAddress("listen_address", "address on which control streams are accepted, if others reach it as peer_address")
+                                 .value_or(settings.peerAddress);
     settings.operatorAddress = reader.address("operator_address", "address of operators' calls (HTTP)");
     settings.dataDirectory = reader.path("data_directory", "directory of the replicated log");
     settings.isFirstStart = reader.flag("first_start", false, "the whole system starts for the first time, with empty disks");
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -153,6 +153,7 @@
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<HostAddress> agents;
+    agents.reserve(homes.size() + ranked.size());
     for (const FlowHome &home : homes) {
         agents.push_back(home.agent);
     }
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -186,13 +186,11 @@
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < received; ++index) {
         const auto message = decodeSteerMessage(m_reader.datagram(index));
-        if (!message) {
-            m_counters.add(PacketEvent::Unreadable);
-        } else if (const auto *owner = std::get_if<OwnerNotice>(&*message)) {
+        if (const auto *owner = message ? std::get_if<OwnerNotice>(&*message) : nullptr) {
             m_steering.notice(now, *owner);
-        } else if (const auto *load = std::get_if<LoadNotice>(&*message)) {
+        } else if (const auto *load = message ? std::get_if<LoadNotice>(&*message) : nullptr) {
             m_steering.notice(now, *load);
-        } else if (const auto *started = std::get_if<StartNotice>(&*message)) {
+        } else if (const auto *started = message ? std::get_if<StartNotice>(&*message) : nullptr) {
             m_onStartNotice(started->controlHost);
         } else {
             m_counters.add(PacketEvent::Unreadable);
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -105,13 +105,13 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
-    BOOST_LEAF_ASSIGN(m_notices, bindUdpSocket(m_context, {m_settings.peerAddress.ip, 0}));
+    BOOST_LEAF_ASSIGN(m_notices, bindUdpSocket(m_context, {m_settings.listenAddress.ip, 0}));
     MessageServerOptions options;
     options.http2.keepAlive = m_settings.discovery.common.keepAlive;
     const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
         return m_session ? m_session->service->accept(path, stream) : MessageStreamHandlers{};
     };
-    BOOST_LEAF_ASSIGN(m_server, MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.peerAddress, accept, options));
+    BOOST_LEAF_ASSIGN(m_server, MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.listenAddress, accept, options));
     tryOpenSession();
     m_settingsWatcher.start();
     scheduleTick();
