Keep the server of a restarted agent listed

An agent that starts again counts its announcements anew while its server is the same. A control host that had only the entry of the earlier start took them for late ones: it answered them and neither changed the entry nor renewed the lease, so the server was removed while its agent believed it was listed. Ruled out: a control host that was paused or cut off for good (its group was whole, and the other agents were listed).

Change: an announcement of another start of the agent is accepted under a new order. Test: restartedAgentKeepsItsServerListed, seen to fail without the change.

--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -35,6 +35,12 @@
     return given.agent_epoch() != 0 && given.agent_epoch() == known.agent_epoch() && given.sequence() > known.sequence();
 }
 
+// The sequence of an agent begins anew when it starts, while its server may be the same.
+bool isOfAnotherAgentStart(const pb::ServerEntry &known, const pb::ServerEntry &given)
+{
+    return given.agent_epoch() != 0 && known.agent_epoch() != 0 && given.agent_epoch() != known.agent_epoch();
+}
+
 bool isAnnouncement(const pb::ServerEntry &entry)
 {
     const auto state = entry.state();
@@ -142,7 +148,10 @@
     if (isKnown && !isSameIncarnation && !displaces(session, found->second, given)) {
         return refuse(session, wallMs, found->second);
     }
-    if (isSameIncarnation) {
+    const bool isOtherStart = isSameIncarnation && isOfAnotherAgentStart(found->second.entry, given);
+    if (isOtherStart) {
+        entry.set_order(std::max(given.order(), nextOrder(wallMs)));
+    } else if (isSameIncarnation) {
         entry.set_order(std::max(found->second.entry.order(), given.order()));
     } else if (isKnown && isLaterOfSameAgent(found->second.entry, given)) {
         entry.set_order(std::max(given.order(), nextOrder(wallMs)));
@@ -152,7 +161,7 @@
     if (isAddressTaken(entry)) {
         return isKnown ? refuse(session, wallMs, found->second) : answerOf(ResultCode::StaleIncarnation);
     }
-    return isSameIncarnation ? renew(now, session, found->second, std::move(entry)) : accept(now, session, std::move(entry));
+    return isSameIncarnation && !isOtherStart ? renew(now, session, found->second, std::move(entry)) : accept(now, session, std::move(entry));
 }
 
 // A late announcement is answered but neither changes the entry nor renews the lease.
--- a/src/jujubequay/control/lease_registry_test.cpp
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(lateAnnouncementOfOldIncarnationIsRefused);
     CPPUNIT_TEST(runningProcessReturnsAfterItsSuccessorLeft);
     CPPUNIT_TEST(laterServerOfOneAgentDisplacesTheEarlierOne);
+    CPPUNIT_TEST(restartedAgentKeepsItsServerListed);
     CPPUNIT_TEST(wallClockStepDoesNotReorderIncarnations);
     CPPUNIT_TEST(reusedAddressRemovesTheOldServer);
     CPPUNIT_TEST(pausedControlHostDoesNotExpireLeases);
@@ -184,6 +185,25 @@
         refused(other);
     }
 
+    /// Fault soak, seed 411: an agent that had started again announced the same server with a lower sequence. It was answered as if it
+    /// were accepted, and its server was removed when the lease ended.
+    void restartedAgentKeepsItsServerListed()
+    {
+        auto before = server(0, 7, pb::SERVER_STATE_SERVING, 5);
+        before.set_agent_epoch(1);
+        announce(before);
+        auto after = server(0, 7, pb::SERVER_STATE_SERVING, 2);
+        after.set_agent_epoch(2);
+        after.set_order(announce(after).order());
+        CPPUNIT_ASSERT_EQUAL(2U, m_registry->find(after.name())->agent_epoch());
+        for (int second = 0; second < 20; ++second) {
+            m_now += seconds(1);
+            announce(after);
+            m_registry->tick(m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, stateOf(0));
+    }
+
     void runningProcessReturnsAfterItsSuccessorLeft()
     {
         announce(server(0, 7));
