Let agents wait for their server, and for its end

Two faults, found by the fault soak.

An agent that has just started does not know yet whether its server runs. Test: waitsUntilItKnowsWhetherItHasAServer.

A server that says that it ends may live on, for example if the answer is lost. Balancers and agents reset its flows 300 ms later all the same. The agent now looks at the server every 100 ms and reports the end only when nothing listens there any more.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -35,8 +35,8 @@
 /// refusing some.
 struct HoldPacket {
 };
-/// No server that is known holds the flow, but not all may be known. Keep the packet until `isListSettled`, then pass it to
-/// `repeatSearch`.
+/// No server that is known holds the flow, but not all may be known. Keep the packet until `isListSettled`, or until `isServerKnown`
+/// becomes true, then pass it to `repeatSearch`.
 struct HoldSearch {
     SteerHeader header;
 };
@@ -97,6 +97,8 @@
     bool mayStartRequest() const;
     /// A packet that was held, once the server takes another request.
     AgentDecision startHeld(TimePoint now, const Segment &segment);
+    /// False until `setServer` was called: the server beside this agent may hold any flow.
+    bool isServerKnown() const;
     /// True once this agent knows all servers, and so do the others as far as it can tell.
     bool isListSettled(TimePoint now) const;
     /// A packet whose search was held.
@@ -183,6 +185,7 @@
     const AgentSteeringOptions m_options;
     ServerDirectory m_directory;
     std::optional<LocalServer> m_server;
+    bool m_isServerKnown = false;
     OutlierDetector m_outliers;
     TimePoint m_listChangedAt{};
     std::optional<TimePoint> m_blindBefore; ///< the server may hold flows that it has opened before; empty if it holds none
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -61,6 +61,7 @@
     void scheduleRelease();
     void holdSearch(const HoldSearch &decision, std::span<std::uint8_t> withHeadroom);
     void scheduleSearches();
+    void repeatSearchesIfSettled();
     void repeatSearches();
     void repeatNotices();
     void sendNotices();
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <filesystem>
+#include <functional>
 
 namespace Jujubequay {
 
@@ -40,7 +41,10 @@
     void apply(const ConfigSnapshotPointer &snapshot);
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry entry() const;
+    void waitForEnd();
     void serverEnded();
+    /// Tries to connect to the server. One at a time.
+    void probeServer(std::function<void(const asio::error_code &)> handler);
     bool hasStartedWithAgent(const ServerAnnouncement &announcement) const;
     /// Finds out whether the server runs already, so that a restarted agent need not wait for its next announcement.
     void checkServer();
@@ -65,12 +69,14 @@
     ServerAnnouncements m_announcements;
     /// Wall clock, to compare with the server's own.
     const std::chrono::system_clock::time_point m_startedAt = std::chrono::system_clock::now();
-    asio::ip::tcp::socket m_check;
+    asio::ip::tcp::socket m_probe;
     const std::uint32_t m_epoch; ///< of this start; not 0
     const std::uint32_t m_absentIncarnation; ///< that no server has; above unconfirmedIncarnation
     bool m_isServerAbsent = false; ///< nothing listened where the server should when this agent started
     bool m_isServerRunning = false; ///< it accepts connections and has not announced itself yet
     std::optional<LocalServer> m_local;
+    bool m_isLocalKnown = false; ///< the traffic thread has been told of `m_local`
+    TimePoint m_runningSince{};
     bool m_isAnnouncing = false;
     bool m_isStopping = false;
 };
--- a/soak/fault_run.cpp
+++ b/soak/fault_run.cpp
@@ -78,6 +78,7 @@
 constexpr auto measureTime = seconds(4);
 /// A server that drains ends this long after it has said so.
 constexpr auto drainTime = seconds(2);
+constexpr unsigned longestEndMs = 1500;
 /// At most so many redirections are followed.
 constexpr unsigned maxRedirections = 2;
 /// The next disk may be lost only once the group has taken the last one in again.
@@ -253,7 +254,8 @@
     {
         after(milliseconds(200 + m_faultRandom() % 1200), [this] {
             if (m_clock.now() < m_faultsEndAt) {
-                inject(static_cast<Fault>(m_faultRandom() % faultCount));
+                inject(m_options.onlyFault.empty() ? static_cast<Fault>(m_faultRandom() % faultCount)
+                                                   : faultNames.value(m_options.onlyFault).value_or(Fault::Reload));
                 scheduleFault();
             }
         });
@@ -389,11 +391,15 @@
         StandInServer &server = m_servers[m_faultRandom() % m_servers.size()];
         server.drain();
         after(drainTime, [this, &server] {
-            server.end(true);
-            after(milliseconds(500), [&server] {
-                if (!server.isRunning()) {
-                    server.start();
-                }
+            server.leave();
+            // A server whose call got no answer in time may live on for a while.
+            after(milliseconds(m_faultRandom() % longestEndMs), [this, &server] {
+                server.end();
+                after(milliseconds(500), [&server] {
+                    if (!server.isRunning()) {
+                        server.start();
+                    }
+                });
             });
         });
     }
@@ -401,7 +407,7 @@
     void crashServer(Duration duration)
     {
         StandInServer &server = m_servers[m_faultRandom() % m_servers.size()];
-        server.end(false);
+        server.end();
         disturb(duration, [&server] {
             if (!server.isRunning()) {
                 server.start();
--- a/soak/fault_run.h
+++ b/soak/fault_run.h
@@ -16,6 +16,7 @@
     std::uint8_t callers = 3;
     std::size_t flowsOfCaller = 8;
     bool showsFaults = false;
+    std::string onlyFault; ///< name of the only kind of fault; empty for all kinds
 };
 
 struct FaultRunReport {
--- a/soak/jjq_fault_soak.cpp
+++ b/soak/jjq_fault_soak.cpp
@@ -34,6 +34,7 @@
     TCLAP::ValueArg<unsigned> agents("", "agents", "number of agents, each with a server", false, 5, "number", line.parser());
     TCLAP::ValueArg<unsigned> controlHosts("", "control-hosts", "number of control hosts", false, 3, "number", line.parser());
     TCLAP::SwitchArg showsFaults("", "show-faults", "print each fault", line.parser());
+    TCLAP::ValueArg<std::string> onlyFault("", "only", "the only kind of fault, as --show-faults prints it", false, "", "name", line.parser());
     BOOST_LEAF_CHECK(line.parse({argv, argv + argc}));
 
     FaultRunOptions options;
@@ -43,6 +44,7 @@
     options.deployment.agents = static_cast<std::uint8_t>(agents.getValue());
     options.deployment.controlHosts = static_cast<std::uint8_t>(controlHosts.getValue());
     options.faultTime = std::chrono::seconds(seconds.getValue());
+    options.onlyFault = onlyFault.getValue();
     options.showsFaults = showsFaults.getValue();
     std::size_t violations = 0;
     for (std::uint64_t number = 0; number < runs.getValue(); ++number) {
--- a/soak/stand_in_server.cpp
+++ b/soak/stand_in_server.cpp
@@ -61,6 +61,7 @@
     m_acceptor.listen();
     ++m_starts;
     m_isRunning = true;
+    m_hasLeft = false;
     m_announced = {fmt::format("server-{}-{}", m_number, m_starts), m_service, address, "zone-a", wallClockMs(), 0, 4, false};
     receive();
     acceptConnections();
@@ -76,14 +77,16 @@
     announce();
 }
 
-void StandInServer::end(bool announces)
+void StandInServer::leave()
 {
-    if (!m_isRunning) {
-        return;
-    }
-    if (announces) {
+    if (m_isRunning) {
+        m_hasLeft = true;
         sendCall(m_context, m_addresses.agentAnnounce(m_number), Platform::leaveCall(m_announced.id), callTimeout, [](const HttpAnswer &) {});
     }
+}
+
+void StandInServer::end()
+{
     m_isRunning = false;
     m_flows.clear();
     close(m_socket);
@@ -103,7 +106,7 @@
 
 void StandInServer::announce()
 {
-    if (m_isRunning) {
+    if (m_isRunning && !m_hasLeft) {
         ++m_announced.sequence;
         sendCall(m_context, m_addresses.agentAnnounce(m_number), Platform::announceCall(m_announced), callTimeout, [](const HttpAnswer &) {});
     }
--- a/soak/stand_in_server.h
+++ b/soak/stand_in_server.h
@@ -30,8 +30,10 @@
     void start();
     /// Says that it leaves. It still serves the flows that it has, and takes new ones.
     void drain();
-    /// Ends; flows are lost. With `announces` it says so first.
-    void end(bool announces);
+    /// Says that it ends. It serves on until `end`.
+    void leave();
+    /// Ends; flows are lost.
+    void end();
     bool isRunning() const;
     bool holds(const FlowEnds &ends) const;
 
@@ -67,6 +69,7 @@
     Platform::AnnouncedServer m_announced;
     unsigned m_starts = 0; ///< ignores what an earlier start has left
     bool m_isRunning = false;
+    bool m_hasLeft = false; ///< has said that it ends
     std::unordered_map<FlowEnds, Flow> m_flows;
 };
 
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -72,6 +72,7 @@
         m_blindBefore.reset();
     }
     m_server = server;
+    m_isServerKnown = true;
     return resets;
 }
 
@@ -168,6 +169,9 @@
     const FlowEnds ends = endsFromCaller(segment);
     const auto known = m_flows.find(ends);
     if (known == m_flows.end()) {
+        if (!m_isServerKnown) {
+            return HoldSearch{header};
+        }
         if (m_server && !knowsAllFlows(now)) {
             Flow &flow = insert(ends, FlowState::Asked, now);
             flow.header = header;
@@ -277,19 +281,25 @@
     return ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow};
 }
 
+bool AgentSteering::isServerKnown() const
+{
+    return m_isServerKnown;
+}
+
 bool AgentSteering::isListSettled(TimePoint now) const
 {
     return m_directory.isReady() && m_directory.isComplete() && now - m_listChangedAt >= m_options.settleTime;
 }
 
-// The search starts again at the home, since servers may have been left out.
+// The search starts again at the home, since servers may have been left out; but the own server first, if it may hold the flow.
 AgentDecision AgentSteering::repeatSearch(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices)
 {
     SteerHeader first = header;
     first.hops = 0;
     first.isSearchPartial = false;
     const auto home = m_directory.home(endsFromCaller(segment));
-    if (home && *home != m_options.agent) {
+    const bool mayHoldIt = m_server && !knowsAllFlows(now);
+    if (!mayHoldIt && home && *home != m_options.agent) {
         first.wantsOwner = true;
         return RelayToAgent{*home, first, SteerCause::Home};
     }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(keepsAFlowThatItsServerNeverOpened);
     CPPUNIT_TEST(followsAPointer);
     CPPUNIT_TEST(asksItsServerAfterARestart);
+    CPPUNIT_TEST(waitsUntilItKnowsWhetherItHasAServer);
     CPPUNIT_TEST(doesNotAskAServerThatItHasSeenStart);
     CPPUNIT_TEST(resetsAFlowThatNobodyHolds);
     CPPUNIT_TEST(keepsQuietWhileTheListIsNew);
@@ -256,6 +257,19 @@
         CPPUNIT_ASSERT_EQUAL(55U, std::get<ResetCaller>(decision).sequence);
     }
 
+    /// Fault soak, seeds 403 and 407: an agent that had just started, and did not know its server yet, let others reset the flows of
+    /// that server.
+    void waitsUntilItKnowsWhetherItHasAServer()
+    {
+        AgentSteering agent({.agent = agentAddress(1)});
+        agent.update(m_now - seconds(10), Snapshots().server(1).server(2).build());
+        CPPUNIT_ASSERT(!agent.isServerKnown());
+        const auto held = std::get<HoldSearch>(agent.fromPeer(m_now, header(), data(flow(1), 5), m_notices));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 3}, false);
+        CPPUNIT_ASSERT(agent.isServerKnown());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.repeatSearch(m_now, held.header, data(flow(1), 5), m_notices)));
+    }
+
     /// A list that is still filling may lack the holder.
     void keepsQuietWhileTheListIsNew()
     {
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -102,15 +102,19 @@
 {
     m_steering.update(m_clock.now(), *snapshot);
     repeatNotices();
-    repeatSearches();
+    repeatSearchesIfSettled();
 }
 
 void AgentTraffic::setServer(const std::optional<LocalServer> &server, bool isFresh)
 {
+    const bool wasServerKnown = m_steering.isServerKnown();
     for (const ResetCaller &decision : m_steering.setServer(m_clock.now(), server, isFresh)) {
         reset(decision);
     }
     flush();
+    if (!wasServerKnown) {
+        repeatSearches();
+    }
 }
 
 const PacketCounters &AgentTraffic::counters() const
@@ -258,7 +262,7 @@
     m_searchTimer.expires_after(searchInterval);
     m_searchTimer.async_wait([this](const asio::error_code &error) {
         if (!error) {
-            repeatSearches();
+            repeatSearchesIfSettled();
             if (m_heldSearches.size() > 0) {
                 scheduleSearches();
             }
@@ -266,13 +270,17 @@
     });
 }
 
+void AgentTraffic::repeatSearchesIfSettled()
+{
+    if (m_steering.isServerKnown() && m_steering.isListSettled(m_clock.now())) {
+        repeatSearches();
+    }
+}
+
 // Packets that wait for longer than the queue keeps them are repeated by their callers.
 void AgentTraffic::repeatSearches()
 {
     const TimePoint now = m_clock.now();
-    if (m_heldSearches.size() == 0 || !m_steering.isListSettled(now)) {
-        return;
-    }
     std::vector<std::vector<std::uint8_t>> datagrams;
     while (auto datagram = m_heldSearches.takeOldest(now)) {
         datagrams.push_back(std::move(*datagram));
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -12,8 +12,10 @@
 constexpr auto checkInterval = std::chrono::milliseconds(250);
 /// Announcements that may be lost in a row before the server gets no new flows.
 constexpr int missedAnnouncements = 3;
-/// A server that has said that it ends exits right after; its last packets are still passed on.
+/// After a stop is asked for; the server's last packets are still passed on.
 constexpr auto endDelay = std::chrono::milliseconds(300);
+/// Between looks at a server that has said that it ends: its callers should not wait noticeably for a flow that exists no more.
+constexpr auto endCheckInterval = std::chrono::milliseconds(100);
 /// A server that started at most this long before its agent got no flows from an earlier start of the agent: both were down.
 constexpr auto freshServerAge = std::chrono::seconds(1);
 constexpr std::uint32_t ordinaryWeight = 100;
@@ -39,7 +41,7 @@
                    })
     , m_endTimer(m_context)
     , m_announcements(missedAnnouncements * m_settings.announceInterval)
-    , m_check(m_context)
+    , m_probe(m_context)
     , m_epoch(static_cast<std::uint32_t>(m_services.random()()) | 1U)
     , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
 {
@@ -89,6 +91,7 @@
     m_watcher = createWatcher(m_context, m_services, m_settings.discovery, std::move(watcher));
     m_watcher->start();
     m_settingsWatcher.start();
+    m_runningSince = m_services.clock().now();
     checkServer();
     m_checkTimer.start();
     m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"server", toString(m_settings.serverInput)}});
@@ -156,11 +159,23 @@
     }
     m_services.logger().info("server-leaves", {{"id", id}});
     applyServer(false);
-    m_endTimer.expires_after(endDelay);
+    waitForEnd();
+}
+
+// A server that has said that it ends may live on, for example if it has not got the answer; its flows live as long.
+void SteeringAgentProcess::waitForEnd()
+{
+    m_endTimer.expires_after(endCheckInterval);
     m_endTimer.async_wait([this](const asio::error_code &error) {
-        if (!error && m_announcements.hasLeft()) {
-            serverEnded();
+        if (error || m_isStopping || !m_announcements.hasLeft()) {
+            return;
         }
+        probeServer([this](const asio::error_code &connected) {
+            if (m_isStopping || !m_announcements.hasLeft()) {
+                return;
+            }
+            connected == asio::error::connection_refused ? serverEnded() : waitForEnd();
+        });
     });
 }
 
@@ -170,15 +185,22 @@
     applyServer(false);
 }
 
+void SteeringAgentProcess::probeServer(std::function<void(const asio::error_code &)> handler)
+{
+    const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
+    m_probe.async_connect(server, [this, handler = std::move(handler)](const asio::error_code &error) {
+        asio::error_code ignored;
+        m_probe.close(ignored);
+        handler(error);
+    });
+}
+
 void SteeringAgentProcess::checkServer()
 {
     if (m_settings.service.empty()) {
         return;
     }
-    const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
-    m_check.async_connect(server, [this](const asio::error_code &error) {
-        asio::error_code ignored;
-        m_check.close(ignored);
+    probeServer([this](const asio::error_code &error) {
         m_services.logger().info("server-checked", {{"runs", !error}, {"announced", m_announcements.current().has_value()}});
         if (m_announcements.current()) {
             return;
@@ -202,8 +224,12 @@
     } else if (m_isServerRunning) {
         local = LocalServer{serviceKey(m_settings.service), unconfirmedIncarnation, true, 1};
     }
-    if (local != m_local) {
+    // A server announces itself within one interval; an announcement may be lost.
+    const bool hasWaited = m_services.clock().now() - m_runningSince >= 2 * m_settings.announceInterval;
+    const bool isKnown = local || m_isServerAbsent || hasWaited;
+    if (local != m_local || (isKnown && !m_isLocalKnown)) {
         m_local = local;
+        m_isLocalKnown = true;
         m_loop.post([traffic = m_traffic.get(), local, isFresh] {
             traffic->setServer(local, isFresh);
         });
