Search all servers in rank order once both homes were asked

Since homes were told with acknowledgements, the search went on with the rest of the second home's zone. Where lists of servers differed by one that had just joined, hosts took different homes, put the rest in different orders, and a packet could pass the holder by.

Change: the header says how far a search has got: first home, second home, all servers by rank, an order in which a server that joins changes the place of no other.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -159,6 +159,8 @@
     AgentDecision deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<NoticeTo> &notices);
     AgentDecision passOpeningOn(const SteerHeader &header, const Segment &segment, SteerCause cause) const;
     AgentDecision passOn(TimePoint now, const SteerHeader &header, const Segment &segment) const;
+    /// Whom to ask next about a flow; sets the phase of the search. Empty once all have been asked.
+    std::optional<HostAddress> nextToAsk(bool isSearch, const FlowEnds &ends, SteerHeader &next) const;
     AgentDecision returned(TimePoint now, const Segment &segment);
     static AgentDecision lost(const Segment &segment);
     bool isRouteAllowed(const SteerHeader &header, const FlowEnds &ends) const;
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -44,9 +44,9 @@
 /// Every host orders the servers alike for a flow (rendezvous hashing over availability zones, and within each over the agents'
 /// addresses), so servers that join or leave change the order of few flows. The first two, of different availability zones, are the
 /// flow's homes: they are told where the flow is. A host that does not know the holder asks the first home; an agent that does not
-/// know it passes the packet on along the order. Servers that are in no list any more come last: their agents may be gone, and packets to them lost. Services
-/// play no part in the order, since a route may have led to another service when the flow was opened, and a host that has just started knows only the present
-/// one.
+/// know it passes the packet on to the second home, and then along the order of ranks, which hosts with slightly different lists share. Servers that are in no
+/// list any more come last: their agents may be gone, and packets to them lost. Services play no part in the order, since a route may have led to another
+/// service when the flow was opened, and a host that has just started knows only the present one.
 class ServerDirectory
 {
 public:
@@ -65,13 +65,13 @@
     std::span<const SteerServer> servers(ServiceKey service) const;
     /// True if the server has ended by itself; its flows exist no more.
     bool hasDeparted(const HostAddress &agent, Incarnation incarnation) const;
-    /// All servers in the order of a flow: its homes, then the rest of the second home's zone, of the first one's, and of the others.
+    /// All servers by their rank for a flow, best first.
     std::vector<HostAddress> order(const FlowEnds &ends) const;
     /// The agents that are told where a flow is.
     std::vector<FlowHome> homes(const FlowEnds &ends) const;
-    /// The first of the order; empty without servers.
+    /// The first home; empty without servers.
     std::optional<HostAddress> home(const FlowEnds &ends) const;
-    /// Next of the order after an agent; the first one after an agent that is not in it.
+    /// Next by rank after an agent; the best one after an agent that is not in the list.
     std::optional<HostAddress> next(const FlowEnds &ends, const HostAddress &after) const;
 
 private:
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -12,6 +12,13 @@
 
 namespace Jujubequay {
 
+/// How far the search for the holder of a flow has got.
+enum class SearchPhase : std::uint8_t {
+    FirstHome, ///< not begun, or asking the first home
+    SecondHome,
+    AllServers, ///< asking one after the other in rank order
+};
+
 /// Precedes a caller's packet on its way between balancers and agents.
 struct SteerHeader {
     std::uint8_t hops = 0; ///< agents that have passed the packet on
@@ -19,7 +26,8 @@
     std::uint64_t tableVersion = 0; ///< route table of the balancer
     ServiceKey service; ///< chosen for an opening packet
     HostAddress balancer; ///< where notices go
-    bool isSearchPartial = false; ///< a host on the way did not know all servers, so one may have been left out
+    bool isSearchPartial = false; ///< a host on the way did not know all servers for certain, so one may have been left out
+    SearchPhase phase = SearchPhase::FirstHome;
 };
 
 /// Tells a balancer or an agent which agent holds a flow.
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -255,19 +255,12 @@
     const FlowEnds ends = endsFromCaller(segment);
     SteerHeader next = header;
     ++next.hops;
-    next.isSearchPartial = header.isSearchPartial || !m_directory.isComplete();
+    next.isSearchPartial = header.isSearchPartial || !isListSettled(now);
     if (next.hops > m_options.maxHops) {
         return DropPacket{SteerCause::TooManyHops};
     }
-    std::optional<HostAddress> agent;
-    if (!header.wantsOwner) {
-        // The balancer took this agent for the holder; the search starts at the home.
-        next.wantsOwner = true;
-        agent = m_directory.home(ends);
-    }
-    if (!agent || *agent == m_options.agent) {
-        agent = m_directory.next(ends, m_options.agent);
-    }
+    const auto agent = nextToAsk(header.wantsOwner, ends, next);
+    next.wantsOwner = true;
     if (agent) {
         return RelayToAgent{*agent, next, SteerCause::Home};
     }
@@ -275,12 +268,39 @@
     if (segment.isReset) {
         return DropPacket{SteerCause::UnknownFlow};
     }
-    if (next.isSearchPartial || !isListSettled(now)) {
+    if (next.isSearchPartial) {
         return HoldSearch{next};
     }
     return ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow};
 }
 
+// The homes come first; then all servers by rank, the homes once more: a host whose list differs may take others for the homes.
+std::optional<HostAddress> AgentSteering::nextToAsk(bool isSearch, const FlowEnds &ends, SteerHeader &next) const
+{
+    const std::vector<FlowHome> homes = m_directory.homes(ends);
+    const auto isOther = [this](const FlowHome &home) {
+        return home.agent != m_options.agent;
+    };
+    if (!isSearch && !homes.empty() && isOther(homes.front())) {
+        // The balancer took this agent for the holder.
+        next.phase = SearchPhase::FirstHome;
+        return homes.front().agent;
+    }
+    if (next.phase == SearchPhase::FirstHome && homes.size() > 1 && isOther(homes.back())) {
+        next.phase = SearchPhase::SecondHome;
+        return homes.back().agent;
+    }
+    if (next.phase == SearchPhase::AllServers) {
+        return m_directory.next(ends, m_options.agent);
+    }
+    next.phase = SearchPhase::AllServers;
+    const auto order = m_directory.order(ends);
+    const auto first = std::find_if(order.begin(), order.end(), [this](const HostAddress &agent) {
+        return agent != m_options.agent;
+    });
+    return first == order.end() ? std::nullopt : std::optional(*first);
+}
+
 bool AgentSteering::isServerKnown() const
 {
     return m_isServerKnown;
@@ -297,6 +317,7 @@
     SteerHeader first = header;
     first.hops = 0;
     first.isSearchPartial = false;
+    first.phase = SearchPhase::FirstHome;
     const auto home = m_directory.home(endsFromCaller(segment));
     const bool mayHoldIt = m_server && !knowsAllFlows(now);
     if (!mayHoldIt && home && *home != m_options.agent) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <set>
+
 #include "steering_test_support.h"
 
 using namespace Jujubequay;
@@ -24,6 +27,8 @@
     CPPUNIT_TEST(asksItsServerAfterARestart);
     CPPUNIT_TEST(waitsUntilItKnowsWhetherItHasAServer);
     CPPUNIT_TEST(doesNotAskAServerThatItHasSeenStart);
+    CPPUNIT_TEST(asksTheHomesFirst);
+    CPPUNIT_TEST(skipsNoServerWhereListsDiffer);
     CPPUNIT_TEST(resetsAFlowThatNobodyHolds);
     CPPUNIT_TEST(keepsQuietWhileTheListIsNew);
     CPPUNIT_TEST(resetsNothingBeforeAllServersAreListed);
@@ -67,6 +72,7 @@
     {
         SteerHeader header = AgentSteeringTest::header();
         header.wantsOwner = true;
+        header.phase = SearchPhase::AllServers;
         return header;
     }
 
@@ -158,6 +164,60 @@
         CPPUNIT_ASSERT(repeated(agent, milliseconds(250)).at(0).destination == agentAddress(2));
     }
 
+    /// Both homes are told of a flow, so they are asked before all the others.
+    void asksTheHomesFirst()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 6; ++number) {
+            snapshots.server(number);
+        }
+        ServerDirectory directory({});
+        directory.update({}, snapshots.build());
+        const auto homes = directory.homes(flow(1));
+        AgentSteering home({.agent = homes[0].agent});
+        home.update(m_now - seconds(10), snapshots.build());
+        home.setServer(m_now - seconds(10), LocalServer{serviceKey("feed"), {1}, true, 3}, true);
+        SteerHeader asked = header();
+        asked.wantsOwner = true;
+        const auto passed = std::get<RelayToAgent>(home.fromPeer(m_now, asked, data(flow(1), 5), m_notices));
+        CPPUNIT_ASSERT(passed.agent == homes[1].agent);
+        CPPUNIT_ASSERT(passed.header.phase == SearchPhase::SecondHome);
+    }
+
+    /// slotdesk-tn, scale-1 --seed 1036612183648: while a server joined, hosts with the older and the newer list passed a packet to each
+    /// other. The order of the rest depended on the homes, so the holder was left out, and the flow was reset.
+    void skipsNoServerWhereListsDiffer()
+    {
+        Snapshots older;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            older.server(number);
+        }
+        Snapshots newer = older;
+        newer.server(9);
+        std::map<HostAddress, AgentSteering> agents;
+        for (std::uint32_t number = 1; number <= 9; ++number) {
+            agents.emplace(agentAddress(number), agent(number, number % 3 == 0 ? newer : older));
+        }
+        for (std::uint16_t port = 1; port <= 300; ++port) {
+            std::set<HostAddress> asked;
+            SteerHeader header = AgentSteeringTest::header();
+            header.wantsOwner = true;
+            HostAddress at = agents.at(agentAddress(3)).directory().home(flow(port)).value();
+            while (true) {
+                asked.insert(at);
+                const AgentDecision decision = agents.at(at).fromPeer(m_now, header, data(flow(port), 5), m_notices);
+                const auto *passed = std::get_if<RelayToAgent>(&decision);
+                if (passed == nullptr) {
+                    break;
+                }
+                at = passed->agent;
+                header = passed->header;
+            }
+            asked.erase(agentAddress(9));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, asked.size());
+        }
+    }
+
     void givesUpAHomeThatDoesNotAnswer()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -25,9 +25,6 @@
     return {isListed, zoneScore, scoreOf(flowHash, server.agent)};
 }
 
-/// Listed servers first, then by zone preference of the search, zone and server.
-using SearchRank = std::tuple<bool, int, std::uint64_t, std::uint64_t>;
-
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
     return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.agentEpoch, server.takesNewWork(), std::nullopt};
@@ -132,31 +129,16 @@
 
 std::vector<HostAddress> ServerDirectory::order(const FlowEnds &ends) const
 {
-    const std::vector<FlowHome> homes = this->homes(ends);
-    if (homes.empty()) {
-        return {};
-    }
-    // A search goes on from the second home, so the rest of its zone comes next, and that of the first home after it.
-    const std::string &firstZone = find(homes.front().agent)->zone;
-    const std::string &secondZone = find(homes.back().agent)->zone;
     const std::uint64_t hash = hashOf(ends);
-    std::vector<std::pair<SearchRank, HostAddress>> ranked;
+    std::vector<std::pair<Rank, HostAddress>> ranked;
     for (const auto &entry : m_servers) {
         for (const SteerServer &server : entry.second) {
-            const bool isHome = server.agent == homes.front().agent || server.agent == homes.back().agent;
-            if (!isHome) {
-                const int zonePreference = server.zone == secondZone ? 2 : (server.zone == firstZone ? 1 : 0);
-                const auto [isListed, zoneScore, score] = rankOf(hash, server, !server.goneSince);
-                ranked.emplace_back(SearchRank{isListed, zonePreference, zoneScore, score}, server.agent);
-            }
+            ranked.emplace_back(rankOf(hash, server, !server.goneSince), server.agent);
         }
     }
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<HostAddress> agents;
-    agents.reserve(homes.size() + ranked.size());
-    for (const FlowHome &home : homes) {
-        agents.push_back(home.agent);
-    }
+    agents.reserve(ranked.size());
     for (const auto &entry : ranked) {
         agents.push_back(entry.second);
     }
