--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -43,3 +43,6 @@
 add_test(NAME fault_soak
     COMMAND jjq-fault-soak --programs ${CMAKE_BINARY_DIR} --directory ${CMAKE_BINARY_DIR}/fault-soak --seconds 10 --seed 1)
 set_tests_properties(soak fault_soak PROPERTIES TIMEOUT 120)
+
+jujubequay_fuzz(platform-calls-fuzz SOURCES fuzz/platform_calls_fuzz.cpp DEPENDS jujubequay_platform)
+jujubequay_fuzz(settings-fuzz SOURCES fuzz/settings_fuzz.cpp DEPENDS jujubequay_daemon)
--- /dev/null
+++ b/fuzz/platform_calls_fuzz.cpp
@@ -0,0 +1,58 @@
+#include <platform/calls.h>
+#include <platform/packet_format.h>
+
+#include <jujubequay/control/route_table.h>
+#include <jujubequay/core/invariant.h>
+#include <jujubequay/steering/steer_message.h>
+
+#include <string>
+#include <vector>
+
+using namespace Jujubequay;
+
+namespace {
+
+void readPacket(std::span<const std::uint8_t> data)
+{
+    const Platform::PacketFormat format(8172);
+    std::vector<std::uint8_t> packet(data.begin(), data.end());
+    if (const auto segment = format.decode(packet)) {
+        checkInvariant(segment->length + Platform::packetHeaderLength == packet.size(), "the length of a packet is that of its data");
+        format.clearMarks(packet);
+        checkInvariant(!format.decode(packet)->isReturned, "the marks are removed");
+    }
+    if (const auto message = decodeSteerMessage(packet)) {
+        const auto *steered = std::get_if<SteeredPacket>(&*message);
+        checkInvariant(steered == nullptr || steered->packet.size() + steerHeaderLength == packet.size(), "a steered packet is whole");
+    }
+}
+
+void readCalls(const std::string &body)
+{
+    const auto ignore = [](const Failure &) {};
+    handleFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(configuration, Platform::decodeConfiguration(body));
+            BOOST_LEAF_CHECK(checkRouteTable(configuration.change.table(), configuration.services));
+            const RouteTable table(configuration.change.table());
+            checkInvariant(table.routes().size() == static_cast<std::size_t>(configuration.change.table().routes_size()), "no route is lost");
+            return {};
+        },
+        ignore);
+    handleFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(announcement, Platform::decodeAnnouncement("id", body));
+            checkInvariant(!announcement.service.empty(), "an announcement names a service");
+            return {};
+        },
+        ignore);
+}
+
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    readPacket({data, size});
+    readCalls(std::string(data, data + size));
+    return 0;
+}
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -48,6 +48,13 @@
     OwnerNotice notice;
 };
 
+/// A request whose answer has begun, as far as the agent can tell from the packets of its flow.
+struct AnsweredRequest {
+    HostAddress service; ///< address that the caller uses
+    Duration time{}; ///< from the caller's data to the first data of the server, with the time in which it was held
+    Duration held{};
+};
+
 struct AgentSteeringOptions {
     HostAddress agent; ///< own address among agents
     /// How long a flow without packets, or a pointer to another agent, is kept, and within which a server may hold a flow that its
@@ -111,6 +118,8 @@
     void expire(TimePoint now);
 
     const AgentSteeringOptions &options() const;
+    /// Requests that were answered since the last call.
+    std::vector<AnsweredRequest> takeAnswered();
     /// Load for balancers.
     LoadNotice load() const;
     /// False after the server has broken off requests; it gets few new flows then.
@@ -148,6 +157,7 @@
         TimePoint waitingSince{};
         std::optional<std::uint32_t> callerEnd; ///< sequence number after the caller's last new data
         std::optional<TimePoint> heldSince; ///< the start of a request waits here
+        Duration heldFor{}; ///< of the request that the server works on
         std::vector<ToldHome> homes; ///< of an open flow
         bool hasCallerEnded = false;
         bool hasServerEnded = false;
@@ -194,6 +204,7 @@
     std::uint64_t m_highestTable = 0; ///< highest route table version that a balancer has used
     TimePoint m_highestTableAt{};
     std::unordered_map<FlowEnds, Flow> m_flows;
+    std::vector<AnsweredRequest> m_answered;
     std::unordered_set<FlowEnds> m_untold; ///< open flows of which a home may not know yet
     std::unordered_map<HostAddress, TimePoint> m_balancers;
     std::size_t m_waiting = 0;
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -29,6 +29,7 @@
     static Result<std::unique_ptr<AgentTraffic>> open(asio::io_context &context,
                                                       const Clock &clock,
                                                       Logger &logger,
+                                                      Metrics &metrics,
                                                       const PacketCodec &codec,
                                                       const SteeringAgentSettings &settings,
                                                       StartNoticeHandler onStartNotice);
@@ -43,12 +44,14 @@
     AgentTraffic(asio::io_context &context,
                  const Clock &clock,
                  Logger &logger,
+                 Metrics &metrics,
                  const PacketCodec &codec,
                  const SteeringAgentSettings &settings,
                  StartNoticeHandler onStartNotice,
                  asio::ip::udp::socket peers,
                  asio::ip::udp::socket server);
     void sendLoad();
+    void recordAnswered();
     void receiveFromPeers(std::size_t received);
     void receiveFromServer(std::size_t received);
     void handle(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram);
@@ -90,6 +93,7 @@
     bool m_isReleaseScheduled = false;
     bool m_wasServerTrusted = true;
     PacketCounters m_counters;
+    Metrics &m_metrics;
 };
 
 }
--- a/src/jujubequay/core/core_test.cpp
+++ b/src/jujubequay/core/core_test.cpp
@@ -6,6 +6,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <cstdio>
+
+#include <unistd.h>
+
 using namespace Jujubequay;
 
 namespace {
@@ -32,6 +37,7 @@
     CPPUNIT_TEST(kernelFindsServicesByNameAndType);
     CPPUNIT_TEST(everyResultCodeHasAName);
     CPPUNIT_TEST(repeatedEventsAreSuppressed);
+    CPPUNIT_TEST(readerThatStopsBlocksNobody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +84,28 @@
         CPPUNIT_ASSERT(logger.lines[0].find("text=\"two words\"") != std::string::npos);
         CPPUNIT_ASSERT(logger.lines[2].find("suppressed=3") != std::string::npos);
     }
+
+    // Guards against a process that stands still because nobody reads its log.
+    void readerThatStopsBlocksNobody()
+    {
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+        std::fflush(stdout);
+        const int standardOutput = dup(STDOUT_FILENO);
+        dup2(ends[1], STDOUT_FILENO);
+        ManualClock clock;
+        constexpr std::uint32_t lines = 20'000;
+        Logger logger(clock, {"test", "host-a", "zone-a"}, {.level = LogLevel::Info, .output = LogOutput::StandardOutput, .maxRepeats = lines});
+        for (std::uint32_t line = 0; line < lines; ++line) {
+            logger.info("repeated", {{"line", line}});
+        }
+        dup2(standardOutput, STDOUT_FILENO);
+        for (const int end : {standardOutput, ends[0], ends[1]}) {
+            close(end);
+        }
+        // A pipe holds 64 KB, some hundreds of lines.
+        CPPUNIT_ASSERT(logger.droppedLines() > lines / 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoreTest);
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -363,6 +364,9 @@
     // An end without data proves nothing: it may have overtaken the answer.
     if (flow.isWaiting && (segment.length > 0 || segment.isReset)) {
         segment.isReset ? m_outliers.failed(now) : m_outliers.succeeded(now);
+        if (!segment.isReset) {
+            m_answered.push_back({ends.service, now - flow.waitingSince + flow.heldFor, flow.heldFor});
+        }
         stopWaiting(flow);
     }
     flow.hasServerEnded = flow.hasServerEnded || segment.isFinal;
@@ -526,6 +530,7 @@
 {
     flow.waitingSince = now;
     if (!flow.isWaiting) {
+        flow.heldFor = {};
         flow.isWaiting = true;
         ++m_waiting;
     }
@@ -587,9 +592,11 @@
         return DropPacket{SteerCause::UnknownFlow};
     }
     Flow &flow = known->second;
+    const Duration held = now - *flow.heldSince;
     endHold(flow);
     flow.lastUsed = now;
     startWaiting(now, flow);
+    flow.heldFor = held;
     return DeliverToServer{};
 }
 
@@ -634,6 +641,11 @@
     return m_options;
 }
 
+std::vector<AnsweredRequest> AgentSteering::takeAnswered()
+{
+    return std::exchange(m_answered, {});
+}
+
 LoadNotice AgentSteering::load() const
 {
     LoadNotice notice;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(keepsFlowsWhenTheServerIsConfirmed);
     CPPUNIT_TEST(asksNoServerThatStartedWithIt);
     CPPUNIT_TEST(countsWaitingRequests);
+    CPPUNIT_TEST(measuresTheTimeToAnAnswer);
     CPPUNIT_TEST(repeatedPacketsAreNoRequests);
     CPPUNIT_TEST(abandonedRequestsDoNotCountForGood);
     CPPUNIT_TEST(holdsRequestsThatTheServerWouldRefuse);
@@ -514,6 +515,30 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
     }
 
+    /// The wait for a full server must show in the measured time, or a request that was held looks fast.
+    void measuresTheTimeToAnAnswer()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        for (std::uint16_t port = 1; port <= 12; ++port) {
+            openFlow(agent, flow(port));
+        }
+        agent.fromPeer(m_now, header(), opening(flow(50)), m_notices);
+        agent.fromServer(m_now, openingAnswer(flow(50), 1000), m_notices);
+        agent.fromPeer(m_now, header(), data(flow(50), 1001), m_notices);
+        Segment answer = fromServer(flow(1));
+        answer.length = 200;
+        agent.fromServer(m_now + milliseconds(40), answer, m_notices);
+        agent.startHeld(m_now + milliseconds(40), data(flow(50), 1001));
+        answer = fromServer(flow(50));
+        answer.length = 200;
+        agent.fromServer(m_now + milliseconds(70), answer, m_notices);
+        const auto answered = agent.takeAnswered();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, answered.size());
+        CPPUNIT_ASSERT(answered[0].time == milliseconds(40) && answered[0].held == Duration::zero());
+        CPPUNIT_ASSERT(answered[1].time == milliseconds(70) && answered[1].held == milliseconds(40));
+        CPPUNIT_ASSERT(agent.takeAnswered().empty());
+    }
+
     void holdsRequestsThatTheServerWouldRefuse()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1));
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -28,6 +28,19 @@
                             PacketEvent::Unreadable,
                             PacketEvent::NotSent};
 
+WorkClass workClassOf(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::NonIdempotent:
+        return WorkClass::Critical;
+    case RouteKind::Download:
+        return WorkClass::Bulk;
+    case RouteKind::Idempotent:
+        break;
+    }
+    return WorkClass::Interactive;
+}
+
 AgentSteeringOptions steeringOptions(const SteeringAgentSettings &settings)
 {
     AgentSteeringOptions options;
@@ -40,6 +53,7 @@
 Result<std::unique_ptr<AgentTraffic>> AgentTraffic::open(asio::io_context &context,
                                                          const Clock &clock,
                                                          Logger &logger,
+                                                         Metrics &metrics,
                                                          const PacketCodec &codec,
                                                          const SteeringAgentSettings &settings,
                                                          StartNoticeHandler onStartNotice)
@@ -47,12 +61,13 @@
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.relayAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(server, bindUdpSocket(context, settings.serverOutput, {.bufferBytes = socketBufferBytes}));
     return std::unique_ptr<AgentTraffic>(
-        new AgentTraffic(context, clock, logger, codec, settings, std::move(onStartNotice), std::move(peers), std::move(server)));
+        new AgentTraffic(context, clock, logger, metrics, codec, settings, std::move(onStartNotice), std::move(peers), std::move(server)));
 }
 
 AgentTraffic::AgentTraffic(asio::io_context &context,
                            const Clock &clock,
                            Logger &logger,
+                           Metrics &metrics,
                            const PacketCodec &codec,
                            const SteeringAgentSettings &settings,
                            StartNoticeHandler onStartNotice,
@@ -83,6 +98,7 @@
     , m_heldSearches({})
     , m_searchTimer(context)
     , m_counters(events)
+    , m_metrics(metrics)
 {
 }
 
@@ -139,6 +155,17 @@
     }
 }
 
+// Callers' accounts are inside the flows, where the system does not read; the route is the finest label that it knows.
+void AgentTraffic::recordAnswered()
+{
+    for (const AnsweredRequest &answered : m_steering.takeAnswered()) {
+        const Route *route = m_steering.directory().routes().find(answered.service);
+        const std::string_view name = route == nullptr ? Metrics::otherCustomers : std::string_view(route->name);
+        const WorkClass workClass = route == nullptr ? WorkClass::Interactive : workClassOf(route->kind);
+        m_metrics.addRequest(name, workClass, {answered.time, answered.held, 0});
+    }
+}
+
 void AgentTraffic::receiveFromPeers(std::size_t received)
 {
     const TimePoint now = m_clock.now();
@@ -194,6 +221,7 @@
     }
     releaseHeld(now);
     flush();
+    recordAnswered();
     if (m_wasServerTrusted != m_steering.isServerTrusted()) {
         sendLoad();
     }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -63,12 +63,14 @@
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
     BOOST_LEAF_ASSIGN(
-        m_traffic, AgentTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings, [this](const HostAddress &controlHost) {
-            asio::post(m_context, [this, controlHost] {
-                m_watcher->controlHostStarted(controlHost);
-                answeredBy(controlHost);
-            });
-        }));
+        m_traffic,
+        AgentTraffic::open(
+            m_loop.context(), m_services.clock(), m_services.logger(), m_services.metrics(), m_codec, m_settings, [this](const HostAddress &controlHost) {
+                asio::post(m_context, [this, controlHost] {
+                    m_watcher->controlHostStarted(controlHost);
+                    answeredBy(controlHost);
+                });
+            }));
     m_loop.post([traffic = m_traffic.get()] {
         traffic->start();
     });
