Refuse settings with characters that the TOML parser cannot take

Cause: the new fuzz target of the settings found undefined behaviour in toml++ 3.3 within a second: an unreachable point in its white-space table, reached by characters beyond ASCII outside of comments, also while it reports another error (inputs EF BB BF 08, EF BB BD 6D and a string of > with C2 B8).

Change: control characters, and characters beyond ASCII outside of comments, are refused with their line before the text is parsed; strings can have them as escapes. Test: misplacedCharactersAreRefused.

--- a/src/jujubequay/daemon/settings_reader.cpp
+++ b/src/jujubequay/daemon/settings_reader.cpp
@@ -8,6 +8,7 @@
 
 #include <fstream>
 #include <map>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -18,6 +19,38 @@
 
 namespace {
 
+/// The line of the first control character, or of the first character beyond ASCII that is not in a comment; strings can have it as an
+/// escape. The parser of toml++ 3.3 has undefined behaviour for some of the latter, also while it reports other errors.
+std::optional<std::size_t> lineOfMisplacedCharacter(std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char del = 0x7F;
+    std::size_t line = 1;
+    char quote = 0; // of the string that is open
+    bool isComment = false;
+    bool isEscaped = false;
+    for (const char character : text) {
+        const auto value = static_cast<unsigned char>(character);
+        const bool isControl = (value < firstPrintable && character != '\t' && character != '\n' && character != '\r') || value == del;
+        if (isControl || (value > del && !isComment)) {
+            return line;
+        }
+        if (character == '\n') {
+            ++line;
+            quote = 0;
+            isComment = false;
+        } else if (quote != 0) {
+            quote = character == quote && !isEscaped ? 0 : quote;
+        } else if (!isComment && (character == '"' || character == '\'')) {
+            quote = character;
+        } else {
+            isComment = isComment || character == '#';
+        }
+        isEscaped = quote == '"' && character == '\\' && !isEscaped;
+    }
+    return std::nullopt;
+}
+
 using std::chrono::milliseconds;
 
 std::int64_t millisecondsPerUnit(std::string_view key)
@@ -170,6 +203,9 @@
 
 Result<SettingsReader> SettingsReader::parse(std::string_view text, const std::string &name)
 {
+    if (const auto line = lineOfMisplacedCharacter(text)) {
+        return fail(ResultCode::BadSettings, fmt::format("{}:{}: a character that may not stand there", name, *line));
+    }
     toml::parse_result parsed = toml::parse(text, name);
     if (!parsed) {
         const toml::parse_error &error = parsed.error();
--- a/src/jujubequay/daemon/settings_test.cpp
+++ b/src/jujubequay/daemon/settings_test.cpp
@@ -73,9 +73,33 @@
     CPPUNIT_TEST(examplesAreValid);
     CPPUNIT_TEST(checksAcrossKeysApply);
     CPPUNIT_TEST(pageMatchesTheCode);
+    CPPUNIT_TEST(misplacedCharactersAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Found by the fuzz target of the settings: the parser has undefined behaviour for some characters beyond ASCII.
+    void misplacedCharactersAreRefused()
+    {
+        const auto problemOf = [](std::string_view text) {
+            std::string problem;
+            handleFailure(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(reader, SettingsReader::parse(text, "test.toml"));
+                    reader.text("host_name", "");
+                    return reader.finish();
+                },
+                [&problem](const Failure &failure) {
+                    problem = failure.detail;
+                });
+            return problem;
+        };
+        const std::string misplaced = "test.toml:2: a character that may not stand there";
+        CPPUNIT_ASSERT_EQUAL(misplaced, problemOf("host_name = \"a\"\n\x08"));
+        CPPUNIT_ASSERT_EQUAL(misplaced, problemOf("host_name = \"a\"\n\xEF\xBB\xBDm"));
+        CPPUNIT_ASSERT_EQUAL(misplaced, problemOf("\nhost_name = \"Z\xC3\xBCrich\""));
+        CPPUNIT_ASSERT_EQUAL(std::string(), problemOf("# Z\xC3\xBCrich\nhost_name = \"Z\\u00fcrich \\\" #\" # \xC3\xBC\n"));
+    }
+
     void readsTypedValuesWithUnits()
     {
         auto reader = readerOf("heartbeat_ms = 250\nlease_s = 3\nbuffer_kib = 64\nshare = 2\n[tls]\nkey_file = \"a.key\"\n");
