--- a/include/jujubequay/core/identifiers.h
+++ b/include/jujubequay/core/identifiers.h
@@ -34,6 +34,9 @@
 /// Formats as "127.0.0.1:4433".
 std::string toString(const HostAddress &address);
 
+/// The IP address alone: "127.0.0.1".
+std::string ipText(const HostAddress &address);
+
 /// Parses "127.0.0.1:4433"; empty for anything else.
 std::optional<HostAddress> parseHostAddress(std::string_view text);
 
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -22,12 +22,6 @@
 /// A process that was told to end starts again at once, as a supervisor would do it.
 constexpr auto restartDelay = std::chrono::milliseconds(50);
 
-std::string ipOf(const HostAddress &address)
-{
-    const std::string text = toString(address);
-    return text.substr(0, text.find(':'));
-}
-
 }
 
 Result<std::unique_ptr<Deployment>> Deployment::create(asio::io_context &context, DeploymentOptions options, const Clock &clock, Ledger &ledger)
@@ -90,7 +84,7 @@
         text += fmt::format("{} = \"{}\"\n", key, toString(address));
     };
     const auto addHostName = [&text](const HostAddress &address) {
-        text += fmt::format("host_name = \"{}\"\n", ipOf(address));
+        text += fmt::format("host_name = \"{}\"\n", ipText(address));
     };
     switch (host.role) {
     case Role::Control:
--- a/src/jujubequay/core/core_test.cpp
+++ b/src/jujubequay/core/core_test.cpp
@@ -44,6 +44,7 @@
     // Guards against settings such as "127.0.0.1:99999" being read as another port.
     void hostAddressRejectsMalformedText()
     {
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1"), ipText({0x7F000001, 4433}));
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:4433"), toString(*parseHostAddress("127.0.0.1:4433")));
         for (const char *text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:1x", "host:1", "1.2.3:4"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !parseHostAddress(text));
--- a/src/jujubequay/core/identifiers.cpp
+++ b/src/jujubequay/core/identifiers.cpp
@@ -26,6 +26,12 @@
     return fmt::format("{}.{}.{}.{}:{}", address.ip >> 24U, (address.ip >> 16U) & 255U, (address.ip >> 8U) & 255U, address.ip & 255U, address.port);
 }
 
+std::string ipText(const HostAddress &address)
+{
+    const std::string text = toString(address);
+    return text.substr(0, text.find(':'));
+}
+
 std::optional<HostAddress> parseHostAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -32,12 +32,6 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
-std::string hostOf(const HostAddress &address)
-{
-    const std::string text = toString(address);
-    return text.substr(0, text.find(':'));
-}
-
 /// The disk identity of a founder. It is used once: a disk that was lost gets a random one.
 std::string founderIdentity(const HostAddress &seed, std::uint64_t cluster)
 {
@@ -57,7 +51,7 @@
     for (const HostAddress &seed : seeds) {
         pb::Member &member = *membership.add_members();
         member.set_id(founderIdentity(seed, membership.cluster()));
-        member.set_host(hostOf(seed));
+        member.set_host(ipText(seed));
         member.set_address(toString(seed));
         member.set_voter(true);
     }
