Give up a search that stays partial after three repeats

Cause: found while reading the change. A search that ends at a host with a settled list, but passed one whose list never settles, was held and begun again every 100 ms for good, with all its hops, although its caller repeats the packet anyway.

Change: the header counts the repeats, at most three. Test: givesUpASearchThatStaysPartial.

--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -44,9 +44,10 @@
 /// Every host orders the servers alike for a flow (rendezvous hashing over availability zones, and within each over the agents'
 /// addresses), so servers that join or leave change the order of few flows. The first two, of different availability zones, are the
 /// flow's homes: they are told where the flow is. A host that does not know the holder asks the first home; an agent that does not
-/// know it passes the packet on to the second home, and then along the order of ranks, which hosts with slightly different lists share. Servers that are in no
-/// list any more come last: their agents may be gone, and packets to them lost. Services play no part in the order, since a route may have led to another
-/// service when the flow was opened, and a host that has just started knows only the present one.
+/// know it passes the packet on to the second home, and then along the order of ranks, which hosts with slightly different lists
+/// share. Servers that are in no list any more come last: their agents may be gone, and packets to them lost. Services play no part
+/// in the order, since a route may have led to another service when the flow was opened, and a host that has just started knows only
+/// the present one.
 class ServerDirectory
 {
 public:
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -19,6 +19,9 @@
     AllServers, ///< asking one after the other in rank order
 };
 
+/// A search that stays partial is given up after this many repeats; the caller sends the packet again.
+constexpr std::uint8_t maxSearchRepeats = 3;
+
 /// Precedes a caller's packet on its way between balancers and agents.
 struct SteerHeader {
     std::uint8_t hops = 0; ///< agents that have passed the packet on
@@ -28,6 +31,7 @@
     HostAddress balancer; ///< where notices go
     bool isSearchPartial = false; ///< a host on the way did not know all servers for certain, so one may have been left out
     SearchPhase phase = SearchPhase::FirstHome;
+    std::uint8_t repeats = 0; ///< times that the search has begun again, at most maxSearchRepeats
 };
 
 /// Tells a balancer or an agent which agent holds a flow.
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -270,7 +270,8 @@
         return DropPacket{SteerCause::UnknownFlow};
     }
     if (next.isSearchPartial) {
-        return HoldSearch{next};
+        // A host that never learns of all servers must not keep packets travelling.
+        return header.repeats < maxSearchRepeats ? AgentDecision(HoldSearch{next}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
     }
     return ResetCaller{ends, segment.acknowledgement, SteerCause::UnknownFlow};
 }
@@ -319,6 +320,7 @@
     first.hops = 0;
     first.isSearchPartial = false;
     first.phase = SearchPhase::FirstHome;
+    first.repeats = static_cast<std::uint8_t>(std::min<unsigned>(header.repeats + 1U, maxSearchRepeats));
     const auto home = m_directory.home(endsFromCaller(segment));
     const bool mayHoldIt = m_server && !knowsAllFlows(now);
     if (!mayHoldIt && home && *home != m_options.agent) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(keepsQuietWhileTheListIsNew);
     CPPUNIT_TEST(resetsNothingBeforeAllServersAreListed);
     CPPUNIT_TEST(doesNotTrustASearchOfAHostWithAShorterList);
+    CPPUNIT_TEST(givesUpASearchThatStaysPartial);
     CPPUNIT_TEST(passesOpeningsOnWhileDraining);
     CPPUNIT_TEST(passesOnAnOpeningThatItsServerReturned);
     CPPUNIT_TEST(refusesAfterTwoHandOvers);
@@ -558,6 +559,24 @@
         CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.startHeld(m_now, data(flow(50), 1001))));
     }
 
+    /// Guards against packets that travel for good because one host never learns of all servers.
+    void givesUpASearchThatStaysPartial()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        SteerHeader partial = question();
+        partial.isSearchPartial = true;
+        unsigned repeats = 0;
+        AgentDecision decision = agent.fromPeer(m_now, partial, data(flow(1), 5), m_notices);
+        while (const auto *held = std::get_if<HoldSearch>(&decision)) {
+            ++repeats;
+            CPPUNIT_ASSERT(repeats <= maxSearchRepeats);
+            agent.repeatSearch(m_now, held->header, data(flow(1), 5), m_notices);
+            partial.repeats = static_cast<std::uint8_t>(repeats);
+            decision = agent.fromPeer(m_now, partial, data(flow(1), 5), m_notices);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(decision));
+    }
+
     /// Guards against a wait for a server that never has room by its own account.
     void holdsNothingForAServerWithoutSlots()
     {
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint8_t searchPartialFlag = 2;
 constexpr unsigned phaseShift = 2; // two bits
 constexpr unsigned phaseMask = 3;
+constexpr unsigned repeatsShift = 4; // two bits
+constexpr unsigned repeatsMask = 3;
+static_assert(maxSearchRepeats <= repeatsMask);
 constexpr std::size_t startLength = 2; // version and kind
 
 enum class MessageKind : std::uint8_t { Packet = 1, Owner = 2, Load = 3, Start = 4, OwnerAcknowledged = 5 };
@@ -40,6 +43,7 @@
     message.header.wantsOwner = (flags & wantsOwnerFlag) != 0;
     message.header.isSearchPartial = (flags & searchPartialFlag) != 0;
     message.header.phase = static_cast<SearchPhase>((flags >> phaseShift) & phaseMask);
+    message.header.repeats = static_cast<std::uint8_t>((flags >> repeatsShift) & repeatsMask);
     message.header.tableVersion = takeInteger<std::uint64_t>(in);
     message.header.service = {takeInteger<std::uint32_t>(in)};
     message.header.balancer = takeAddress(in);
@@ -96,8 +100,8 @@
 {
     std::uint8_t *at = putStart(out.data(), MessageKind::Packet);
     at = putInteger(at, header.hops);
-    const int flags
-        = (header.wantsOwner ? wantsOwnerFlag : 0) | (header.isSearchPartial ? searchPartialFlag : 0) | (static_cast<int>(header.phase) << phaseShift);
+    const int flags = (header.wantsOwner ? wantsOwnerFlag : 0) | (header.isSearchPartial ? searchPartialFlag : 0)
+        | (static_cast<int>(header.phase) << phaseShift) | (header.repeats << repeatsShift);
     at = putInteger(at, static_cast<std::uint8_t>(flags));
     at = putInteger(at, header.tableVersion);
     at = putInteger(at, header.service.value);
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -19,7 +19,7 @@
     void packetsKeepTheirHeader()
     {
         std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
-        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, SearchPhase::AllServers};
+        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, SearchPhase::AllServers, 2};
         encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
         const auto message = decodeSteerMessage(datagram);
         const auto &packet = std::get<SteeredPacket>(message.value());
@@ -27,6 +27,7 @@
         CPPUNIT_ASSERT(packet.header.wantsOwner);
         CPPUNIT_ASSERT(packet.header.isSearchPartial);
         CPPUNIT_ASSERT(packet.header.phase == SearchPhase::AllServers);
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, packet.header.repeats);
         CPPUNIT_ASSERT_EQUAL(header.tableVersion, packet.header.tableVersion);
         CPPUNIT_ASSERT(packet.header.service == header.service);
         CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
