--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -149,12 +149,11 @@
         return refuse(session, wallMs, found->second);
     }
     const bool isOtherStart = isSameIncarnation && isOfAnotherAgentStart(found->second.entry, given);
-    if (isOtherStart) {
+    const bool followsAgentsOwn = isKnown && !isSameIncarnation && isLaterOfSameAgent(found->second.entry, given);
+    if (isOtherStart || followsAgentsOwn) {
         entry.set_order(std::max(given.order(), nextOrder(wallMs)));
     } else if (isSameIncarnation) {
         entry.set_order(std::max(found->second.entry.order(), given.order()));
-    } else if (isKnown && isLaterOfSameAgent(found->second.entry, given)) {
-        entry.set_order(std::max(given.order(), nextOrder(wallMs)));
     } else {
         entry.set_order(given.order() != 0 ? given.order() : nextOrder(wallMs));
     }
