--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -36,12 +36,14 @@
         outlier_detector.cpp
         placement.cpp
         retry.cpp
+        held_request_queue.cpp
         packet_queue.cpp
     TESTS
         admission_queue_test.cpp
         balance_test.cpp
         outlier_detector_test.cpp
         placement_test.cpp
+        held_request_queue_test.cpp
         packet_queue_test.cpp
     DEPENDS jujubequay_core)
 
@@ -125,6 +127,8 @@
         control_host_service.cpp
         control_services.cpp
         control_state.cpp
+        flow_record_set.cpp
+        flow_record_store.cpp
         join_service.cpp
         known_hosts_reconciler.cpp
         lease_registry.cpp
@@ -136,11 +140,13 @@
         report_store.cpp
         route_table.cpp
         watch_server.cpp
+        watched_servers.cpp
         watch_subscriber.cpp
     TESTS
         control_host_service_test.cpp
         control_random_test.cpp
         control_state_test.cpp
+        flow_record_store_test.cpp
         lease_registry_test.cpp
         known_hosts_reconciler_test.cpp
         membership_reconciler_test.cpp
@@ -171,12 +177,14 @@
     SOURCES
         agent_steering.cpp
         balancer_steering.cpp
+        flow_recorder.cpp
         segment.cpp
         server_directory.cpp
         steer_message.cpp
     TESTS
         agent_steering_test.cpp
         balancer_steering_test.cpp
+        flow_recorder_test.cpp
         server_directory_test.cpp
         steer_message_test.cpp
     DEPENDS jujubequay_control jujubequay_policy)
@@ -269,6 +277,7 @@
         agent_traffic.cpp
         balancer_traffic.cpp
         discovery.cpp
+        flow_record_files.cpp
         packet_report.cpp
         route_control_process.cpp
         server_announcements.cpp
@@ -277,6 +286,7 @@
         steering_balancer_process.cpp
         traffic_loop.cpp
     TESTS
+        flow_record_files_test.cpp
         server_announcements_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
--- a/include/jujubequay/consensus/file_system.h
+++ b/include/jujubequay/consensus/file_system.h
@@ -3,6 +3,7 @@
 #include <jujubequay/core/error.h>
 #include <jujubequay/wire/framing.h>
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <span>
@@ -38,12 +39,15 @@
     virtual Result<void> syncDirectory() = 0;
 };
 
-/// An existing directory of the operating system's file system, locked against use by a second process.
+/// Whether a directory is locked against use by a second process.
+enum class DirectoryLock : std::uint8_t { Exclusive, None };
+
+/// An existing directory of the operating system's file system.
 class PosixFileSystem final : public FileSystem
 {
 public:
     /// Fails with DiskFailed if the directory cannot be opened or is locked by another process.
-    static Result<std::unique_ptr<PosixFileSystem>> open(const std::filesystem::path &directory);
+    static Result<std::unique_ptr<PosixFileSystem>> open(const std::filesystem::path &directory, DirectoryLock lock = DirectoryLock::Exclusive);
     ~PosixFileSystem() override;
     PosixFileSystem(const PosixFileSystem &) = delete;
     PosixFileSystem &operator=(const PosixFileSystem &) = delete;
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -62,7 +62,6 @@
     std::uint32_t agentEpoch = 0; ///< changes with each restart of the agent
     std::uint32_t weight = 100; ///< 1 to 1000; the default is 100
     std::string zone;
-    std::string host;
     /// True if new flows and requests may be sent to the server.
     bool acceptsNewWork() const;
     bool operator==(const ServerSnapshot &) const = default;
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -14,6 +14,7 @@
 
 struct ControlHostOptions {
     std::string host; ///< common name of this host's certificate
+    std::string zone; ///< availability zone of this host; watchers prefer control hosts of their own zone
     std::uint64_t epoch = 1; ///< random, changes with each restart; not 0
     Consensus::ReplicaOptions replica;
     LeaseOptions lease;
@@ -62,6 +63,8 @@
         std::function<void(const Failure &)> storageFailed;
         /// Sends a start notice to a balancer or an agent, which may not be running; empty if start notices are disabled.
         std::function<void(const HostAddress &)> sendStartNotice = {};
+        /// Sends flows that have ended with their server to the agent; empty if agents record no flows.
+        std::function<void(const EndedFlows &)> sendEndedFlows = {};
     };
 
     ControlHostService(ControlHostOptions options, Environment environment, Consensus::StoredState stored);
@@ -82,6 +85,8 @@
     /// Announces to the leader that this process stops. Call it before a requested stop.
     void announceLeave();
 
+    /// The open flows that agents have recorded. The owner of this object saves them.
+    FlowRecordStore &flowRecords();
     const ReplicaDriver &driver() const;
     const LeaseRegistry &registry() const;
     const WatchServer &watchServer() const;
@@ -103,6 +108,7 @@
     jujubequay::pb::LoggedCommand localCommand(std::string_view kind, jujubequay::pb::Command command);
     void proposeKnownHosts(const jujubequay::pb::ChangeKnownHosts &change);
     void sendStartNotices();
+    void sendEndedFlows();
     void handleJoin(const jujubequay::pb::JoinRequest &request);
     bool hasEnoughVoters() const;
     /// Null if the leader is unknown.
@@ -115,6 +121,7 @@
     Environment m_environment;
     LeaseRegistry m_registry;
     ReportStore m_reports;
+    FlowRecordStore m_flowRecords;
     ReplicaDriver m_driver;
     WatchServer m_watchServer;
     PeerLinks m_raftLinks;
--- a/include/jujubequay/control/control_services.h
+++ b/include/jujubequay/control/control_services.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <jujubequay/control/flow_record_store.h>
 #include <jujubequay/control/lease_registry.h>
 #include <jujubequay/control/peer_links.h>
 #include <jujubequay/control/replica_driver.h>
@@ -43,7 +44,7 @@
 class WatchService
 {
 public:
-    WatchService(const Clock &clock, ReplicaDriver &driver, WatchServer &server);
+    WatchService(const Clock &clock, Logger &logger, ReplicaDriver &driver, WatchServer &server, FlowRecordStore &flowRecords);
 
     MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream);
     /// Sends pending updates to watchers; call every 50 ms.
@@ -51,11 +52,15 @@
 
 private:
     void receive(std::uint64_t id, const Bytes &bytes);
+    void receiveFlowRecords(std::uint64_t id, const jujubequay::pb::FlowRecords &records);
 
     const Clock &m_clock;
+    Logger &m_logger;
     ReplicaDriver &m_driver;
     WatchServer &m_server;
+    FlowRecordStore &m_flowRecords;
     AcceptedStreams m_streams;
+    std::map<std::uint64_t, std::string> m_agents; // address of the agent by stream
 };
 
 /// Accepts streams on "/announce", checks announcements and passes them to the registry.
@@ -97,6 +102,7 @@
     struct Options {
         Duration interval = std::chrono::milliseconds(250); ///< interval between deltas
         Duration fillTimeout = std::chrono::seconds(10); ///< the registry counts as filled after this time even if no peer has sent a filled one
+        std::string zone; ///< availability zone of this host
     };
 
     RegistryExchange(const Clock &clock, MessageClient &client, std::mt19937_64 &random, LeaseRegistry &registry, ReportStore &reports, Options options);
@@ -107,6 +113,8 @@
     /// True once a peer has sent its filled registry, or once agents had `fillTimeout` to announce themselves.
     bool isFilled() const;
     bool isReachable(const std::string &host) const;
+    /// Availability zone of another control host; empty until it has sent its registry.
+    std::string zoneOf(const std::string &host) const;
 
 private:
     struct Position {
@@ -124,6 +132,7 @@
     PeerLinks m_links;
     AcceptedStreams m_streams;
     std::map<std::string, Position> m_positions;
+    std::map<std::string, std::string> m_zones;
     const Options m_options;
     const TimePoint m_startedAt;
     TimePoint m_lastExchange{};
--- a/include/jujubequay/control/lease_registry.h
+++ b/include/jujubequay/control/lease_registry.h
@@ -63,14 +63,16 @@
     std::uint64_t epoch() const;
     /// Sequence number of the newest change.
     std::uint64_t sequence() const;
+    /// Sequence number of the newest change that is visible to watchers; the position of a watcher with all of them.
+    std::uint64_t visibleSequence() const;
     /// Null if there is no entry, or its tombstone was dropped.
     const jujubequay::pb::ServerEntry *find(const std::string &name) const;
     /// Number of servers that have not left.
     std::size_t serverCount() const;
     /// Entries of servers that have not left.
     std::vector<jujubequay::pb::ServerEntry> servers() const;
-    /// Changes after a sequence number, in messages of bounded size; empty if nothing changed. A full state if the number is 0 or
-    /// tombstones after it were dropped. Limited to `services`; an empty set means all services.
+    /// Changes after a sequence number that are visible to watchers, in messages of bounded size; empty if nothing changed. A full state if
+    /// the number is 0 or tombstones after it were dropped. Limited to `services`; an empty set means all services.
     std::vector<jujubequay::pb::RegistryDelta> changesAfter(std::uint64_t position, const std::set<std::string> &services) const;
     /// Changes that this host made after a sequence number, for other control hosts; all entries for 0.
     std::vector<jujubequay::pb::RegistryDelta> localChangesAfter(std::uint64_t position) const;
@@ -82,6 +84,7 @@
     struct Record {
         Entry entry;
         std::uint64_t changedAt = 0;
+        std::uint64_t visiblyChangedAt = 0; ///< last change that watchers are notified of
         bool isLocalChange = false;
         TimePoint lastHeartbeatAt{}; ///< valid for entries that this host owns
         TimePoint leftAt{};
@@ -114,11 +117,13 @@
     const LeaseOptions m_options;
     std::map<std::string, Record> m_records;
     std::map<std::uint64_t, std::string> m_changes; // server name by sequence number
+    std::map<std::uint64_t, std::string> m_visibleChanges; // the same for changes that are visible to watchers
     std::unordered_map<std::string, std::set<std::string>> m_namesByAddress;
     std::map<SessionId, std::uint64_t> m_offeredOrders; // order that was offered on a session to a displaced server
     std::map<std::string, TimePoint> m_disconnectedPeers;
     std::uint64_t m_sequence = 1; // 0 is the position of a watcher without entries
-    std::uint64_t m_droppedSequence = 0;
+    std::uint64_t m_visibleSequence = 1;
+    std::uint64_t m_droppedSequence = 0; // newest visible change of a dropped tombstone
     std::uint64_t m_highestOrder = 0;
     std::optional<TimePoint> m_lastTick;
     bool m_isIsolated = false;
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -9,9 +9,11 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -19,10 +21,10 @@
 
 using WatcherId = std::uint64_t;
 
-/// Effect: send a message to a watcher.
+/// Effect: send a message to a watcher. Watchers with the same position share the message.
 struct SendToWatcher {
     WatcherId watcher = 0;
-    jujubequay::pb::WatchDown message;
+    std::shared_ptr<const jujubequay::pb::WatchDown> message;
 };
 /// Effect: close the stream of a watcher, which is removed already; `removeWatcher` need not be called.
 struct CloseWatcher {
@@ -45,11 +47,18 @@
     std::size_t queueLimit = 64U << 10U; ///< length in bytes; nothing more is sent to a watcher with a longer queue
 };
 
+/// An availability zone and address of a control host.
+struct ControlHostLocation {
+    std::string address; ///< "ip:port"
+    std::string zone; ///< empty if unknown
+    auto operator<=>(const ControlHostLocation &) const = default;
+};
+
 /// Streams configuration and registry to balancers and agents.
 ///
-/// For each watcher only its position is stored, no messages. A slow watcher skips states: once its queue is short again, it gets
-/// the difference between its position and the newest state, or a full state. The memory for each watcher is therefore bounded by
-/// its stream queue plus one state.
+/// For each watcher only its position is stored, no messages; a delta is built once for all watchers with the same position. A slow watcher skips states: once
+/// its queue is short again, it gets the difference between its position and the newest state, or a full state. The memory for each watcher is therefore
+/// bounded by its stream queue plus one state.
 class WatchServer
 {
 public:
@@ -76,8 +85,8 @@
     /// True once every server in the replicated known hosts has announced itself again, or the fill timeout has passed. The registry is
     /// then sent to watchers without a server list, and all watchers are notified that it is complete.
     void setRegistryComplete(bool isComplete);
-    /// Sets the addresses of all control hosts; watchers are notified of changes.
-    void setControlHosts(std::vector<std::string> addresses);
+    /// Sets the control hosts; watchers are notified of changes.
+    void setControlHosts(std::vector<ControlHostLocation> controlHosts);
 
     /// Returns the messages to send and the streams to close. Call it every 50 to 200 ms and after changes.
     WatchServerEffects pump(TimePoint now);
@@ -107,6 +116,10 @@
         TimePoint lastRegistryAt{};
     };
 
+    using Message = std::shared_ptr<const jujubequay::pb::WatchDown>;
+    /// What determines the registry messages of a watcher: its position, its services and whether it accepts compact servers.
+    using RegistryRequest = std::tuple<std::uint64_t, std::set<std::string>, bool>;
+
     void requestConfirmation(TimePoint now, WatchServerEffects &effects);
     bool isConfirmationOverdue(TimePoint now, const Watcher &watcher) const;
     bool isStalled(TimePoint now, Watcher &watcher) const;
@@ -114,7 +127,8 @@
     void sendConfig(WatcherId id, Watcher &watcher, WatchServerEffects &effects);
     void sendControlHosts(WatcherId id, Watcher &watcher, WatchServerEffects &effects);
     void sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects);
-    void send(WatcherId id, jujubequay::pb::WatchDown message, WatchServerEffects &effects);
+    const std::vector<Message> &registryMessages(const Watcher &watcher);
+    void send(WatcherId id, Message message, WatchServerEffects &effects);
 
     const ControlState &m_state;
     const LeaseRegistry &m_registry;
@@ -129,7 +143,11 @@
     bool m_isRegistryStable = false;
     bool m_isRegistryComplete = false;
     bool m_isStarting = false;
-    std::vector<std::string> m_controlHosts;
+    /// Messages for the current registry, by what watchers have of it.
+    std::map<RegistryRequest, std::vector<Message>> m_registryMessages;
+    std::uint64_t m_registryMessagesSequence = 0; ///< sequence number of the registry that the messages lead to
+    bool m_areRegistryMessagesComplete = false; ///< the messages are marked complete
+    std::vector<ControlHostLocation> m_controlHosts;
     std::uint64_t m_controlHostsVersion = 0;
     std::uint64_t m_sentBytes = 0;
     std::uint64_t m_receivedBytes = 0;
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <jujubequay/control/config_snapshot.h>
+#include <jujubequay/control/flow_record_set.h>
 #include <jujubequay/core/clock.h>
+#include <jujubequay/core/error.h>
 #include <jujubequay/core/identifiers.h>
 #include <jujubequay/core/result_code.h>
 
@@ -34,6 +36,10 @@
 struct RequestPeerState {
     jujubequay::pb::PeerStateRequest request;
 };
+/// Effect: record that a message of the control host was refused. The stream to it is closed.
+struct RefusedControlMessage {
+    std::string detail; ///< field, value and bound
+};
 /// Effect: put this snapshot in force.
 struct PublishConfig {
     ConfigSnapshotPointer snapshot;
@@ -42,7 +48,8 @@
 struct PublishControlHosts {
     std::vector<HostAddress> addresses;
 };
-using WatchSubscriberEffect = std::variant<OpenWatchStream, SendToControl, CloseWatchStream, RequestPeerState, PublishConfig, PublishControlHosts>;
+using WatchSubscriberEffect
+    = std::variant<OpenWatchStream, SendToControl, CloseWatchStream, RequestPeerState, RefusedControlMessage, PublishConfig, PublishControlHosts>;
 using WatchSubscriberEffects = std::vector<WatchSubscriberEffect>;
 
 struct WatchSubscriberOptions {
@@ -58,6 +65,9 @@
     Duration initialRetryDelay = std::chrono::milliseconds(200); ///< upper bound of the random delay before the first retry
     Duration maxRetryDelay = std::chrono::seconds(10); ///< upper bound of the random delay before any retry
     Duration silenceTimeout = std::chrono::seconds(15); ///< a stream without messages for this long is closed
+    /// Time after which a watcher changes to a control host of its availability zone, up to twice as long by chance. It starts again when a
+    /// stream fails.
+    Duration moveDelay = std::chrono::seconds(5);
 };
 
 /// Maintains the copy of the control state on a balancer or an agent. A state is accepted only if its revision is higher, regardless
@@ -75,8 +85,8 @@
     Effects tick(TimePoint now);
     /// Time of the next connection attempt; empty while a stream is open.
     std::optional<TimePoint> nextAttempt() const;
-    /// Handles a message that was received on a stream.
-    Effects receive(TimePoint now, std::uint64_t stream, const jujubequay::pb::WatchDown &message);
+    /// Handles a message that was received on a stream. A message that contradicts the state in force is refused as a whole.
+    Effects receive(TimePoint now, std::uint64_t stream, jujubequay::pb::WatchDown message);
     /// Call when a stream has ended or could not be opened.
     Effects streamClosed(TimePoint now, std::uint64_t stream);
     /// Handles a start notice of a control host. Connects to it at once unless another one is sending state to this host.
@@ -88,6 +98,9 @@
     /// Sets the numbers of the flow keys that open flows on this agent use; changes are reported to the control host.
     Effects setFlowKeysInUse(std::vector<std::uint32_t> numbers);
 
+    /// Reports changes of the open flows of the local server. A control host to which the stream is opened later gets all of them.
+    Effects recordFlows(const jujubequay::pb::FlowRecords &change);
+
     /// Local state as an answer to a PeerStateRequest.
     jujubequay::pb::PeerState peerState() const;
     /// Never null.
@@ -95,6 +108,8 @@
     bool isConnected() const;
     /// Control host of the open stream, or else of the next attempt.
     HostAddress controlHost() const;
+    /// True if that control host is known to be in the availability zone of this host.
+    bool isControlHostInLocalZone() const;
 
     /// Bytes since the start, with frame headers.
     std::uint64_t sentBytes() const;
@@ -105,7 +120,13 @@
 private:
     using Entries = std::map<std::string, jujubequay::pb::ServerEntry>;
 
-    void applyControlHosts(const jujubequay::pb::ControlHosts &message, Effects &effects);
+    /// Checks what the control host must never send, before anything is applied. Expands compact servers.
+    Result<void> checkMessage(jujubequay::pb::WatchDown &message) const;
+    Result<void> checkConfig(const jujubequay::pb::ConfigDelta &delta) const;
+    void applyControlHosts(TimePoint now, const jujubequay::pb::ControlHosts &message, Effects &effects);
+    bool isInLocalZone(const HostAddress &controlHost) const;
+    void scheduleMove(TimePoint now);
+    void moveToLocalZone(TimePoint now, Effects &effects);
     void rankControlHosts();
     void open(TimePoint now, Effects &effects);
     void retryLater(TimePoint now, Effects &effects);
@@ -124,6 +145,7 @@
     std::mt19937_64 &m_random;
     std::vector<HostAddress> m_configuredHosts; // control hosts from the options or the settings
     std::vector<HostAddress> m_discoveredHosts; // control hosts from messages of control hosts and from start notices
+    std::map<HostAddress, std::string> m_controlHostZones; // availability zones of control hosts, where known
     std::vector<HostAddress> m_rankedHosts; // all control hosts in the order in which they are tried
 
     std::uint64_t m_stream = 0;
@@ -135,10 +157,12 @@
     std::uint32_t m_failures = 0;
     TimePoint m_nextAttempt{};
     TimePoint m_lastMessageAt{};
+    std::optional<TimePoint> m_nextMove; // earliest change to a control host of the local availability zone
 
     std::uint64_t m_revision = 0;
     std::uint64_t m_flowKeyRevision = 0;
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
+    jujubequay::pb::RouteTable m_routesMessage; // the same table, for other hosts
     std::map<std::string, jujubequay::pb::ServiceConfig> m_services;
     std::vector<jujubequay::pb::FlowKeyEntry> m_flowKeys;
     std::uint64_t m_registryEpoch = 0;
@@ -148,6 +172,7 @@
     std::deque<DeregisteredServer> m_deregistered;
     std::optional<Entries> m_incomingRegistry; // full registry that has not been received completely
     std::vector<std::uint32_t> m_flowKeysInUse;
+    std::optional<FlowRecordSet> m_flowRecords; // open flows of the local server, on an agent that records them
 
     ConfigSnapshotPointer m_snapshot;
     std::uint64_t m_sentBytes = 0;
--- a/include/jujubequay/service/announce_client.h
+++ b/include/jujubequay/service/announce_client.h
@@ -23,6 +23,7 @@
     void setState(jujubequay::pb::ServerState state);
     void setServer(jujubequay::pb::ServerEntry server);
     void handleReachableControlHost(const HostAddress &address);
+    void preferControlHost(const HostAddress &address);
     void setControlHosts(std::vector<HostAddress> addresses);
     const Announcer &announcer() const;
 
--- a/include/jujubequay/service/announcer.h
+++ b/include/jujubequay/service/announcer.h
@@ -34,6 +34,7 @@
     Duration answerTimeout = std::chrono::seconds(3); ///< another control host is tried if no answer arrives for this long
     Duration initialRetryDelay = std::chrono::milliseconds(200); ///< upper bound of the random delay before the first retry
     Duration maxRetryDelay = std::chrono::seconds(5); ///< upper bound of the random delay before any retry
+    Duration moveInterval = std::chrono::seconds(5); ///< minimum age of a stream that is replaced by one to a preferred control host
 };
 
 /// State machine that keeps the lease of one backend server. It announces the server to one control host, renews the lease
@@ -58,7 +59,9 @@
     AnnouncerEffects setServer(TimePoint now, jujubequay::pb::ServerEntry server);
     /// Handles evidence that a control host is reachable. Switches to it immediately unless the current control host answers.
     AnnouncerEffects handleReachableControlHost(TimePoint now, const HostAddress &address);
-    /// Replaces the control hosts of the options.
+    /// Moves an accepted announcement to another control host, at most once in `moveInterval`.
+    AnnouncerEffects preferControlHost(TimePoint now, const HostAddress &address);
+    /// Replaces the control hosts of the options. An open stream is kept.
     void setControlHosts(std::vector<HostAddress> addresses);
 
     /// True once a control host has accepted the current state.
@@ -67,6 +70,8 @@
     const jujubequay::pb::ServerEntry &server() const;
 
 private:
+    /// Replaces the open stream, if any, by one to the control host.
+    void openStreamTo(TimePoint now, const HostAddress &address, AnnouncerEffects &effects);
     void openStream(TimePoint now, AnnouncerEffects &effects);
     void sendAnnouncement(TimePoint now, AnnouncerEffects &effects);
     void scheduleRetry(TimePoint now);
--- a/include/jujubequay/service/config_watcher.h
+++ b/include/jujubequay/service/config_watcher.h
@@ -34,8 +34,12 @@
     /// Queries the peers for their configuration if the local one is older than `revision`. To be called when an agent has
     /// refused an Initial packet because its configuration has this revision; the watch stream may deliver it later.
     void fetchNewerConfig(std::uint64_t revision);
+    /// Queries another balancer for its configuration, which is newer than the local one.
+    void fetchConfigFrom(const HostAddress &balancer);
     /// Reports the numbers of the flow keys that open flows use.
     void setFlowKeysInUse(std::vector<std::uint32_t> numbers);
+    /// Reports changes of the open flows of the local server.
+    void recordFlows(const jujubequay::pb::FlowRecords &change);
     /// Handles a notice that the control host at this address has started.
     void controlHostStarted(const HostAddress &address);
     /// Replaces the control hosts of the settings.
@@ -50,6 +54,7 @@
     void apply(const WatchSubscriberEffects &effects);
     void openWatchStream(const OpenWatchStream &effect);
     void queryPeers(const jujubequay::pb::PeerStateRequest &request);
+    void queryPeer(const HostAddress &peer, const jujubequay::pb::PeerStateRequest &request);
 
     asio::io_context &m_context;
     const Clock &m_clock;
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -3,6 +3,7 @@
 #include <jujubequay/core/clock.h>
 #include <jujubequay/policy/outlier_detector.h>
 #include <jujubequay/steering/balancer_steering.h>
+#include <jujubequay/steering/flow_recorder.h>
 #include <jujubequay/steering/segment.h>
 #include <jujubequay/steering/server_directory.h>
 #include <jujubequay/steering/steer_message.h>
@@ -34,6 +35,7 @@
 /// Queue the first packet of a request until `canStartRequest` is true, then pass it to `startHeldRequest`: with one more request the
 /// server would start to refuse some.
 struct HoldRequest {
+    TimePoint goalAt{}; ///< when the latency goal of the request passes
 };
 /// Queue the packet, then pass it to `retryLookup` as soon as `isServerListStable` is true or `isServerKnown` becomes true. The owner of
 /// the flow was not found, but the local server is not known yet, or a server list used in the lookup was incomplete.
@@ -63,7 +65,7 @@
     /// How long a closed flow is kept, for retransmitted packets.
     Duration closedFlowRetention = std::chrono::seconds(4);
     /// Requests per slot that the server gets at the same time. It queues a few requests and refuses more.
-    std::uint16_t requestsPerSlot = 4;
+    std::uint16_t requestsPerSlot = 2;
     /// Limit of held requests. Requests beyond it are delivered, and the server may refuse them.
     std::size_t maxHeldRequests = 48;
     /// How long a request counts as pending if no route states a timeout.
@@ -83,6 +85,13 @@
     Duration stabilizationTime = std::chrono::milliseconds(400);
 };
 
+/// Changes of the recorded flows of the local server.
+struct FlowRecordChanges {
+    Incarnation incarnation; ///< of the local server; 0 if there is none or it is not confirmed, without changes then
+    bool isFull = false; ///< replaces all earlier changes, because the server is a new one
+    std::vector<FlowRecordChange> changes;
+};
+
 /// Decides what an agent does with each packet between callers and its local server. State machine without I/O.
 ///
 /// All packets of the local server pass through its agent, so the flow table lists every flow that the server owns. After a restart of the
@@ -104,6 +113,8 @@
     AgentDecision handleServerPacket(TimePoint now, const Segment &segment, std::vector<AddressedNotice> &notices);
     /// True if the server has room for another request.
     bool canStartRequest() const;
+    /// Moving average of the time from a request to its answer, without the time for which it was held.
+    Duration serviceTime() const;
     /// Handles a packet that was queued for HoldRequest.
     AgentDecision startHeldRequest(TimePoint now, const Segment &segment);
     /// False until the first call of `setServer`. Until then the local server may own any flow.
@@ -112,8 +123,16 @@
     bool isServerListStable(TimePoint now) const;
     /// Restarts the owner lookup for a packet that was queued for HoldLookup.
     AgentDecision retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
+    /// The newest route table that a received packet was steered by, if it is newer than the local one and the control hosts had time to
+    /// distribute it.
+    std::optional<NewerRoutesNotice> newerRoutes(TimePoint now) const;
     void handleOwnerNotice(TimePoint now, const OwnerNotice &notice);
     void handleAcknowledgement(const OwnerAcknowledgement &acknowledgement);
+    /// Handles the flows of an earlier server, which its callers may still use. Returns the resets for them; none if the notice is about the
+    /// current server or if the incarnation of the current server is not confirmed yet.
+    std::vector<ResetCaller> endFlows(TimePoint now, const EndedFlowsNotice &notice);
+    /// Returns how the open flows of the local server have changed since the last call, for the records of the control hosts.
+    FlowRecordChanges takeFlowRecordChanges(TimePoint now);
     /// Appends notices to registrars that are new, have restarted or have not acknowledged. Call it after `update` and every
     /// `noticeInterval`.
     void resendNotices(TimePoint now, std::vector<AddressedNotice> &notices);
@@ -151,6 +170,8 @@
     struct Flow {
         FlowState state = FlowState::SynDelivered;
         TimePoint lastUsed{};
+        TimePoint synReceivedAt{};
+        TimePoint openedAt{};
         SteerHeader header; ///< header of the last SYN or probe
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t lastCallerAcknowledgement = 0;
@@ -183,6 +204,10 @@
     static AgentDecision resetOrphanedFlow(const Segment &segment);
     /// True if the newer of the two route tables, the sender's and the local one, leads to the service of the local server.
     bool isRoutedToLocalServer(const SteerHeader &header, const FlowTuple &tuple) const;
+    void setOpen(TimePoint now, Flow &flow);
+    /// Incarnation of the local server; 0 while it is not confirmed.
+    Incarnation confirmedIncarnation() const;
+    AddressedNotice noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const;
     /// Registers an open flow with its registrars.
     void registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices);
     /// Sets the registrars of a flow from the current server list. Returns true if notifications are pending.
@@ -195,6 +220,9 @@
     void finishRequest(Flow &flow);
     /// Time after which the callers of a service address abandon a request.
     Duration requestTimeout(const HostAddress &service) const;
+    /// When the latency goal of a request passes whose first data has just arrived. The caller's time for the first request of a flow starts
+    /// with its SYN.
+    TimePoint latencyGoalAt(TimePoint now, const HostAddress &service, const Flow &flow, bool isFirstRequest) const;
     /// Records the end of the caller's data. Returns false for packets without new data, such as retransmissions.
     static bool recordCallerData(Flow &flow, const Segment &segment);
     /// Marks the flow as held if the server has no room for its request. Returns false if the request is to be delivered.
@@ -217,8 +245,12 @@
     std::optional<TimePoint> m_unobservedBefore; ///< flows of the server that were opened before may be missing in the flow table
     std::uint64_t m_highestRouteTableVersion = 0; ///< highest version in a received packet
     TimePoint m_highestRouteTableSeenAt{};
+    HostAddress m_highestRouteTableBalancer; ///< the balancer that has sent this packet
     std::unordered_map<FlowTuple, Flow> m_flows;
     std::vector<AnsweredRequest> m_answeredRequests;
+    Duration m_serviceTime{};
+    FlowRecorder m_flowRecorder;
+    Incarnation m_recordedIncarnation; ///< server to which the recorded flows belong
     std::unordered_set<FlowTuple> m_pendingNotifications; ///< open flows with a registrar that may not have been notified
     std::unordered_map<HostAddress, TimePoint> m_balancerLastSeen;
     std::size_t m_pendingRequestCount = 0;
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -86,7 +86,9 @@
 private:
     struct Flow {
         HostAddress agent; ///< agent of the server that owns the flow
-        Incarnation incarnation; ///< incarnation of that server
+        Incarnation incarnation; ///< incarnation of that server; 0 if unknown
+        /// The owner has sent its incarnation. Otherwise the SYN went to this agent, and another server may have opened the flow.
+        bool isConfirmed = false;
         TimePoint lastUsed{};
     };
     struct Load {
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -64,8 +64,9 @@
     const SteerServer *find(const HostAddress &agent) const;
     /// The servers of a service, including unlisted ones.
     std::span<const SteerServer> servers(ServiceKey service) const;
-    /// True if the server has deregistered itself. Its flows do not exist any more.
-    bool hasDeregistered(const HostAddress &agent, Incarnation incarnation) const;
+    /// True if the server has certainly ended, so that its flows do not exist any more: it has deregistered itself, or it was listed before
+    /// another server of the same agent. An incarnation that was never listed may be newer than the list.
+    bool hasEnded(const HostAddress &agent, Incarnation incarnation) const;
     /// The agents of all servers by their rank for a flow, best first.
     std::vector<HostAddress> rankedAgents(const FlowTuple &tuple) const;
     /// The registrars of a flow: two agents, if possible of different availability zones, or fewer if there are fewer servers.
@@ -82,15 +83,31 @@
         std::size_t index = 0;
     };
 
+    /// Servers of one availability zone that are all listed, or all unlisted. All hosts rank the groups of a flow alike, and the servers
+    /// within a group.
+    struct Group {
+        std::string zone;
+        bool isListed = true;
+        std::vector<FlowRegistrar> agents; ///< never empty
+    };
+
+    void addToGroup(const SteerServer &server);
+    /// All groups by their rank for a flow, best first.
+    std::vector<const Group *> rankedGroups(std::uint64_t flowHash) const;
+    /// The agent of a group with the highest score, or with the highest one below a bound; null if no score is below it.
+    static const FlowRegistrar *bestBelow(const Group &group, std::uint64_t flowHash, std::optional<std::uint64_t> bound);
     bool updateServers(TimePoint now, const ConfigSnapshot &snapshot);
     void indexServers();
+    void recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server);
 
     const ServerDirectoryOptions m_options;
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
     bool m_hasRegistry = false;
     bool m_isRegistryComplete = false;
     std::set<std::pair<HostAddress, Incarnation>> m_deregistered;
+    std::map<std::pair<HostAddress, Incarnation>, TimePoint> m_replaced; ///< when another server of the same agent was listed
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
+    std::vector<Group> m_groups;
     std::unordered_map<HostAddress, Position> m_positions; ///< position by agent, for the lookup of each packet
 };
 
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <variant>
+#include <vector>
 
 namespace Jujubequay {
 
@@ -32,12 +33,16 @@
     bool isLookupPartial = false; ///< a server list used in the lookup was incomplete or unstable, so the owner may have been left out
     LookupPhase lookupPhase = LookupPhase::FirstRegistrar;
     std::uint8_t lookupRetries = 0; ///< at most maxLookupRetries
+    /// The balancer decodes owner notices with an incarnation. Agents of versions without such notices clear it when they forward a packet.
+    bool acceptsIncarnations = false;
 };
 
 /// Reports the owner of a flow to a balancer or to a registrar.
 struct OwnerNotice {
     FlowTuple tuple;
     HostAddress owner; ///< agent of the server that owns the flow
+    /// Incarnation of that server; 0 if it is unknown or the receiver may not decode it.
+    Incarnation incarnation;
 };
 
 /// Confirms to the owner of a flow that a registrar has received its notice.
@@ -60,11 +65,34 @@
     HostAddress controlHost; ///< address for control streams
 };
 
+/// A flow that existed when it was recorded.
+struct RecordedFlow {
+    FlowTuple tuple;
+    std::uint32_t acknowledgement = 0; ///< a recent acknowledgement number of the caller
+};
+
+/// Flows of a server that has ended, sent by a control host to the agent of the server that has taken its place.
+struct EndedFlowsNotice {
+    Incarnation incarnation; ///< of the server that has ended
+    std::vector<RecordedFlow> flows; ///< at most maxEndedFlows
+};
+
+/// Tells a balancer that a newer route table than its own is in force, and which balancer has it.
+struct NewerRoutesNotice {
+    std::uint64_t version = 0;
+    HostAddress balancer;
+};
+
+/// Limit of the flows in one notice, which has to fit into a datagram.
+constexpr std::size_t maxEndedFlows = 64;
+
 constexpr std::size_t steerHeaderLength = 22;
-constexpr std::size_t ownerNoticeLength = 20;
+constexpr std::size_t ownerNoticeLength = 20; ///< without an incarnation
+constexpr std::size_t confirmedOwnerNoticeLength = ownerNoticeLength + sizeof(std::uint32_t);
 constexpr std::size_t ownerAcknowledgementLength = 20;
 constexpr std::size_t loadNoticeLength = 15;
 constexpr std::size_t startNoticeLength = 8;
+constexpr std::size_t newerRoutesNoticeLength = 16;
 
 /// A caller's packet with its steer header.
 struct SteeredPacket {
@@ -72,14 +100,17 @@
     std::span<std::uint8_t> packet; ///< points into the datagram
 };
 /// A datagram that balancers and agents receive from each other and from control hosts.
-using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice, OwnerAcknowledgement>;
+using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice, OwnerAcknowledgement, EndedFlowsNotice, NewerRoutesNotice>;
 
 /// Writes the header into `out`.
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
-std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice);
+/// `ownerNoticeLength` bytes, or `confirmedOwnerNoticeLength` with an incarnation.
+std::vector<std::uint8_t> encode(const OwnerNotice &notice);
 std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
 std::array<std::uint8_t, ownerAcknowledgementLength> encode(const OwnerAcknowledgement &acknowledgement);
 std::array<std::uint8_t, startNoticeLength> encode(const StartNotice &notice);
+std::vector<std::uint8_t> encode(const EndedFlowsNotice &notice);
+std::array<std::uint8_t, newerRoutesNoticeLength> encode(const NewerRoutesNotice &notice);
 /// Returns nothing for bytes that are not a complete message of this version.
 std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram);
 
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -29,7 +29,8 @@
                                                          Logger &logger,
                                                          const PacketCodec &codec,
                                                          const SteeringBalancerSettings &settings,
-                                                         StartNoticeHandler onStartNotice);
+                                                         StartNoticeHandler onStartNotice,
+                                                         NewerRoutesHandler onNewerRoutes);
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
@@ -42,10 +43,12 @@
                     const PacketCodec &codec,
                     const SteeringBalancerSettings &settings,
                     StartNoticeHandler onStartNotice,
+                    NewerRoutesHandler onNewerRoutes,
                     asio::ip::udp::socket callers,
                     asio::ip::udp::socket peers);
     void handleCallerPackets(std::size_t count);
     void handlePeerDatagrams(std::size_t count);
+    void handleNewerRoutes(TimePoint now, const NewerRoutesNotice &notice);
     /// `datagram`: the packet with steerHeaderLength bytes in front of it.
     void handlePacket(TimePoint now, std::span<std::uint8_t> datagram);
     void releaseStartupQueue();
@@ -57,6 +60,7 @@
     Logger &m_logger;
     const PacketCodec &m_codec;
     const StartNoticeHandler m_onStartNotice;
+    const NewerRoutesHandler m_onNewerRoutes;
     BalancerSteering m_steering;
     PacketQueue m_startupQueue; ///< packets that were received before the route table and the server list
     asio::ip::udp::socket m_callerSocket;
@@ -67,6 +71,7 @@
     DatagramWriter m_callerWriter;
     std::deque<std::vector<std::uint8_t>> m_pendingResets; ///< buffers of m_callerWriter until the next flush
     PacketCounters m_counters;
+    TimePoint m_lastNewerRoutesAt{};
 };
 
 }
--- a/include/jujubequay/steering_program/discovery.h
+++ b/include/jujubequay/steering_program/discovery.h
@@ -22,6 +22,12 @@
 /// Called on the traffic thread when a control host has announced that it has started.
 using StartNoticeHandler = std::function<void(const HostAddress &controlHost)>;
 
+/// Called on the traffic thread when a balancer has a newer route table than this process.
+using NewerRoutesHandler = std::function<void(const HostAddress &balancer)>;
+
+/// Minimum time between attempts to get a newer route table from a balancer.
+constexpr auto newerRoutesInterval = std::chrono::milliseconds(250);
+
 struct WatcherOptions {
     std::string role; ///< "balancer" or "agent"
     HostAddress noticeAddress; ///< address to which control hosts send start notices
--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -4,6 +4,7 @@
 #include <jujubequay/control/control_host_service.h>
 #include <jujubequay/net/message_server.h>
 #include <jujubequay/steering_program/discovery.h>
+#include <jujubequay/steering_program/flow_record_files.h>
 #include <jujubequay/steering_program/settings_watcher.h>
 
 #include <asio/ip/udp.hpp>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace Jujubequay {
@@ -56,6 +58,10 @@
     void tryOpenSession();
     void handleSessionFailure(const Failure &failure);
     void sendStartNotice(const HostAddress &host);
+    void sendEndedFlows(const EndedFlows &ended);
+    void sendNotice(const HostAddress &host, std::span<const std::uint8_t> notice);
+    void loadFlowRecords();
+    void scheduleFlowRecordSave();
     ControlHostOptions options();
     void reloadSeeds();
     void waitForStop();
@@ -71,11 +77,14 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_reopenTimer;
     asio::steady_timer m_stopTimer;
-    asio::ip::udp::socket m_noticeSocket; ///< sends start notices
+    asio::steady_timer m_flowRecordTimer;
+    FlowRecordFiles m_flowRecordFiles;
+    asio::ip::udp::socket m_noticeSocket; ///< sends start notices and ended flows
     std::shared_ptr<MessageServer> m_server;
     std::vector<HostAddress> m_seeds;
     std::unique_ptr<Session> m_session;
     bool m_hasSessionFailed = false;
+    bool m_areFlowRecordsLoaded = false;
 };
 
 }
--- a/include/jujubequay/steering_program/steering_balancer_process.h
+++ b/include/jujubequay/steering_program/steering_balancer_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <jujubequay/net/message_server.h>
 #include <jujubequay/steering_program/balancer_traffic.h>
 #include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/settings_watcher.h>
@@ -49,6 +50,7 @@
     TrafficLoop m_loop;
     std::unique_ptr<BalancerTraffic> m_traffic;
     std::shared_ptr<ConfigWatcher> m_watcher;
+    std::shared_ptr<MessageServer> m_peerServer; ///< gives other processes the configuration
     bool m_hasConfig = false;
     bool m_isStopping = false;
 };
--- a/src/jujubequay/consensus/posix_file_system.cpp
+++ b/src/jujubequay/consensus/posix_file_system.cpp
@@ -84,13 +84,13 @@
     ::close(m_descriptor);
 }
 
-Result<std::unique_ptr<PosixFileSystem>> PosixFileSystem::open(const std::filesystem::path &directory)
+Result<std::unique_ptr<PosixFileSystem>> PosixFileSystem::open(const std::filesystem::path &directory, DirectoryLock lock)
 {
     const int descriptor = ::open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0) {
         return failWithErrno("cannot open directory", directory.string());
     }
-    if (::flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
+    if (lock == DirectoryLock::Exclusive && ::flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
         const auto error = failWithErrno("cannot lock directory", directory.string());
         ::close(descriptor);
         return error;
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -35,6 +35,7 @@
     , m_environment(std::move(environment))
     , m_registry(m_options.host, m_options.epoch, m_options.lease)
     , m_reports(m_options.host, {})
+    , m_flowRecords({})
     , m_driver(m_environment.clock,
                m_environment.storage,
                std::move(stored),
@@ -71,8 +72,8 @@
                          m_environment.random,
                          m_registry,
                          m_reports,
-                         RegistryExchange::Options{m_options.registryExchangeInterval, m_options.registryFillTimeout})
-    , m_watchService(m_environment.clock, m_driver, m_watchServer)
+                         RegistryExchange::Options{m_options.registryExchangeInterval, m_options.registryFillTimeout, m_options.zone})
+    , m_watchService(m_environment.clock, m_environment.logger, m_driver, m_watchServer, m_flowRecords)
     , m_announceService(m_environment.clock,
                         m_environment.wallClock,
                         m_driver.state(),
@@ -179,6 +180,7 @@
         reconcileKnownHosts();
         sendStartNotices();
     }
+    sendEndedFlows();
 }
 
 TimePoint ControlHostService::nextTick() const
@@ -266,11 +268,12 @@
     }
     m_raftLinks.setPeers(peers);
     m_registryExchange.setPeers(peers);
-    std::vector<std::string> addresses;
+    std::vector<ControlHostLocation> locations;
     for (const pb::Member &member : m_driver.replica().membership().members()) {
-        addresses.push_back(member.address());
+        const bool isSelf = member.id() == m_driver.replica().id();
+        locations.push_back({member.address(), isSelf ? m_options.zone : m_registryExchange.zoneOf(member.host())});
     }
-    m_watchServer.setControlHosts(std::move(addresses));
+    m_watchServer.setControlHosts(std::move(locations));
 }
 
 void ControlHostService::promoteLearners()
@@ -459,6 +462,22 @@
     }
 }
 
+void ControlHostService::sendEndedFlows()
+{
+    for (const EndedFlows &ended : m_flowRecords.tick(m_environment.clock.now(), m_registry)) {
+        m_environment.logger.info("flows-ended",
+                                  {{"agent", toString(ended.agent)}, {"incarnation", ended.flows.incarnation()}, {"flows", ended.flows.open_size()}});
+        if (m_environment.sendEndedFlows) {
+            m_environment.sendEndedFlows(ended);
+        }
+    }
+}
+
+FlowRecordStore &ControlHostService::flowRecords()
+{
+    return m_flowRecords;
+}
+
 // Joining
 
 void ControlHostService::joinIfNeeded()
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -69,10 +69,12 @@
 
 // Watchers
 
-WatchService::WatchService(const Clock &clock, ReplicaDriver &driver, WatchServer &server)
+WatchService::WatchService(const Clock &clock, Logger &logger, ReplicaDriver &driver, WatchServer &server, FlowRecordStore &flowRecords)
     : m_clock(clock)
+    , m_logger(logger)
     , m_driver(driver)
     , m_server(server)
+    , m_flowRecords(flowRecords)
 {
 }
 
@@ -87,6 +89,9 @@
     handlers.closed = [this, id](ResultCode) {
         m_server.removeWatcher(m_clock.now(), id);
         m_streams.remove(id);
+        if (const auto agent = m_agents.extract(id)) {
+            m_flowRecords.streamEnded(m_clock.now(), agent.mapped());
+        }
     };
     return handlers;
 }
@@ -105,10 +110,34 @@
     }
     if (message->has_request()) {
         message->mutable_request()->set_role(peer.role);
+        if (peer.role == "agent") {
+            m_agents[id] = message->request().notice_address();
+        }
+    }
+    if (message->has_flows()) {
+        receiveFlowRecords(id, message->flows());
     }
     m_server.receive(m_clock.now(), id, *message);
 }
 
+void WatchService::receiveFlowRecords(std::uint64_t id, const pb::FlowRecords &records)
+{
+    const auto agent = m_agents.find(id);
+    if (agent == m_agents.end()) {
+        m_logger.warning("flow-records-refused", {{"stream", id}, {"cause", "the stream is not one of an agent"}});
+        return;
+    }
+    handleFailure(
+        [&]() -> Result<int> {
+            BOOST_LEAF_CHECK(m_flowRecords.receive(agent->second, records));
+            return 0;
+        },
+        [&](const Failure &failure) {
+            m_logger.warning("flow-records-refused", {{"agent", agent->second}, {"cause", failure.detail}});
+            return 0;
+        });
+}
+
 void WatchService::tick()
 {
     for (const WatcherId id : m_server.watchers()) {
@@ -118,7 +147,7 @@
     for (const WatchServerEffect &effect : m_server.pump(m_clock.now())) {
         if (const auto *send = std::get_if<SendToWatcher>(&effect)) {
             if (MessageStream *stream = m_streams.find(send->watcher)) {
-                stream->send(send->message);
+                stream->send(*send->message);
             }
         } else if (const auto *close = std::get_if<CloseWatcher>(&effect)) {
             if (MessageStream *stream = m_streams.find(close->watcher)) {
@@ -248,6 +277,9 @@
     for (const pb::ServerEntry &entry : delta->servers()) {
         m_registry.merge(now, entry);
     }
+    if (!delta->zone().empty()) {
+        m_zones[host] = delta->zone();
+    }
     for (const pb::HostInForce &report : delta->reports()) {
         if (report.control_host() == host) {
             m_reports.merge(now, report);
@@ -294,6 +326,9 @@
     }
     deltas.back().mutable_reports()->Add(reports.begin(), reports.end());
     deltas.back().set_filled(m_isFilled);
+    if (position.registry == 0) {
+        deltas.front().set_zone(m_options.zone);
+    }
     bool isSent = true;
     for (const pb::RegistryDelta &delta : deltas) {
         isSent = isSent && m_links.send(host, delta);
@@ -308,6 +343,12 @@
     return m_isFilled;
 }
 
+std::string RegistryExchange::zoneOf(const std::string &host) const
+{
+    const auto found = m_zones.find(host);
+    return found == m_zones.end() ? std::string() : found->second;
+}
+
 bool RegistryExchange::isReachable(const std::string &host) const
 {
     return m_streams.contains(host);
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -1,4 +1,5 @@
 #include <jujubequay/control/lease_registry.h>
+#include <jujubequay/control/watched_servers.h>
 #include <jujubequay/core/identifiers.h>
 #include <jujubequay/core/invariant.h>
 #include <jujubequay/core/result_code.h>
@@ -271,6 +272,7 @@
 {
     const std::string name = entry.name();
     Record &record = m_records[name];
+    const bool isVisible = record.changedAt == 0 || isVisibleToWatchers(record.entry, entry);
     if (record.changedAt != 0) {
         checkInvariant(isNewerEntry(entry, record.entry), "an entry is only replaced by a newer one");
         m_changes.erase(record.changedAt);
@@ -295,6 +297,12 @@
     record.isLocalChange = isLocalChange;
     record.changedAt = ++m_sequence;
     m_changes[record.changedAt] = name;
+    if (isVisible) {
+        m_visibleChanges.erase(record.visiblyChangedAt);
+        record.visiblyChangedAt = record.changedAt;
+        m_visibleSequence = record.changedAt;
+        m_visibleChanges[record.visiblyChangedAt] = name;
+    }
 }
 
 void LeaseRegistry::changeState(TimePoint now, const std::string &name, pb::ServerState state)
@@ -437,8 +445,9 @@
             ++entry;
             continue;
         }
-        m_droppedSequence = std::max(m_droppedSequence, record.changedAt);
+        m_droppedSequence = std::max(m_droppedSequence, record.visiblyChangedAt);
         m_changes.erase(record.changedAt);
+        m_visibleChanges.erase(record.visiblyChangedAt);
         entry = m_records.erase(entry);
     }
 }
@@ -455,6 +464,11 @@
     return m_sequence;
 }
 
+std::uint64_t LeaseRegistry::visibleSequence() const
+{
+    return m_visibleSequence;
+}
+
 const pb::ServerEntry *LeaseRegistry::find(const std::string &name) const
 {
     const auto found = m_records.find(name);
@@ -482,8 +496,8 @@
 std::vector<pb::RegistryDelta> LeaseRegistry::changesAfter(std::uint64_t position, const std::set<std::string> &services) const
 {
     const bool isFull = position == 0 || position < m_droppedSequence;
-    DeltaWriter writer(m_epoch, m_sequence, isFull);
-    for (auto change = m_changes.upper_bound(isFull ? 0 : position); change != m_changes.end(); ++change) {
+    DeltaWriter writer(m_epoch, m_visibleSequence, isFull);
+    for (auto change = m_visibleChanges.upper_bound(isFull ? 0 : position); change != m_visibleChanges.end(); ++change) {
         const Entry &entry = m_records.at(change->second).entry;
         const bool isWanted = services.empty() || services.contains(entry.service());
         if (isWanted && !(isFull && hasLeft(entry))) {
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -1,4 +1,5 @@
 #include <jujubequay/control/watch_server.h>
+#include <jujubequay/control/watched_servers.h>
 #include <jujubequay/core/result_code.h>
 
 #include <algorithm>
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr std::size_t frameHeaderLength = 4;
+/// Watchers that connect or fall behind one after the other have different positions. Bounds the memory for their messages.
+constexpr std::size_t maxSharedDeltas = 32;
 
 template<class Message>
 std::uint64_t framedBytes(const Message &message)
@@ -130,11 +133,11 @@
     m_isRegistryComplete = isComplete;
 }
 
-void WatchServer::setControlHosts(std::vector<std::string> addresses)
+void WatchServer::setControlHosts(std::vector<ControlHostLocation> controlHosts)
 {
-    std::sort(addresses.begin(), addresses.end());
-    if (addresses != m_controlHosts) {
-        m_controlHosts = std::move(addresses);
+    std::sort(controlHosts.begin(), controlHosts.end());
+    if (controlHosts != m_controlHosts) {
+        m_controlHosts = std::move(controlHosts);
         ++m_controlHostsVersion;
     }
 }
@@ -149,7 +152,7 @@
         if (isConfirmationOverdue(now, watcher)) {
             pb::WatchDown message;
             message.set_refused(static_cast<std::uint32_t>(ResultCode::NoQuorum));
-            send(id, std::move(message), effects);
+            send(id, std::make_shared<const pb::WatchDown>(std::move(message)), effects);
             closedWatchers.push_back(id);
         } else if (isStalled(now, watcher)) {
             closedWatchers.push_back(id);
@@ -209,7 +212,7 @@
     if (effects.size() == before && now - watcher.lastSentAt >= m_options.heartbeat) {
         pb::WatchDown message;
         message.set_heartbeat(true);
-        send(id, std::move(message), effects);
+        send(id, std::make_shared<const pb::WatchDown>(std::move(message)), effects);
     }
     if (effects.size() != before) {
         watcher.lastSentAt = now;
@@ -225,7 +228,7 @@
     *message.mutable_config() = m_state.configAfter(watcher.revision, watcher.flowKeyRevision, watcher.services);
     watcher.revision = std::max(watcher.revision, m_state.revision());
     watcher.flowKeyRevision = std::max(watcher.flowKeyRevision, m_state.flowKeyRevision());
-    send(id, std::move(message), effects);
+    send(id, std::make_shared<const pb::WatchDown>(std::move(message)), effects);
 }
 
 void WatchServer::sendControlHosts(WatcherId id, Watcher &watcher, WatchServerEffects &effects)
@@ -234,41 +237,68 @@
         return;
     }
     pb::WatchDown message;
-    message.mutable_control_hosts()->mutable_addresses()->Add(m_controlHosts.begin(), m_controlHosts.end());
+    for (const ControlHostLocation &controlHost : m_controlHosts) {
+        message.mutable_control_hosts()->add_addresses(controlHost.address);
+        message.mutable_control_hosts()->add_zones(controlHost.zone);
+    }
     watcher.controlHostsVersion = m_controlHostsVersion;
-    send(id, std::move(message), effects);
+    send(id, std::make_shared<const pb::WatchDown>(std::move(message)), effects);
 }
 
 void WatchServer::sendRegistry(TimePoint now, WatcherId id, Watcher &watcher, WatchServerEffects &effects)
 {
     const bool isCompletenessSent = watcher.hasCompleteRegistry || !m_isRegistryComplete;
-    const bool isCurrent = watcher.registrySequence != 0 && m_registry.sequence() <= watcher.registrySequence && isCompletenessSent;
+    const bool isCurrent = watcher.registrySequence != 0 && m_registry.visibleSequence() <= watcher.registrySequence && isCompletenessSent;
     const bool isUsableForNewWatchers = m_isRegistryStable || m_isRegistryComplete;
     const bool mayServeRegistry = m_isRegistryFilled || (isUsableForNewWatchers && !watcher.hadRegistry);
     const bool isDue = now - watcher.lastRegistryAt >= m_options.registryInterval || !isCompletenessSent;
     if (!mayServeRegistry || isCurrent || !isDue) {
         return;
     }
-    std::vector<pb::RegistryDelta> deltas = m_registry.changesAfter(watcher.registrySequence, watcher.services);
-    if (deltas.empty() && !isCompletenessSent) {
-        pb::RegistryDelta &delta = deltas.emplace_back();
-        delta.set_epoch(m_registry.epoch());
-        delta.set_sequence(m_registry.sequence());
+    const std::vector<Message> &messages = registryMessages(watcher);
+    for (const Message &message : messages) {
+        send(id, message, effects);
     }
-    for (pb::RegistryDelta &delta : deltas) {
-        delta.set_complete(m_isRegistryComplete);
+    if (messages.empty() && !isCompletenessSent) {
         pb::WatchDown message;
-        *message.mutable_registry() = std::move(delta);
-        send(id, std::move(message), effects);
+        message.mutable_registry()->set_epoch(m_registry.epoch());
+        message.mutable_registry()->set_sequence(m_registry.visibleSequence());
+        message.mutable_registry()->set_complete(m_isRegistryComplete);
+        send(id, std::make_shared<const pb::WatchDown>(std::move(message)), effects);
     }
-    watcher.registrySequence = m_registry.sequence();
+    watcher.registrySequence = m_registry.visibleSequence();
     watcher.hasCompleteRegistry = m_isRegistryComplete;
     watcher.lastRegistryAt = now;
 }
 
-void WatchServer::send(WatcherId id, pb::WatchDown message, WatchServerEffects &effects)
+// Restarted watchers all need the full state, and most others have received the same deltas.
+const std::vector<WatchServer::Message> &WatchServer::registryMessages(const Watcher &watcher)
+{
+    const bool areCurrent = m_registryMessagesSequence == m_registry.visibleSequence() && m_areRegistryMessagesComplete == m_isRegistryComplete;
+    if (!areCurrent || m_registryMessages.size() >= maxSharedDeltas) {
+        m_registryMessages.clear();
+        m_registryMessagesSequence = m_registry.visibleSequence();
+        m_areRegistryMessagesComplete = m_isRegistryComplete;
+    }
+    const bool acceptsCompactServers = watcher.request->accepts_compact_servers();
+    const auto [entry, isNew] = m_registryMessages.try_emplace({watcher.registrySequence, watcher.services, acceptsCompactServers});
+    if (isNew) {
+        for (pb::RegistryDelta &delta : m_registry.changesAfter(watcher.registrySequence, watcher.services)) {
+            delta.set_complete(m_isRegistryComplete);
+            if (acceptsCompactServers) {
+                compactServers(delta);
+            }
+            auto message = std::make_shared<pb::WatchDown>();
+            *message->mutable_registry() = std::move(delta);
+            entry->second.push_back(std::move(message));
+        }
+    }
+    return entry->second;
+}
+
+void WatchServer::send(WatcherId id, Message message, WatchServerEffects &effects)
 {
-    m_sentBytes += framedBytes(message);
+    m_sentBytes += framedBytes(*message);
     effects.emplace_back(SendToWatcher{id, std::move(message)});
 }
 
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -1,6 +1,8 @@
 #include <jujubequay/control/watch_subscriber.h>
+#include <jujubequay/control/watched_servers.h>
 #include <jujubequay/core/invariant.h>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -90,7 +92,6 @@
     server.agentEpoch = entry.agent_epoch();
     server.weight = entry.weight();
     server.zone = entry.zone();
-    server.host = entry.host();
     return server;
 }
 
@@ -128,12 +129,44 @@
     if (m_isStreamOpen && now - m_lastMessageAt > m_options.silenceTimeout) {
         closeStream(now, effects);
     }
+    if (m_isStreamOpen && m_hasReceivedState && m_nextMove && now >= *m_nextMove) {
+        moveToLocalZone(now, effects);
+    }
     if (!m_isStreamOpen && now >= m_nextAttempt) {
         open(now, effects);
     }
     return effects;
 }
 
+bool WatchSubscriber::isInLocalZone(const HostAddress &controlHost) const
+{
+    const auto zone = m_controlHostZones.find(controlHost);
+    return zone != m_controlHostZones.end() && zone->second == m_options.zone;
+}
+
+// Watchers that have connected to the same control host, for example after a restart of all hosts, do not leave it at the same time.
+void WatchSubscriber::scheduleMove(TimePoint now)
+{
+    const Duration::rep delay = m_options.moveDelay.count();
+    m_nextMove = now + Duration(std::uniform_int_distribution<Duration::rep>(delay, 2 * delay)(m_random));
+}
+
+// Most traffic of a watch is from the control host to the watcher, and traffic between availability zones is expensive.
+void WatchSubscriber::moveToLocalZone(TimePoint now, Effects &effects)
+{
+    m_nextMove.reset();
+    const auto local = std::find_if(m_rankedHosts.begin(), m_rankedHosts.end(), [this](const HostAddress &address) {
+        return isInLocalZone(address);
+    });
+    if (local == m_rankedHosts.end() || isInLocalZone(m_rankedHosts[m_currentHost])) {
+        return;
+    }
+    effects.emplace_back(CloseWatchStream());
+    m_incomingRegistry.reset();
+    m_currentHost = static_cast<std::size_t>(local - m_rankedHosts.begin());
+    open(now, effects);
+}
+
 void WatchSubscriber::setControlHosts(std::vector<HostAddress> addresses)
 {
     if (addresses.empty() || addresses == m_configuredHosts) {
@@ -153,22 +186,33 @@
     m_rankedHosts = rankedControlHosts(m_discoveredHosts, m_options.host);
     const std::vector<HostAddress> rest = rankedControlHosts(std::move(configured), m_options.host);
     m_rankedHosts.insert(m_rankedHosts.end(), rest.begin(), rest.end());
+    std::stable_partition(m_rankedHosts.begin(), m_rankedHosts.end(), [this](const HostAddress &address) {
+        return isInLocalZone(address);
+    });
     m_currentHost %= std::max<std::size_t>(m_rankedHosts.size(), 1);
 }
 
-void WatchSubscriber::applyControlHosts(const pb::ControlHosts &message, Effects &effects)
+void WatchSubscriber::applyControlHosts(TimePoint now, const pb::ControlHosts &message, Effects &effects)
 {
     std::vector<HostAddress> addresses;
-    for (const std::string &text : message.addresses()) {
-        if (const auto address = parseHostAddress(text)) {
-            addresses.push_back(*address);
+    std::map<HostAddress, std::string> zones;
+    for (int index = 0; index < message.addresses_size(); ++index) {
+        const auto address = parseHostAddress(message.addresses(index));
+        if (!address) {
+            continue;
+        }
+        addresses.push_back(*address);
+        if (index < message.zones_size() && !message.zones(index).empty()) {
+            zones[*address] = message.zones(index);
         }
     }
-    if (addresses.empty() || addresses == m_discoveredHosts) {
+    if (addresses.empty() || (addresses == m_discoveredHosts && zones == m_controlHostZones)) {
         return;
     }
     const HostAddress current = m_rankedHosts[m_currentHost];
     m_discoveredHosts = addresses;
+    m_controlHostZones = std::move(zones);
+    scheduleMove(now);
     rankControlHosts();
     // The open stream is kept; after a failure the host after the current one is tried.
     const auto position = std::find(m_rankedHosts.begin(), m_rankedHosts.end(), current);
@@ -196,9 +240,15 @@
     request.set_registry_epoch(m_registryEpoch);
     request.set_registry_sequence(m_registrySequence);
     request.set_notice_address(m_options.noticeAddress);
+    request.set_accepts_compact_servers(true);
     request.mutable_services()->Add(m_options.services.begin(), m_options.services.end());
     send(std::move(message), effects);
     sendReport(effects);
+    if (m_flowRecords) {
+        pb::WatchUp records;
+        *records.mutable_flows() = m_flowRecords->toMessage();
+        send(std::move(records), effects);
+    }
 }
 
 WatchSubscriber::Effects WatchSubscriber::streamClosed(TimePoint now, std::uint64_t stream)
@@ -248,6 +298,7 @@
 void WatchSubscriber::retryLater(TimePoint now, Effects &effects)
 {
     m_incomingRegistry.reset();
+    scheduleMove(now);
     m_currentHost = (m_currentHost + 1) % m_rankedHosts.size();
     // The wait grows with each round over all control hosts, not with each attempt: a host that was not tried yet may be reachable.
     const auto rounds = static_cast<std::uint32_t>(m_failures / m_rankedHosts.size());
@@ -262,7 +313,41 @@
 
 // State
 
-WatchSubscriber::Effects WatchSubscriber::receive(TimePoint now, std::uint64_t stream, const pb::WatchDown &message)
+Result<void> WatchSubscriber::checkMessage(pb::WatchDown &message) const
+{
+    if (message.has_config()) {
+        BOOST_LEAF_CHECK(checkConfig(message.config()));
+    }
+    return message.has_registry() ? expandServers(*message.mutable_registry()) : Result<void>();
+}
+
+Result<void> WatchSubscriber::checkConfig(const pb::ConfigDelta &delta) const
+{
+    if (delta.revision() <= m_revision) {
+        return {};
+    }
+    if (delta.has_routes() && delta.routes().version() < m_routes->version()) {
+        return fail(ResultCode::BadRequest,
+                    fmt::format("route table version {} of revision {} is lower than {}", delta.routes().version(), delta.revision(), m_routes->version()));
+    }
+    for (const pb::ServiceConfig &config : delta.services()) {
+        const auto existing = m_services.find(config.service());
+        if (existing == m_services.end()) {
+            continue;
+        }
+        if (existing->second.service_id() != config.service_id()) {
+            return fail(ResultCode::BadRequest,
+                        fmt::format("service {}: identifier {} differs from {}", config.service(), config.service_id(), existing->second.service_id()));
+        }
+        if (config.revision() < existing->second.revision()) {
+            return fail(ResultCode::BadRequest,
+                        fmt::format("service {}: revision {} is lower than {}", config.service(), config.revision(), existing->second.revision()));
+        }
+    }
+    return {};
+}
+
+WatchSubscriber::Effects WatchSubscriber::receive(TimePoint now, std::uint64_t stream, pb::WatchDown message)
 {
     Effects effects;
     if (!m_isStreamOpen || stream != m_stream) {
@@ -274,12 +359,25 @@
         closeStream(now, effects);
         return effects;
     }
+    const bool isAccepted = handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(checkMessage(message));
+            return true;
+        },
+        [&](const Failure &failure) {
+            effects.emplace_back(RefusedControlMessage{failure.detail});
+            return false;
+        });
+    if (!isAccepted) {
+        closeStream(now, effects);
+        return effects;
+    }
     if (!m_hasReceivedState) {
         m_hasReceivedState = true;
         m_failures = 0;
     }
     if (message.has_control_hosts()) {
-        applyControlHosts(message.control_hosts(), effects);
+        applyControlHosts(now, message.control_hosts(), effects);
     }
     const bool isConfigNew = message.has_config() && applyConfig(message.config());
     const bool isRegistryNew = message.has_registry() && applyRegistry(message.registry());
@@ -309,13 +407,10 @@
         m_services.clear();
     }
     if (delta.has_routes()) {
-        checkInvariant(delta.routes().version() >= m_routes->version(), "the version of the route table never decreases");
         m_routes = std::make_shared<RouteTable>(delta.routes());
+        m_routesMessage = delta.routes();
     }
     for (const pb::ServiceConfig &config : delta.services()) {
-        const auto existing = m_services.find(config.service());
-        checkInvariant(existing == m_services.end() || existing->second.service_id() == config.service_id(), "the identifier of a service never changes");
-        checkInvariant(existing == m_services.end() || existing->second.revision() <= config.revision(), "the revision of a service never decreases");
         m_services[config.service()] = config;
     }
     m_revision = delta.revision();
@@ -420,6 +515,30 @@
     return effects;
 }
 
+WatchSubscriber::Effects WatchSubscriber::recordFlows(const pb::FlowRecords &change)
+{
+    Effects effects;
+    const Incarnation incarnation{change.incarnation()};
+    if (!m_flowRecords || m_flowRecords->incarnation() != incarnation) {
+        m_flowRecords.emplace(incarnation);
+    }
+    const bool isApplied = handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(m_flowRecords->apply(change));
+            return true;
+        },
+        [](const Failure &) {
+            return false;
+        });
+    checkInvariant(isApplied, "the local agent records flows with valid ports");
+    if (m_isStreamOpen) {
+        pb::WatchUp message;
+        *message.mutable_flows() = change;
+        send(std::move(message), effects);
+    }
+    return effects;
+}
+
 void WatchSubscriber::sendReport(Effects &effects)
 {
     pb::WatchUp message;
@@ -439,6 +558,18 @@
 WatchSubscriber::Effects WatchSubscriber::applyPeerState(const pb::PeerState &state)
 {
     Effects effects;
+    const bool isAccepted = handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(checkConfig(state.config()));
+            return true;
+        },
+        [&](const Failure &failure) {
+            effects.emplace_back(RefusedControlMessage{failure.detail});
+            return false;
+        });
+    if (!isAccepted) {
+        return effects;
+    }
     const bool isConfigNew = applyConfig(state.config());
     // The server list of a peer is used only if there is no local one, which would come from a control host.
     const bool areServersNew = m_servers.empty() && state.servers_size() > 0;
@@ -467,6 +598,9 @@
         *config.add_services() = service;
     }
     config.mutable_flow_keys()->Add(m_flowKeys.begin(), m_flowKeys.end());
+    if (m_routes->version() != 0) {
+        *config.mutable_routes() = m_routesMessage;
+    }
     for (const auto &[name, entry] : m_servers) {
         *state.add_servers() = entry;
     }
@@ -493,6 +627,11 @@
     return m_rankedHosts[m_currentHost];
 }
 
+bool WatchSubscriber::isControlHostInLocalZone() const
+{
+    return isInLocalZone(m_rankedHosts[m_currentHost]);
+}
+
 std::uint64_t WatchSubscriber::sentBytes() const
 {
     return m_sentBytes;
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -66,6 +66,8 @@
                 server.removeWatcher(now, watcherId);
             } else if (std::holds_alternative<RequestPeerState>(effect)) {
                 ++peerStateRequests;
+            } else if (const auto *refused = std::get_if<RefusedControlMessage>(&effect)) {
+                refusals.push_back(refused->detail);
             } else {
                 ++publishedSnapshots;
             }
@@ -81,8 +83,8 @@
                 if (const auto *confirm = std::get_if<ConfirmState>(&effect); confirm != nullptr && hasQuorum) {
                     server.stateConfirmed(now, confirm->number);
                 } else if (const auto *sent = std::get_if<SendToWatcher>(&effect)) {
-                    messages.push_back(sent->message);
-                    executeEffects(now, m_subscriber.receive(now, m_stream, sent->message));
+                    messages.push_back(*sent->message);
+                    executeEffects(now, m_subscriber.receive(now, m_stream, *sent->message));
                 } else if (std::holds_alternative<CloseWatcher>(effect)) {
                     executeEffects(now, m_subscriber.streamClosed(now, m_stream));
                 }
@@ -90,11 +92,17 @@
         }
     }
 
+    std::uint64_t stream() const
+    {
+        return m_stream;
+    }
+
     ControlState state;
     LeaseRegistry registry;
     ReportStore reports;
     WatchServer server;
     std::vector<pb::WatchDown> messages;
+    std::vector<std::string> refusals;
     int peerStateRequests = 0;
     int publishedSnapshots = 0;
 
@@ -135,6 +143,14 @@
     CPPUNIT_TEST(retryWaitGrowsOnlyAfterEachControlHostWasTried);
     CPPUNIT_TEST(peersProvideTheStateWithoutReachableControlHosts);
     CPPUNIT_TEST(flowKeysInUseAreCollected);
+    CPPUNIT_TEST(refusesMessagesThatContradictTheStateInForce);
+    CPPUNIT_TEST(refusesMalformedServers);
+    CPPUNIT_TEST(watchersGetEachServerInAFewBytes);
+    CPPUNIT_TEST(restartOfAllWatchersBuildsOneFullState);
+    CPPUNIT_TEST(changesOfOwnershipAreNotSentToWatchers);
+    CPPUNIT_TEST(movesToAControlHostOfItsZone);
+    CPPUNIT_TEST(sendsAllFlowRecordsOnANewStream);
+    CPPUNIT_TEST(passesItsRouteTableOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -446,7 +462,229 @@
         CPPUNIT_ASSERT(m_connection->reports.hostsLackingFlowKeys(2).empty());
     }
 
+    /// Guards against a balancer that ends because of one wrong message of a control host.
+    void refusesMessagesThatContradictTheStateInForce()
+    {
+        m_connection->rollOut(1);
+        m_connection->rollOut(2);
+        step();
+        const pb::ConfigDelta inForce = m_connection->state.configAfter(0, 0, {});
+
+        pb::WatchDown otherIdentifier;
+        *otherIdentifier.mutable_config() = inForce;
+        otherIdentifier.mutable_config()->set_revision(9);
+        otherIdentifier.mutable_config()->mutable_services(0)->set_service_id(77);
+        expectRefusal(otherIdentifier, "identifier 77 differs from 1");
+
+        pb::WatchDown olderService;
+        *olderService.mutable_config() = inForce;
+        olderService.mutable_config()->set_revision(9);
+        olderService.mutable_config()->mutable_services(0)->set_revision(1);
+        expectRefusal(olderService, "revision 1 is lower than 2");
+
+        pb::WatchDown routes;
+        routes.mutable_config()->set_revision(9);
+        routes.mutable_config()->mutable_routes()->set_version(5);
+        reconnect(*m_connection);
+        m_connection->executeEffects(m_now, m_subscriber->receive(m_now, m_connection->stream(), routes));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_subscriber->snapshot()->routes->version());
+        routes.mutable_config()->set_revision(10);
+        routes.mutable_config()->mutable_routes()->set_version(4);
+        expectRefusal(routes, "route table version 4 of revision 10 is lower than 5");
+    }
+
+    /// Guards against indices and ports that are used without a check.
+    void refusesMalformedServers()
+    {
+        m_connection->rollOut(1);
+        step();
+        pb::WatchDown message;
+        message.mutable_registry()->add_names("inspect-desk");
+        pb::WatchedServer &server = *message.mutable_registry()->add_watched();
+        server.set_service(1);
+        expectRefusal(message, "service 1 exceeds 0");
+        server.set_service(0);
+        server.set_zone(3);
+        expectRefusal(message, "zone 3 exceeds 0");
+        server.set_zone(0);
+        server.set_port(65536);
+        expectRefusal(message, "port 65536 exceeds 65535");
+        server.set_port(1);
+        server.set_state(static_cast<pb::ServerState>(9));
+        expectRefusal(message, "state 9 exceeds 4");
+        message.mutable_registry()->clear_names();
+        expectRefusal(message, "service 0 exceeds 0");
+    }
+
+    /// Load: a large fleet, in which every watcher needs every server. Guards against messages that repeat names for each server.
+    void watchersGetEachServerInAFewBytes()
+    {
+        constexpr int serverCount = 1000;
+        constexpr std::size_t bytesPerServer = 45;
+        for (int number = 0; number < serverCount; ++number) {
+            announceServer(number, 1, "control-a");
+        }
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{serverCount}, m_subscriber->snapshot()->servers.size());
+        const ServerSnapshot &server = m_subscriber->snapshot()->servers.front();
+        CPPUNIT_ASSERT_EQUAL(std::string("inspect-desk"), server.service);
+        CPPUNIT_ASSERT_EQUAL(std::string("dar-ubungo"), server.zone);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, server.weight);
+        CPPUNIT_ASSERT_EQUAL(server.name, toString(server.relayAddress));
+        CPPUNIT_ASSERT(m_connection->server.sentBytes() < serverCount * bytesPerServer);
+    }
+
+    /// Load: all watchers restart at the same moment and need the full state. Guards against building it once for each of them.
+    void restartOfAllWatchersBuildsOneFullState()
+    {
+        constexpr WatcherId watcherCount = 200;
+        for (int number = 0; number < 50; ++number) {
+            announceServer(number, 1, "control-a");
+        }
+        for (WatcherId id = 1; id <= watcherCount; ++id) {
+            pb::WatchUp up;
+            up.mutable_request()->set_host(fmt::format("agent-{}", id));
+            up.mutable_request()->set_accepts_compact_servers(true);
+            m_connection->server.addWatcher(m_now, id);
+            m_connection->server.receive(m_now, id, up);
+        }
+        m_connection->server.pump(m_now);
+        m_connection->server.stateConfirmed(m_now, 1);
+        std::set<const pb::WatchDown *> messages;
+        std::set<WatcherId> served;
+        for (const auto &effect : m_connection->server.pump(m_now)) {
+            const auto *sent = std::get_if<SendToWatcher>(&effect);
+            if (sent != nullptr && sent->message->has_registry()) {
+                messages.insert(sent->message.get());
+                served.insert(sent->watcher);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{watcherCount}, served.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, messages.size());
+    }
+
+    /// Load: many agents change their control host at the same moment. Guards against deltas to every watcher for each of them.
+    void changesOfOwnershipAreNotSentToWatchers()
+    {
+        announceServer(1, 1, "control-a");
+        step();
+        const std::uint64_t visible = m_connection->registry.visibleSequence();
+        pb::ServerEntry entry = *m_connection->registry.find("127.0.1.1:2");
+        entry.set_owner("control-b");
+        entry.set_observation(entry.observation() + 1);
+        m_connection->registry.merge(m_now, entry);
+        CPPUNIT_ASSERT_EQUAL(std::string("control-b"), m_connection->registry.find("127.0.1.1:2")->owner());
+        CPPUNIT_ASSERT(m_connection->registry.sequence() > visible);
+        CPPUNIT_ASSERT_EQUAL(visible, m_connection->registry.visibleSequence());
+        m_connection->messages.clear();
+        step();
+        CPPUNIT_ASSERT(std::none_of(m_connection->messages.begin(), m_connection->messages.end(), [](const pb::WatchDown &message) {
+            return message.has_registry();
+        }));
+        // A server that deregisters itself differs from one that a control host has removed: only the flows of the former are ended.
+        announceServer(1, 2, "control-a", pb::SERVER_STATE_LEFT);
+        CPPUNIT_ASSERT(m_connection->registry.visibleSequence() > visible);
+    }
+
+    /// Guards against watch traffic that crosses availability zones although the own zone has a control host.
+    void movesToAControlHostOfItsZone()
+    {
+        m_connection->rollOut(1);
+        step();
+        const HostAddress first = m_subscriber->controlHost();
+        const HostAddress local = first == HostAddress{0x7F000001, 1} ? HostAddress{0x7F000002, 1} : HostAddress{0x7F000001, 1};
+        m_connection->server.setControlHosts({{toString(first), "dar-kurasini"}, {toString(local), "dar-ubungo"}});
+        step();
+        CPPUNIT_ASSERT(m_subscriber->controlHost() == first);
+        m_now += seconds(10);
+        const auto effects = m_subscriber->tick(m_now);
+        CPPUNIT_ASSERT(std::holds_alternative<CloseWatchStream>(effects.at(0)));
+        CPPUNIT_ASSERT(std::get<OpenWatchStream>(effects.at(1)).address == local);
+        // The local control host does not answer: the watcher stays with another one for a while.
+        m_subscriber->streamClosed(m_now, 2);
+        m_now += seconds(1);
+        m_connection->run(m_now);
+        CPPUNIT_ASSERT(m_subscriber->controlHost() == first);
+        m_now += seconds(3);
+        m_connection->run(m_now);
+        CPPUNIT_ASSERT(m_subscriber->controlHost() == first);
+    }
+
+    /// Each control host keeps only the records of the agents that watch it.
+    void sendsAllFlowRecordsOnANewStream()
+    {
+        m_connection->rollOut(1);
+        step();
+        pb::FlowRecords first;
+        first.set_incarnation(77);
+        first.add_open()->set_caller_port(1);
+        first.add_open()->set_caller_port(2);
+        CPPUNIT_ASSERT_EQUAL(2, std::get<SendToControl>(m_subscriber->recordFlows(first).at(0)).message.flows().open_size());
+        pb::FlowRecords second;
+        second.set_incarnation(77);
+        second.add_closed()->set_caller_port(1);
+        m_subscriber->recordFlows(second);
+        m_subscriber->streamClosed(m_now, m_connection->stream());
+        CPPUNIT_ASSERT(m_subscriber->recordFlows(second).empty());
+        m_now += seconds(11);
+        const auto effects = m_subscriber->tick(m_now);
+        const pb::FlowRecords &all = std::get<SendToControl>(effects.back()).message.flows();
+        CPPUNIT_ASSERT(all.full());
+        CPPUNIT_ASSERT_EQUAL(1, all.open_size());
+        CPPUNIT_ASSERT_EQUAL(2U, all.open(0).caller_port());
+    }
+
+    /// A balancer without a reachable control host gets a newer route table from another balancer. The servers come from control hosts only.
+    void passesItsRouteTableOn()
+    {
+        m_connection->rollOut(1);
+        announceServer(1, 1, "control-a");
+        step();
+        pb::WatchDown routes;
+        routes.mutable_config()->set_revision(9);
+        routes.mutable_config()->mutable_routes()->set_version(5);
+        routes.mutable_config()->mutable_routes()->add_routes()->set_name("gauge-feed");
+        m_subscriber->receive(m_now, m_connection->stream(), routes);
+        WatchSubscriber other(balancerOptions(), m_random);
+        CPPUNIT_ASSERT(!other.applyPeerState(m_subscriber->peerState()).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, other.snapshot()->routes->version());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.snapshot()->routes->routes().size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, other.snapshot()->revision);
+        CPPUNIT_ASSERT(other.applyPeerState(m_subscriber->peerState()).empty());
+    }
+
 private:
+    void announceServer(int number, std::uint64_t sequence, const std::string &owner, pb::ServerState state = pb::SERVER_STATE_SERVING)
+    {
+        pb::ServerEntry entry;
+        entry.set_name(fmt::format("127.0.1.1:{}", number + 1));
+        entry.set_relay_address(entry.name());
+        entry.set_service("inspect-desk");
+        entry.set_zone("dar-ubungo");
+        entry.set_host(fmt::format("side-dar-ubungo-{}", number));
+        entry.set_incarnation(0xC0000001U);
+        entry.set_agent_epoch(0xF0000001U);
+        entry.set_weight(100);
+        entry.set_owner(owner);
+        entry.set_sequence(sequence);
+        entry.set_state(state);
+        CPPUNIT_ASSERT_EQUAL(0U, m_connection->registry.announce(m_now, 1'790'000'000'000, 1, entry).result());
+    }
+
+    void expectRefusal(const pb::WatchDown &message, const std::string &detail)
+    {
+        if (!m_subscriber->isConnected()) {
+            reconnect(*m_connection);
+        }
+        const ConfigSnapshotPointer before = m_subscriber->snapshot();
+        m_connection->refusals.clear();
+        m_connection->executeEffects(m_now, m_subscriber->receive(m_now, m_connection->stream(), message));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_connection->refusals.size());
+        CPPUNIT_ASSERT_MESSAGE(m_connection->refusals[0], m_connection->refusals[0].find(detail) != std::string::npos);
+        CPPUNIT_ASSERT(m_subscriber->snapshot() == before);
+        CPPUNIT_ASSERT(!m_subscriber->isConnected());
+    }
+
     void step()
     {
         m_now += seconds(1);
--- a/src/jujubequay/control_program/control_process.cpp
+++ b/src/jujubequay/control_program/control_process.cpp
@@ -41,6 +41,7 @@
 {
     ControlHostOptions options;
     options.host = settings.common.location.hostName;
+    options.zone = settings.common.location.availabilityZone;
     options.epoch = random() | 1U; // an epoch is never 0
     options.replica.heartbeatInterval = settings.heartbeat;
     options.replica.electionTimeout = settings.electionTimeout;
--- a/src/jujubequay/service/announce_client.cpp
+++ b/src/jujubequay/service/announce_client.cpp
@@ -53,6 +53,11 @@
     apply(m_announcer.handleReachableControlHost(m_clock.now(), address));
 }
 
+void AnnounceClient::preferControlHost(const HostAddress &address)
+{
+    apply(m_announcer.preferControlHost(m_clock.now(), address));
+}
+
 void AnnounceClient::setControlHosts(std::vector<HostAddress> addresses)
 {
     m_announcer.setControlHosts(std::move(addresses));
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -136,23 +136,35 @@
     if (currentHostAnswers || isRecentAttempt) {
         return effects;
     }
-    if (m_isStreamOpen) {
-        effects.emplace_back(CloseAnnounceStream{});
-    }
-    auto found = std::find(m_controlHosts.begin(), m_controlHosts.end(), address);
-    if (found == m_controlHosts.end()) {
-        found = m_controlHosts.insert(m_controlHosts.end(), address);
+    openStreamTo(now, address, effects);
+    return effects;
+}
+
+AnnouncerEffects Announcer::preferControlHost(TimePoint now, const HostAddress &address)
+{
+    AnnouncerEffects effects;
+    if (isAccepted() && m_controlHosts[m_currentControlHost] != address && now - m_streamOpenTime >= m_options.moveInterval) {
+        openStreamTo(now, address, effects);
     }
-    m_currentControlHost = static_cast<std::size_t>(found - m_controlHosts.begin());
-    openStream(now, effects);
     return effects;
 }
 
 void Announcer::setControlHosts(std::vector<HostAddress> addresses)
 {
-    if (!addresses.empty()) {
-        m_controlHosts = rendezvousOrder(std::move(addresses), m_server.name());
-        m_currentControlHost %= m_controlHosts.size();
+    if (addresses.empty()) {
+        return;
+    }
+    const std::optional<HostAddress> current = m_controlHosts.empty() ? std::nullopt : std::optional(m_controlHosts[m_currentControlHost]);
+    m_controlHosts = rendezvousOrder(std::move(addresses), m_server.name());
+    const auto position = current ? std::find(m_controlHosts.begin(), m_controlHosts.end(), *current) : m_controlHosts.end();
+    if (position != m_controlHosts.end()) {
+        m_currentControlHost = static_cast<std::size_t>(position - m_controlHosts.begin());
+    } else if (m_isStreamOpen) {
+        // The control host of the stream was removed. The stream is used until it ends, and the other ones are tried after that.
+        m_controlHosts.push_back(*current);
+        m_currentControlHost = m_controlHosts.size() - 1;
+    } else {
+        m_currentControlHost = 0;
     }
 }
 
@@ -176,6 +188,19 @@
     return m_server;
 }
 
+void Announcer::openStreamTo(TimePoint now, const HostAddress &address, AnnouncerEffects &effects)
+{
+    if (m_isStreamOpen) {
+        effects.emplace_back(CloseAnnounceStream{});
+    }
+    auto found = std::find(m_controlHosts.begin(), m_controlHosts.end(), address);
+    if (found == m_controlHosts.end()) {
+        found = m_controlHosts.insert(m_controlHosts.end(), address);
+    }
+    m_currentControlHost = static_cast<std::size_t>(found - m_controlHosts.begin());
+    openStream(now, effects);
+}
+
 void Announcer::openStream(TimePoint now, AnnouncerEffects &effects)
 {
     m_isStreamOpen = true;
--- a/src/jujubequay/service/announcer_test.cpp
+++ b/src/jujubequay/service/announcer_test.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(announcesDrainImmediately);
     CPPUNIT_TEST(replacesEntryOfEarlierIncarnation);
     CPPUNIT_TEST(switchesToReachableControlHost);
+    CPPUNIT_TEST(movesToAPreferredControlHost);
+    CPPUNIT_TEST(keepsTheControlHostOfTheStreamWhenTheListChanges);
     CPPUNIT_TEST(serversAreSpreadOverControlHosts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -126,6 +128,33 @@
         CPPUNIT_ASSERT(!announcer.handleReachableControlHost(m_now + std::chrono::seconds(5), controlHosts.front()).empty());
     }
 
+    // Guards against heartbeats that cross availability zones, and against a stream that is replaced again and again.
+    void movesToAPreferredControlHost()
+    {
+        Announcer announcer = announcerOf("inspect-desk-1");
+        const OpenAnnounceStream first = effectsOf<OpenAnnounceStream>(announcer.tick(m_now)).at(0);
+        const HostAddress preferred = first.address == controlHosts[0] ? controlHosts[1] : controlHosts[0];
+        m_now += std::chrono::seconds(5);
+        CPPUNIT_ASSERT(announcer.preferControlHost(m_now, preferred).empty());
+        announcer.receive(m_now, first.stream, answerWith(ResultCode::Ok, 7));
+        const auto opened = effectsOf<OpenAnnounceStream>(announcer.preferControlHost(m_now, preferred));
+        CPPUNIT_ASSERT(opened.at(0).address == preferred);
+        announcer.receive(m_now, opened[0].stream, answerWith(ResultCode::Ok, 7));
+        CPPUNIT_ASSERT(announcer.preferControlHost(m_now + std::chrono::seconds(1), first.address).empty());
+    }
+
+    // Guards against a stream that is attributed to another control host after the list was reordered, so that evidence about the one to which
+    // the stream leads is misread.
+    void keepsTheControlHostOfTheStreamWhenTheListChanges()
+    {
+        Announcer announcer = announcerOf("inspect-desk-1");
+        const HostAddress current = effectsOf<OpenAnnounceStream>(announcer.tick(m_now)).at(0).address;
+        announcer.setControlHosts({{9, 7000}, {8, 7000}, {7, 7000}, {6, 7000}, {5, 7000}});
+        CPPUNIT_ASSERT(announcer.handleReachableControlHost(m_now, current).empty());
+        announcer.setControlHosts({{9, 7000}, current, {8, 7000}});
+        CPPUNIT_ASSERT(announcer.handleReachableControlHost(m_now, current).empty());
+    }
+
     // Guards against one control host that holds the leases of all servers.
     void serversAreSpreadOverControlHosts()
     {
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -56,11 +56,25 @@
     }
 }
 
+void ConfigWatcher::fetchConfigFrom(const HostAddress &balancer)
+{
+    m_logger.info("config-fetched-from-peer", {{"peer", toString(balancer)}, {"revision", m_subscriber.snapshot()->revision}});
+    m_peerStreams.clear();
+    pb::PeerStateRequest request;
+    request.set_revision(m_subscriber.snapshot()->revision);
+    queryPeer(balancer, request);
+}
+
 void ConfigWatcher::setFlowKeysInUse(std::vector<std::uint32_t> numbers)
 {
     apply(m_subscriber.setFlowKeysInUse(std::move(numbers)));
 }
 
+void ConfigWatcher::recordFlows(const pb::FlowRecords &change)
+{
+    apply(m_subscriber.recordFlows(change));
+}
+
 void ConfigWatcher::controlHostStarted(const HostAddress &address)
 {
     const WatchSubscriberEffects effects = m_subscriber.controlHostStarted(m_clock.now(), address);
@@ -131,6 +145,10 @@
         {
             watcher.queryPeers(effect.request);
         }
+        void operator()(const RefusedControlMessage &effect) const
+        {
+            watcher.m_logger.error("control-message-refused", {{"control_host", toString(watcher.m_subscriber.controlHost())}, {"cause", effect.detail}});
+        }
         void operator()(const PublishConfig &effect) const
         {
             const ConfigSnapshot &snapshot = *effect.snapshot;
@@ -160,10 +178,15 @@
     MessageStreamHandlers handlers;
     handlers.message = [weak = weak_from_this(), number = effect.stream](const Bytes &bytes) {
         const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
         pb::WatchDown message;
-        if (self && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-            self->apply(self->m_subscriber.receive(self->m_clock.now(), number, message));
+        if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            self->m_logger.error("control-message-refused", {{"cause", "not a message of the watch stream"}, {"bytes", bytes.size()}});
+            return;
         }
+        self->apply(self->m_subscriber.receive(self->m_clock.now(), number, std::move(message)));
     };
     handlers.closed = [weak = weak_from_this(), number = effect.stream](ResultCode cause) {
         const auto self = weak.lock();
@@ -184,19 +207,29 @@
 {
     m_peerStreams.clear();
     for (const HostAddress &peer : m_peers) {
-        MessageStreamHandlers handlers;
-        handlers.message = [weak = weak_from_this()](const Bytes &bytes) {
-            const auto self = weak.lock();
-            pb::PeerState state;
-            if (self && state.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-                self->apply(self->m_subscriber.applyPeerState(state));
-            }
-        };
-        handlers.closed = [](ResultCode) {};
-        const auto stream = m_client.open(peer, "/peer", std::move(handlers));
-        stream->send(request);
-        m_peerStreams.push_back(stream);
+        queryPeer(peer, request);
     }
 }
 
+void ConfigWatcher::queryPeer(const HostAddress &peer, const pb::PeerStateRequest &request)
+{
+    MessageStreamHandlers handlers;
+    handlers.message = [weak = weak_from_this(), peer](const Bytes &bytes) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        pb::PeerState state;
+        if (!state.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            self->m_logger.error("peer-state-refused", {{"peer", toString(peer)}, {"cause", "not a peer state"}, {"bytes", bytes.size()}});
+            return;
+        }
+        self->apply(self->m_subscriber.applyPeerState(state));
+    };
+    handlers.closed = [](ResultCode) {};
+    const auto stream = m_client.open(peer, "/peer", std::move(handlers));
+    stream->send(request);
+    m_peerStreams.push_back(stream);
+}
+
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint8_t maxSynHops = 2;
 /// Load notices are sent to balancers from which a packet was received within this time.
 constexpr auto balancerRetention = std::chrono::seconds(3);
+/// One part in this number of the moving average of service times is the newest one.
+constexpr int serviceTimeWeight = 8;
 
 std::uint16_t clampToUint16(std::size_t value)
 {
@@ -28,6 +30,7 @@
     : m_options(options)
     , m_directory({})
     , m_outlierDetector({})
+    , m_flowRecorder({})
 {
 }
 
@@ -86,6 +89,7 @@
     if (header.routeTableVersion > m_highestRouteTableVersion) {
         m_highestRouteTableVersion = header.routeTableVersion;
         m_highestRouteTableSeenAt = now;
+        m_highestRouteTableBalancer = header.balancer;
     }
     if (segment.isRejected || (segment.isSyn && segment.isAck)) {
         return DropPacket{SteerCause::Spoofed};
@@ -132,6 +136,7 @@
     }
     Flow &flow = insert(tuple, FlowState::SynDelivered, now);
     flow.header = header;
+    flow.synReceivedAt = now;
     return DeliverToServer{};
 }
 
@@ -191,7 +196,7 @@
         if (!segment.isRst && segment.acknowledgement - flow.serverInitialSequence - 1 >= maxInitialWindowBytes) {
             return continueLookup(now, header, segment);
         }
-        flow.state = FlowState::Open;
+        setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         return deliver(now, flow, header, segment, notices);
     case FlowState::Open:
@@ -200,10 +205,13 @@
         return deliver(now, flow, header, segment, notices);
     case FlowState::Remote: {
         flow.lastUsed = now;
-        if (m_directory.hasDeregistered(flow.remoteAgent, flow.remoteIncarnation)) {
+        if (m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation)) {
             flow.state = FlowState::Orphaned;
             return resetOrphanedFlow(segment);
         }
+        if (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr) {
+            return continueLookup(now, header, segment);
+        }
         SteerHeader next = header;
         next.wantsOwnerNotice = true;
         ++next.hops;
@@ -233,7 +241,7 @@
     flow.lastCallerAcknowledgement = segment.acknowledgement;
     const bool needsOwnerNotice = header.wantsOwnerNotice || header.hops > 0;
     if (flow.state == FlowState::Open && needsOwnerNotice) {
-        notices.push_back({header.balancer, {flowTupleFromCaller(segment), m_options.agent}});
+        notices.push_back(noticeToBalancer(header, flowTupleFromCaller(segment)));
     }
     if (flow.heldSince && now - *flow.heldSince <= m_options.maxHoldTime) {
         // Packets with further data may overtake the held packet, for which the server then waits. A retransmission of the held packet is
@@ -241,9 +249,10 @@
         return recordCallerData(flow, segment) ? AgentDecision(DeliverToServer{}) : AgentDecision(DropPacket{SteerCause::Held});
     }
     endHold(flow);
+    const bool isFirstRequest = !flow.callerSequenceEnd;
     if (recordCallerData(flow, segment)) {
         if (!flow.hasPendingRequest && holdIfServerBusy(now, flow)) {
-            return HoldRequest{};
+            return HoldRequest{latencyGoalAt(now, segment.destination, flow, isFirstRequest)};
         }
         startRequest(now, flow);
     }
@@ -307,6 +316,15 @@
     return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
 }
 
+std::optional<NewerRoutesNotice> AgentSteering::newerRoutes(TimePoint now) const
+{
+    const bool isLocalTableOlder = m_directory.routes().version() < m_highestRouteTableVersion;
+    if (!isLocalTableOlder || now - m_highestRouteTableSeenAt <= m_options.routeTableGracePeriod) {
+        return std::nullopt;
+    }
+    return NewerRoutesNotice{m_highestRouteTableVersion, m_highestRouteTableBalancer};
+}
+
 bool AgentSteering::isServerKnown() const
 {
     return m_isServerKnown;
@@ -351,7 +369,7 @@
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
             if (flow.header.hops > 0) {
-                notices.push_back({flow.header.balancer, {tuple, m_options.agent}});
+                notices.push_back(noticeToBalancer(flow.header, tuple));
             }
         }
         flow.serverInitialSequence = segment.sequence;
@@ -362,16 +380,17 @@
         if (flow.state == FlowState::Remote) {
             ++m_localFlowCount;
         }
-        flow.state = FlowState::Open;
+        setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         if (flow.header.wantsOwnerNotice) {
-            notices.push_back({flow.header.balancer, {tuple, m_options.agent}});
+            notices.push_back(noticeToBalancer(flow.header, tuple));
         }
     }
     // A FIN without data is not a response: it may have overtaken the packets of the response.
     if (flow.hasPendingRequest && (segment.length > 0 || segment.isRst)) {
         segment.isRst ? m_outlierDetector.recordFailure(now) : m_outlierDetector.recordSuccess(now);
         if (!segment.isRst) {
+            m_serviceTime += (now - flow.requestSentAt - m_serviceTime) / serviceTimeWeight;
             m_answeredRequests.push_back({tuple.service, now - flow.requestSentAt + flow.holdTime, flow.holdTime});
         }
         finishRequest(flow);
@@ -433,8 +452,7 @@
     flow = {};
     flow.state = FlowState::Remote;
     flow.remoteAgent = notice.owner;
-    const SteerServer *owner = m_directory.find(notice.owner);
-    flow.remoteIncarnation = owner == nullptr ? Incarnation() : owner->incarnation;
+    flow.remoteIncarnation = notice.incarnation;
     flow.lastUsed = now;
 }
 
@@ -445,6 +463,67 @@
     return !m_unobservedBefore || now - *m_unobservedBefore >= (idleTimeout > Duration::zero() ? idleTimeout : m_options.flowRetention);
 }
 
+Incarnation AgentSteering::confirmedIncarnation() const
+{
+    return m_server && m_server->incarnation != unconfirmedIncarnation ? m_server->incarnation : Incarnation();
+}
+
+AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const
+{
+    return {header.balancer, {tuple, m_options.agent, header.acceptsIncarnations ? confirmedIncarnation() : Incarnation()}};
+}
+
+void AgentSteering::setOpen(TimePoint now, Flow &flow)
+{
+    flow.state = FlowState::Open;
+    flow.openedAt = now;
+}
+
+// Records of open flows
+
+FlowRecordChanges AgentSteering::takeFlowRecordChanges(TimePoint now)
+{
+    FlowRecordChanges result;
+    result.incarnation = confirmedIncarnation();
+    if (result.incarnation == Incarnation()) {
+        return result;
+    }
+    if (result.incarnation != m_recordedIncarnation) {
+        m_flowRecorder.clear();
+        m_recordedIncarnation = result.incarnation;
+        result.isFull = true;
+    }
+    for (const auto &[tuple, flow] : m_flows) {
+        // Without data of the caller its acknowledgement number is unknown.
+        if (flow.state == FlowState::Open && flow.callerSequenceEnd) {
+            m_flowRecorder.observe(now, tuple, flow.openedAt, flow.lastCallerAcknowledgement);
+        }
+    }
+    result.changes = m_flowRecorder.takeChanges();
+    return result;
+}
+
+std::vector<ResetCaller> AgentSteering::endFlows(TimePoint now, const EndedFlowsNotice &notice)
+{
+    std::vector<ResetCaller> resets;
+    const Incarnation current = confirmedIncarnation();
+    const bool isConfirmed = notice.incarnation != Incarnation() && notice.incarnation != unconfirmedIncarnation;
+    if (current == Incarnation() || !isConfirmed || notice.incarnation == current) {
+        return resets;
+    }
+    for (const RecordedFlow &recorded : notice.flows) {
+        // A caller may have opened another flow with the same addresses and ports.
+        if (m_flows.contains(recorded.tuple)) {
+            continue;
+        }
+        Flow &flow = m_flows[recorded.tuple];
+        flow.state = FlowState::Orphaned;
+        flow.lastUsed = now;
+        resets.push_back({recorded.tuple, recorded.acknowledgement, SteerCause::ServerReplaced});
+    }
+    return resets;
+}
+
 // Registrars
 
 void AgentSteering::registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices)
@@ -484,7 +563,9 @@
         if (!state.isAcknowledged && state.noticeCount < m_options.maxNotices && isDue) {
             ++state.noticeCount;
             state.lastNoticeAt = now;
-            notices.push_back({state.registrar.agent, {tuple, m_options.agent}});
+            // A registrar of a version without incarnations acknowledges only notices without one.
+            const bool hasIncarnation = state.noticeCount % 2 != 0;
+            notices.push_back({state.registrar.agent, {tuple, m_options.agent, hasIncarnation ? confirmedIncarnation() : Incarnation()}});
         }
     }
 }
@@ -557,6 +638,22 @@
     return route == nullptr ? m_options.defaultRequestTimeout : route->timeout;
 }
 
+TimePoint AgentSteering::latencyGoalAt(TimePoint now, const HostAddress &service, const Flow &flow, bool isFirstRequest) const
+{
+    const Route *route = m_directory.routes().find(service);
+    Duration goal = m_options.defaultRequestTimeout;
+    if (route != nullptr) {
+        goal = route->latencyGoal.count() > 0 ? route->latencyGoal : route->timeout;
+    }
+    const bool isSynKnown = flow.synReceivedAt != TimePoint();
+    return (isFirstRequest && isSynKnown ? flow.synReceivedAt : now) + goal;
+}
+
+Duration AgentSteering::serviceTime() const
+{
+    return m_serviceTime;
+}
+
 // A retransmission must not count as another request.
 bool AgentSteering::recordCallerData(Flow &flow, const Segment &segment)
 {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -24,6 +24,12 @@
     CPPUNIT_TEST(forwardsPacketsOfAFlowThatAnotherServerHasEstablished);
     CPPUNIT_TEST(doesNotResetAFlowThatTheServerNeverOpened);
     CPPUNIT_TEST(forwardsPacketsOfARemoteFlowToItsOwner);
+    CPPUNIT_TEST(registrarResetsFlowsOfAReplacedServer);
+    CPPUNIT_TEST(registrarKeepsFlowsOfAServerThatIsNewerThanItsList);
+    CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
+    CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
+    CPPUNIT_TEST(neverEndsAnOpenFlow);
+    CPPUNIT_TEST(recordsItsOpenFlows);
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
     CPPUNIT_TEST(holdsLookupsUntilTheLocalServerIsKnown);
     CPPUNIT_TEST(doesNotProbeAServerWhoseStartItObserved);
@@ -40,6 +46,7 @@
     CPPUNIT_TEST(resetsTheCallerOfARemovedRoute);
     CPPUNIT_TEST(acceptsSynsOfABalancerWithANewerRouteTable);
     CPPUNIT_TEST(dropsSynsOfABalancerWithAStaleRouteTable);
+    CPPUNIT_TEST(findsANewerRouteTableAtABalancer);
     CPPUNIT_TEST(redirectsSynsForAnotherService);
     CPPUNIT_TEST(resetsTheFlowsOfAReplacedServer);
     CPPUNIT_TEST(keepsFlowsWhenTheIncarnationIsConfirmed);
@@ -126,6 +133,7 @@
         CPPUNIT_ASSERT(!m_notices.empty());
         CPPUNIT_ASSERT(m_notices.front().destination == agentAddress(2));
         CPPUNIT_ASSERT(m_notices.front().notice.owner == agentAddress(1));
+        CPPUNIT_ASSERT(m_notices.front().notice.incarnation != Incarnation());
     }
 
     /// A flow whose owner notices are lost is unknown to its registrars. Each of its packets then needs a lookup at all servers, which may
@@ -135,7 +143,10 @@
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(2));
         openFlow(agent, tuple);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resentNotices(agent, milliseconds(250)).size());
+        const auto resent = resentNotices(agent, milliseconds(250));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resent.size());
+        // A registrar of an older version does not decode notices with an incarnation.
+        CPPUNIT_ASSERT(resent[0].notice.incarnation == Incarnation());
         agent.handleAcknowledgement({tuple, agentAddress(2)});
         CPPUNIT_ASSERT(resentNotices(agent, milliseconds(500)).empty());
     }
@@ -284,6 +295,106 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.balancer == balancerAddress(1));
     }
 
+    /// The owner of a flow may not run any more, so the registrar has to end the flow for the caller.
+    void registrarResetsFlowsOfAReplacedServer()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {777}});
+        agent.update(m_now, snapshots.incarnation(3, 777).build());
+        const AgentDecision ended = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<ResetCaller>(ended).cause == SteerCause::ServerReplaced);
+        const AgentDecision open = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(2), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(open).agent == agentAddress(3));
+    }
+
+    /// The owner notice of a new server may arrive at a registrar whose list contains the previous one. Guards against a reset of an open flow.
+    void registrarKeepsFlowsOfAServerThatIsNewerThanItsList()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {777}});
+        agent.update(m_now, snapshots.deregistered(3).build());
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+    }
+
+    /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
+    void looksForTheOwnerIfItsIncarnationIsUnknown()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), Incarnation()});
+        agent.update(m_now, snapshots.deregistered(3).build());
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        const auto *relay = std::get_if<RelayToAgent>(&decision);
+        CPPUNIT_ASSERT(relay == nullptr || relay->agent == agentAddress(2));
+    }
+
+    void endsTheFlowsOfAnEarlierServer()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        const EndedFlowsNotice notice{{777}, {{flow(1), 5000}, {flow(2), 6000}}};
+        const auto resets = agent.endFlows(m_now, notice);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, resets.size());
+        CPPUNIT_ASSERT(resets[1].tuple == flow(2));
+        CPPUNIT_ASSERT_EQUAL(6000U, resets[1].sequence);
+        // The reset may be lost, or the caller may have sent a request before it arrived.
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(2), 6000), m_notices);
+        CPPUNIT_ASSERT(std::get<ResetCaller>(decision).cause == SteerCause::ServerReplaced);
+        CPPUNIT_ASSERT(agent.endFlows(m_now, notice).empty());
+        // The caller opens another flow with the same addresses and ports.
+        openFlow(agent, flow(1));
+        CPPUNIT_ASSERT(agent.endFlows(m_now, notice).empty());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+    }
+
+    /// Guards against records that are older than the flow, that name the running server, or that arrive before the agent knows its server.
+    void neverEndsAnOpenFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        openFlow(agent, flow(1));
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}});
+        CPPUNIT_ASSERT(agent.endFlows(m_now, {{777}, {{flow(1), 1001}, {flow(2), 1}}}).empty());
+        CPPUNIT_ASSERT(agent.endFlows(m_now, {{101}, {{flow(3), 1}}}).empty());
+        CPPUNIT_ASSERT(agent.endFlows(m_now, {unconfirmedIncarnation, {{flow(3), 1}}}).empty());
+        CPPUNIT_ASSERT(agent.endFlows(m_now, {{}, {{flow(3), 1}}}).empty());
+
+        AgentSteering restarted({.agent = agentAddress(1)});
+        CPPUNIT_ASSERT(restarted.endFlows(m_now, {{777}, {{flow(3), 1}}}).empty());
+        restarted.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 3}, false);
+        CPPUNIT_ASSERT(restarted.endFlows(m_now, {{777}, {{flow(3), 1}}}).empty());
+    }
+
+    void recordsItsOpenFlows()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        openFlow(agent, flow(1));
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}});
+        FlowRecordChanges changes = agent.takeFlowRecordChanges(m_now + seconds(2));
+        CPPUNIT_ASSERT(changes.isFull);
+        CPPUNIT_ASSERT(changes.incarnation == Incarnation{101});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.changes.size());
+        CPPUNIT_ASSERT(changes.changes[0].tuple == flow(1));
+        CPPUNIT_ASSERT_EQUAL(1001U, changes.changes[0].acknowledgement);
+
+        Segment reset = fromServer(flow(1));
+        reset.isRst = true;
+        agent.handleServerPacket(m_now, reset, m_notices);
+        changes = agent.takeFlowRecordChanges(m_now + seconds(3));
+        CPPUNIT_ASSERT(!changes.isFull);
+        CPPUNIT_ASSERT(!changes.changes.at(0).isOpen);
+
+        openFlow(agent, flow(4));
+        agent.takeFlowRecordChanges(m_now + seconds(4));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true);
+        changes = agent.takeFlowRecordChanges(m_now + seconds(5));
+        CPPUNIT_ASSERT(changes.isFull);
+        CPPUNIT_ASSERT(changes.incarnation == Incarnation{999});
+        CPPUNIT_ASSERT(changes.changes.empty());
+    }
+
     /// After a restart of the agent its flow table lacks the open flows of the server.
     void probesTheServerAfterARestartOfTheAgent()
     {
@@ -424,6 +535,28 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header("feed", 9), syn(flow(1)), m_notices)));
     }
 
+    /// The control hosts may lose power while they distribute a route table. Guards against agents and balancers that refuse each other's SYNs
+    /// until the control hosts are back, because only some of them have it.
+    void findsANewerRouteTableAtABalancer()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        CPPUNIT_ASSERT(!agent.newerRoutes(m_now));
+        SteerHeader newer = header("feed", 9);
+        newer.balancer = balancerAddress(7);
+        agent.handleCallerPacket(m_now, newer, syn(flow(1)), m_notices);
+        CPPUNIT_ASSERT(!agent.newerRoutes(m_now + milliseconds(150)));
+        const auto found = agent.newerRoutes(m_now + milliseconds(151));
+        CPPUNIT_ASSERT(found.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, found->version);
+        CPPUNIT_ASSERT(found->balancer == balancerAddress(7));
+        Snapshots snapshots;
+        while (snapshots.build().routes->version() < 9) {
+            snapshots.route(vaultAddress, "vault");
+        }
+        agent.update(m_now, snapshots.server(1).server(2).build());
+        CPPUNIT_ASSERT(!agent.newerRoutes(m_now + seconds(1)));
+    }
+
     /// A route table must not be used any more once a newer one is in use.
     void dropsSynsOfABalancerWithAStaleRouteTable()
     {
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-/// True if the server that owned a flow has certainly been replaced. Both incarnations must be confirmed.
-bool isReplaced(Incarnation owner, const SteerServer &current)
-{
-    const auto isConfirmed = [](Incarnation incarnation) {
-        return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
-    };
-    return !current.unlistedSince && isConfirmed(owner) && isConfirmed(current.incarnation) && owner != current.incarnation;
-}
-
 constexpr NameTable<SteerCause, 15> steerCauseNames{{{
     {SteerCause::Placed, "placed"},
     {SteerCause::KnownOwner, "known"},
@@ -87,7 +78,7 @@
     if (server == nullptr) {
         return ResetCaller{tuple, segment.acknowledgement, SteerCause::NoServer};
     }
-    m_flows[tuple] = {server->agent, server->incarnation, now};
+    m_flows[tuple] = {server->agent, server->incarnation, false, now};
     ++m_loads[server->agent].placedSinceNotice;
     return RelayToAgent{server->agent, makeHeader(service, false), SteerCause::Placed};
 }
@@ -99,15 +90,17 @@
     if (found != m_flows.end()) {
         Flow &flow = found->second;
         flow.lastUsed = now;
-        const SteerServer *server = m_directory.find(flow.agent);
-        const bool isServerGone = m_directory.hasDeregistered(flow.agent, flow.incarnation) || (server != nullptr && isReplaced(flow.incarnation, *server));
-        if (isServerGone) {
+        const bool hasServerEnded = m_directory.hasEnded(flow.agent, flow.incarnation);
+        if (!hasServerEnded) {
+            return RelayToAgent{flow.agent, makeHeader({}, false), SteerCause::KnownOwner};
+        }
+        if (flow.isConfirmed) {
             if (segment.isRst) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
             return ResetCaller{tuple, segment.acknowledgement, SteerCause::ServerReplaced};
         }
-        return RelayToAgent{flow.agent, makeHeader({}, false), SteerCause::KnownOwner};
+        // The registrars know whether another server has opened the flow.
     }
     if (const auto registrar = m_directory.firstRegistrar(tuple)) {
         return RelayToAgent{*registrar, makeHeader({}, true), SteerCause::OwnerLookup};
@@ -174,13 +167,20 @@
 
 SteerHeader BalancerSteering::makeHeader(ServiceKey service, bool wantsOwnerNotice) const
 {
-    return {0, wantsOwnerNotice, m_directory.routes().version(), service, m_options.noticeAddress, !m_directory.isRegistryComplete()};
+    return {0,
+            wantsOwnerNotice,
+            m_directory.routes().version(),
+            service,
+            m_options.noticeAddress,
+            !m_directory.isRegistryComplete(),
+            LookupPhase::FirstRegistrar,
+            0,
+            true};
 }
 
 void BalancerSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    const SteerServer *server = m_directory.find(notice.owner);
-    m_flows[notice.tuple] = {notice.owner, server == nullptr ? Incarnation() : server->incarnation, now};
+    m_flows[notice.tuple] = {notice.owner, notice.incarnation, notice.incarnation != Incarnation(), now};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(marksLookupsWithAnIncompleteServerList);
     CPPUNIT_TEST(followsOwnerNotices);
     CPPUNIT_TEST(resetsFlowsOfAReplacedServer);
+    CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
+    CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
     CPPUNIT_TEST(resetsFlowsOfADeregisteredServer);
@@ -133,12 +135,42 @@
         snapshots.server(1);
         BalancerSteering steering = this->steering(snapshots);
         steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
         steering.update(m_now, snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
         CPPUNIT_ASSERT(resetCause(decision) == SteerCause::ServerReplaced);
         CPPUNIT_ASSERT_EQUAL(55U, std::get<ResetCaller>(decision).sequence);
     }
 
+    /// The agent may have redirected the SYN, or a new server may have taken its place before the balancer learned of it, and the notice of the
+    /// owner may be lost. Guards against a reset of such a flow, which is open.
+    void asksARegistrarWhenTheServerOfTheSynHasEnded()
+    {
+        for (const bool isReplaced : {false, true}) {
+            Snapshots snapshots;
+            BalancerSteering steering = this->steering(snapshots.server(1));
+            steering.decide(m_now, syn(flow(1)));
+            snapshots.server(2);
+            steering.update(m_now, (isReplaced ? snapshots.incarnation(1, 777) : snapshots.deregistered(1)).build());
+            const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
+            CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
+        }
+    }
+
+    /// The owner notice of a new server may arrive before the list that contains this server.
+    void keepsFlowsOfAServerThatIsNewerThanTheList()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {777}});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
+        steering.update(m_now, snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
+        steering.update(m_now, snapshots.incarnation(1, 888).build());
+        CPPUNIT_ASSERT(resetCause(steering.decide(m_now, data(flow(1), 55))) == SteerCause::ServerReplaced);
+    }
+
     /// A restarted agent announces its server as unconfirmed until the server's own announcement states the incarnation.
     void keepsFlowsOfAServerThatIsConfirmedLater()
     {
@@ -222,6 +254,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
         steering.update(m_now, snapshots.server(2).deregistered(1).build());
         CPPUNIT_ASSERT(resetCause(steering.decide(m_now, data(flow(1), 55))) == SteerCause::ServerReplaced);
     }
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace Jujubequay {
@@ -16,14 +15,9 @@
     return XXH3_64bits_withSeed(&key, sizeof(key), flowHash);
 }
 
-/// Whether the server is listed, the score of its availability zone and its own score. A greater rank is better. The zone comes before the
-/// server, so that an owner lookup changes zones as rarely as possible.
-using Rank = std::tuple<bool, std::uint64_t, std::uint64_t>;
-
-Rank rankOf(std::uint64_t flowHash, const SteerServer &server, bool isListed)
+bool isConfirmed(Incarnation incarnation)
 {
-    const std::uint64_t zoneScore = XXH3_64bits_withSeed(server.zone.data(), server.zone.size(), flowHash);
-    return {isListed, zoneScore, scoreOf(flowHash, server.agent)};
+    return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
 }
 
 SteerServer steerServerOf(const ServerSnapshot &server)
@@ -65,7 +59,12 @@
     }
     for (const auto &[service, previous] : m_servers) {
         for (SteerServer server : previous) {
-            if (listed.contains(server.agent) || hasDeregistered(server.agent, server.incarnation)) {
+            const auto current = listed.find(server.agent);
+            if (current != listed.end()) {
+                recordReplacement(now, server, current->second);
+                continue;
+            }
+            if (hasEnded(server.agent, server.incarnation)) {
                 continue;
             }
             server.acceptsNewFlows = false;
@@ -83,19 +82,43 @@
     });
     m_servers = std::move(servers);
     indexServers();
+    std::erase_if(m_replaced, [&](const auto &entry) {
+        return now - entry.second >= m_options.unlistedRetention;
+    });
     return !isUnchanged;
 }
 
+void ServerDirectory::recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server)
+{
+    if (isConfirmed(previous.incarnation) && isConfirmed(server.incarnation) && previous.incarnation != server.incarnation) {
+        m_replaced[{previous.agent, previous.incarnation}] = now;
+    }
+}
+
 void ServerDirectory::indexServers()
 {
     m_positions.clear();
+    m_groups.clear();
     for (const auto &[service, servers] : m_servers) {
         for (std::size_t index = 0; index < servers.size(); ++index) {
             m_positions[servers[index].agent] = {service, index};
+            addToGroup(servers[index]);
         }
     }
 }
 
+void ServerDirectory::addToGroup(const SteerServer &server)
+{
+    const bool isListed = !server.unlistedSince;
+    auto group = std::find_if(m_groups.begin(), m_groups.end(), [&](const Group &existing) {
+        return existing.isListed == isListed && existing.zone == server.zone;
+    });
+    if (group == m_groups.end()) {
+        group = m_groups.insert(m_groups.end(), {server.zone, isListed, {}});
+    }
+    group->agents.push_back({server.agent, server.agentEpoch});
+}
+
 const RouteTable &ServerDirectory::routes() const
 {
     return *m_routes;
@@ -123,25 +146,58 @@
     return found == m_servers.end() ? std::span<const SteerServer>() : std::span<const SteerServer>(found->second);
 }
 
-bool ServerDirectory::hasDeregistered(const HostAddress &agent, Incarnation incarnation) const
+bool ServerDirectory::hasEnded(const HostAddress &agent, Incarnation incarnation) const
 {
-    return m_deregistered.contains({agent, incarnation});
+    return m_deregistered.contains({agent, incarnation}) || m_replaced.contains({agent, incarnation});
 }
 
-std::vector<HostAddress> ServerDirectory::rankedAgents(const FlowTuple &tuple) const
+// The score of the zone comes before that of the server, so that an owner lookup changes zones as rarely as possible.
+std::vector<const ServerDirectory::Group *> ServerDirectory::rankedGroups(std::uint64_t flowHash) const
 {
-    const std::uint64_t hash = hashOf(tuple);
-    std::vector<std::pair<Rank, HostAddress>> rankedServers;
-    for (const auto &entry : m_servers) {
-        for (const SteerServer &server : entry.second) {
-            rankedServers.emplace_back(rankOf(hash, server, !server.unlistedSince), server.agent);
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, const Group *>> ranked;
+    ranked.reserve(m_groups.size());
+    for (const Group &group : m_groups) {
+        const std::uint64_t zoneScore = XXH3_64bits_withSeed(group.zone.data(), group.zone.size(), flowHash);
+        ranked.push_back({{group.isListed, zoneScore}, &group});
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<const Group *> groups;
+    groups.reserve(ranked.size());
+    for (const auto &entry : ranked) {
+        groups.push_back(entry.second);
+    }
+    return groups;
+}
+
+const FlowRegistrar *ServerDirectory::bestBelow(const Group &group, std::uint64_t flowHash, std::optional<std::uint64_t> bound)
+{
+    const FlowRegistrar *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const FlowRegistrar &candidate : group.agents) {
+        const std::uint64_t score = scoreOf(flowHash, candidate.agent);
+        if ((!bound || score < *bound) && (best == nullptr || score > bestScore)) {
+            best = &candidate;
+            bestScore = score;
         }
     }
-    std::sort(rankedServers.begin(), rankedServers.end(), std::greater<>());
+    return best;
+}
+
+std::vector<HostAddress> ServerDirectory::rankedAgents(const FlowTuple &tuple) const
+{
+    const std::uint64_t hash = hashOf(tuple);
     std::vector<HostAddress> agents;
-    agents.reserve(rankedServers.size());
-    for (const auto &entry : rankedServers) {
-        agents.push_back(entry.second);
+    agents.reserve(m_positions.size());
+    std::vector<std::pair<std::uint64_t, HostAddress>> ranked;
+    for (const Group *group : rankedGroups(hash)) {
+        ranked.clear();
+        for (const FlowRegistrar &candidate : group->agents) {
+            ranked.emplace_back(scoreOf(hash, candidate.agent), candidate.agent);
+        }
+        std::sort(ranked.begin(), ranked.end(), std::greater<>());
+        for (const auto &entry : ranked) {
+            agents.push_back(entry.second);
+        }
     }
     return agents;
 }
@@ -149,69 +205,49 @@
 std::vector<FlowRegistrar> ServerDirectory::registrars(const FlowTuple &tuple) const
 {
     const std::uint64_t hash = hashOf(tuple);
-    struct Candidate {
-        Rank rank;
-        const SteerServer *server = nullptr;
-    };
-    std::map<std::uint64_t, Candidate> bestInZone; // by the score of the zone
-    Candidate best;
-    Candidate second; // second best server of any zone, for a network with a single zone
-    for (const auto &entry : m_servers) {
-        for (const SteerServer &server : entry.second) {
-            const Candidate candidate{rankOf(hash, server, !server.unlistedSince), &server};
-            Candidate &zone = bestInZone[std::get<1>(candidate.rank)];
-            if (zone.server == nullptr || zone.rank < candidate.rank) {
-                zone = candidate;
-            }
-            if (best.server == nullptr || best.rank < candidate.rank) {
-                second = std::exchange(best, candidate);
-            } else if (second.server == nullptr || second.rank < candidate.rank) {
-                second = candidate;
-            }
-        }
-    }
-    if (best.server == nullptr) {
+    const std::vector<const Group *> groups = rankedGroups(hash);
+    if (groups.empty()) {
         return {};
     }
-    Candidate other; // best server of the other zones
-    for (const auto &entry : bestInZone) {
-        const bool isOtherZone = entry.second.server->zone != best.server->zone;
-        if (isOtherZone && (other.server == nullptr || other.rank < entry.second.rank)) {
-            other = entry.second;
-        }
-    }
+    const Group &first = *groups.front();
+    const FlowRegistrar best = *bestBelow(first, hash, std::nullopt);
+    const auto otherZone = std::find_if(groups.begin(), groups.end(), [&first](const Group *group) {
+        return group->zone != first.zone;
+    });
+    const FlowRegistrar *second = bestBelow(first, hash, scoreOf(hash, best.agent));
+    const bool isSecondListed = second != nullptr && first.isListed;
     // A listed server of the same zone is better than an unlisted one, whose agent may no longer run.
-    if (other.server == nullptr || (std::get<0>(second.rank) && !std::get<0>(other.rank))) {
-        other = second;
+    if (otherZone != groups.end() && ((*otherZone)->isListed || !isSecondListed)) {
+        return {best, *bestBelow(**otherZone, hash, std::nullopt)};
     }
-    std::vector<FlowRegistrar> registrars{{best.server->agent, best.server->agentEpoch}};
-    if (other.server != nullptr) {
-        registrars.push_back({other.server->agent, other.server->agentEpoch});
+    if (second == nullptr && groups.size() > 1) {
+        second = bestBelow(*groups[1], hash, std::nullopt);
     }
-    return registrars;
+    return second == nullptr ? std::vector{best} : std::vector{best, *second};
 }
 
 std::optional<HostAddress> ServerDirectory::firstRegistrar(const FlowTuple &tuple) const
 {
-    const auto registrars = this->registrars(tuple);
-    return registrars.empty() ? std::nullopt : std::optional(registrars.front().agent);
+    const std::uint64_t hash = hashOf(tuple);
+    const std::vector<const Group *> groups = rankedGroups(hash);
+    return groups.empty() ? std::nullopt : std::optional(bestBelow(*groups.front(), hash, std::nullopt)->agent);
 }
 
 std::optional<HostAddress> ServerDirectory::nextAgent(const FlowTuple &tuple, const HostAddress &previous) const
 {
     const std::uint64_t hash = hashOf(tuple);
-    const SteerServer *previousServer = find(previous);
-    const auto bound = previousServer == nullptr ? std::nullopt : std::optional(rankOf(hash, *previousServer, !previousServer->unlistedSince));
-    std::optional<std::pair<Rank, HostAddress>> best;
-    for (const auto &entry : m_servers) {
-        for (const SteerServer &server : entry.second) {
-            const std::pair candidate(rankOf(hash, server, !server.unlistedSince), server.agent);
-            if ((!bound || candidate.first < *bound) && (!best || *best < candidate)) {
-                best = candidate;
-            }
+    const std::vector<const Group *> groups = rankedGroups(hash);
+    auto group = groups.begin();
+    if (const SteerServer *server = find(previous)) {
+        group = std::find_if(groups.begin(), groups.end(), [server](const Group *candidate) {
+            return candidate->zone == server->zone && candidate->isListed == !server->unlistedSince.has_value();
+        });
+        if (const FlowRegistrar *next = bestBelow(**group, hash, scoreOf(hash, previous))) {
+            return next->agent;
         }
+        ++group;
     }
-    return best ? std::optional(best->second) : std::nullopt;
+    return group == groups.end() ? std::nullopt : std::optional(bestBelow(**group, hash, std::nullopt)->agent);
 }
 
 }
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(ranksServersOfAllServices);
     CPPUNIT_TEST(ranksUnlistedServersLast);
     CPPUNIT_TEST(removesADeregisteredServer);
+    CPPUNIT_TEST(remembersReplacedServers);
     CPPUNIT_TEST(changesZonesOnlyOnceInRankOrder);
     CPPUNIT_TEST(reportsARestartedAgent);
     CPPUNIT_TEST(choosesTwoRegistrarsInASingleZone);
@@ -98,6 +99,23 @@
         }
     }
 
+    /// An incarnation that differs from the listed one may be older or newer. Only the former has ended.
+    void remembersReplacedServers()
+    {
+        ServerDirectory directory({.unlistedRetention = seconds(75)});
+        Snapshots snapshots;
+        directory.update(TimePoint(seconds(1)), snapshots.server(1).build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {777}));
+        directory.update(TimePoint(seconds(2)), snapshots.incarnation(1, unconfirmedIncarnation.value).build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {101}));
+        directory.update(TimePoint(seconds(3)), snapshots.incarnation(1, 101).build());
+        directory.update(TimePoint(seconds(4)), snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(directory.hasEnded(agentAddress(1), {101}));
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {777}));
+        directory.update(TimePoint(seconds(80)), snapshots.build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {101}));
+    }
+
     void removesADeregisteredServer()
     {
         Snapshots snapshots;
@@ -105,8 +123,8 @@
         directory.update({}, snapshots.server(1).server(2).build());
         directory.update({}, snapshots.deregistered(2).build());
         CPPUNIT_ASSERT(directory.find(agentAddress(2)) == nullptr);
-        CPPUNIT_ASSERT(directory.hasDeregistered(agentAddress(2), {102}));
-        CPPUNIT_ASSERT(!directory.hasDeregistered(agentAddress(2), {999}));
+        CPPUNIT_ASSERT(directory.hasEnded(agentAddress(2), {102}));
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(2), {999}));
     }
 
     /// After a power failure the owner lookup of every open flow visits all servers. In an order that mixes the zones, a lookup at 52
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -13,10 +13,21 @@
 constexpr unsigned lookupPhaseMask = 3;
 constexpr unsigned lookupRetriesShift = 4; // bits 4 and 5 of the flags
 constexpr unsigned lookupRetriesMask = 3;
+constexpr std::uint8_t acceptsIncarnationsFlag = 64;
 static_assert(maxLookupRetries <= lookupRetriesMask);
 constexpr std::size_t prefixLength = 2; // version and message kind
-
-enum class MessageKind : std::uint8_t { Packet = 1, OwnerNotice = 2, LoadNotice = 3, StartNotice = 4, OwnerAcknowledgement = 5 };
+constexpr std::size_t endedFlowsHeadLength = prefixLength + sizeof(std::uint32_t);
+constexpr std::size_t recordedFlowLength = 16;
+
+enum class MessageKind : std::uint8_t {
+    Packet = 1,
+    OwnerNotice = 2,
+    LoadNotice = 3,
+    StartNotice = 4,
+    OwnerAcknowledgement = 5,
+    EndedFlows = 6,
+    NewerRoutes = 7
+};
 
 std::uint8_t *putPrefix(std::uint8_t *out, MessageKind kind)
 {
@@ -44,6 +55,7 @@
     steered.header.isLookupPartial = (flags & lookupPartialFlag) != 0;
     steered.header.lookupPhase = static_cast<LookupPhase>((flags >> lookupPhaseShift) & lookupPhaseMask);
     steered.header.lookupRetries = static_cast<std::uint8_t>((flags >> lookupRetriesShift) & lookupRetriesMask);
+    steered.header.acceptsIncarnations = (flags & acceptsIncarnationsFlag) != 0;
     steered.header.routeTableVersion = readBigEndian<std::uint64_t>(in);
     steered.header.service = {readBigEndian<std::uint32_t>(in)};
     steered.header.balancer = takeAddress(in);
@@ -65,8 +77,13 @@
 OwnerNotice decodeOwnerNotice(std::span<const std::uint8_t> datagram)
 {
     const std::uint8_t *in = datagram.data() + prefixLength;
-    const FlowTuple tuple = takeTuple(in);
-    return {tuple, takeAddress(in)};
+    OwnerNotice notice;
+    notice.tuple = takeTuple(in);
+    notice.owner = takeAddress(in);
+    if (datagram.size() == confirmedOwnerNoticeLength) {
+        notice.incarnation = {readBigEndian<std::uint32_t>(in)};
+    }
+    return notice;
 }
 
 OwnerAcknowledgement decodeOwnerAcknowledgement(std::span<const std::uint8_t> datagram)
@@ -88,6 +105,32 @@
     return notice;
 }
 
+std::optional<SteerMessage> decodeEndedFlows(std::span<const std::uint8_t> datagram)
+{
+    if (datagram.size() < endedFlowsHeadLength || (datagram.size() - endedFlowsHeadLength) % recordedFlowLength != 0) {
+        return std::nullopt;
+    }
+    const std::size_t count = (datagram.size() - endedFlowsHeadLength) / recordedFlowLength;
+    if (count > maxEndedFlows) {
+        return std::nullopt;
+    }
+    const std::uint8_t *in = datagram.data() + prefixLength;
+    EndedFlowsNotice notice;
+    notice.incarnation = {readBigEndian<std::uint32_t>(in)};
+    for (std::size_t index = 0; index < count; ++index) {
+        const FlowTuple tuple = takeTuple(in);
+        notice.flows.push_back({tuple, readBigEndian<std::uint32_t>(in)});
+    }
+    return notice;
+}
+
+NewerRoutesNotice decodeNewerRoutes(std::span<const std::uint8_t> datagram)
+{
+    const std::uint8_t *in = datagram.data() + prefixLength;
+    const auto version = readBigEndian<std::uint64_t>(in);
+    return {version, takeAddress(in)};
+}
+
 StartNotice decodeStartNotice(std::span<const std::uint8_t> datagram)
 {
     const std::uint8_t *in = datagram.data() + prefixLength;
@@ -101,17 +144,22 @@
     std::uint8_t *position = putPrefix(out.data(), MessageKind::Packet);
     position = writeBigEndian(position, header.hops);
     const int flags = (header.wantsOwnerNotice ? wantsOwnerNoticeFlag : 0) | (header.isLookupPartial ? lookupPartialFlag : 0)
-        | (static_cast<int>(header.lookupPhase) << lookupPhaseShift) | (header.lookupRetries << lookupRetriesShift);
+        | (static_cast<int>(header.lookupPhase) << lookupPhaseShift) | (header.lookupRetries << lookupRetriesShift)
+        | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0);
     position = writeBigEndian(position, static_cast<std::uint8_t>(flags));
     position = writeBigEndian(position, header.routeTableVersion);
     position = writeBigEndian(position, header.service.value);
     putAddress(position, header.balancer);
 }
 
-std::array<std::uint8_t, ownerNoticeLength> encode(const OwnerNotice &notice)
+std::vector<std::uint8_t> encode(const OwnerNotice &notice)
 {
-    std::array<std::uint8_t, ownerNoticeLength> out{};
-    putAddress(putTuple(putPrefix(out.data(), MessageKind::OwnerNotice), notice.tuple), notice.owner);
+    const bool hasIncarnation = notice.incarnation != Incarnation();
+    std::vector<std::uint8_t> out(hasIncarnation ? confirmedOwnerNoticeLength : ownerNoticeLength);
+    std::uint8_t *position = putAddress(putTuple(putPrefix(out.data(), MessageKind::OwnerNotice), notice.tuple), notice.owner);
+    if (hasIncarnation) {
+        writeBigEndian(position, notice.incarnation.value);
+    }
     return out;
 }
 
@@ -141,6 +189,23 @@
     return out;
 }
 
+std::vector<std::uint8_t> encode(const EndedFlowsNotice &notice)
+{
+    std::vector<std::uint8_t> out(endedFlowsHeadLength + notice.flows.size() * recordedFlowLength);
+    std::uint8_t *position = writeBigEndian(putPrefix(out.data(), MessageKind::EndedFlows), notice.incarnation.value);
+    for (const RecordedFlow &flow : notice.flows) {
+        position = writeBigEndian(putTuple(position, flow.tuple), flow.acknowledgement);
+    }
+    return out;
+}
+
+std::array<std::uint8_t, newerRoutesNoticeLength> encode(const NewerRoutesNotice &notice)
+{
+    std::array<std::uint8_t, newerRoutesNoticeLength> out{};
+    putAddress(writeBigEndian(putPrefix(out.data(), MessageKind::NewerRoutes), notice.version), notice.balancer);
+    return out;
+}
+
 std::optional<SteerMessage> decodeSteerMessage(std::span<std::uint8_t> datagram)
 {
     if (datagram.size() < prefixLength || datagram[0] != messageVersion) {
@@ -150,11 +215,16 @@
     case MessageKind::Packet:
         return datagram.size() >= steerHeaderLength ? std::optional<SteerMessage>(decodePacket(datagram)) : std::nullopt;
     case MessageKind::OwnerNotice:
-        return datagram.size() == ownerNoticeLength ? std::optional<SteerMessage>(decodeOwnerNotice(datagram)) : std::nullopt;
+        return datagram.size() == ownerNoticeLength || datagram.size() == confirmedOwnerNoticeLength ? std::optional<SteerMessage>(decodeOwnerNotice(datagram))
+                                                                                                     : std::nullopt;
     case MessageKind::LoadNotice:
         return datagram.size() == loadNoticeLength ? std::optional<SteerMessage>(decodeLoadNotice(datagram)) : std::nullopt;
     case MessageKind::OwnerAcknowledgement:
         return datagram.size() == ownerAcknowledgementLength ? std::optional<SteerMessage>(decodeOwnerAcknowledgement(datagram)) : std::nullopt;
+    case MessageKind::EndedFlows:
+        return decodeEndedFlows(datagram);
+    case MessageKind::NewerRoutes:
+        return datagram.size() == newerRoutesNoticeLength ? std::optional<SteerMessage>(decodeNewerRoutes(datagram)) : std::nullopt;
     case MessageKind::StartNotice:
         return datagram.size() == startNoticeLength ? std::optional<SteerMessage>(decodeStartNotice(datagram)) : std::nullopt;
     }
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(SteerMessageTest);
     CPPUNIT_TEST(decodesTheHeaderOfAPacket);
     CPPUNIT_TEST(decodesNotices);
+    CPPUNIT_TEST(decodesEndedFlows);
     CPPUNIT_TEST(rejectsIncompleteAndForeignMessages);
     CPPUNIT_TEST_SUITE_END();
 
@@ -19,7 +20,7 @@
     void decodesTheHeaderOfAPacket()
     {
         std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
-        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, LookupPhase::AllServers, 2};
+        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, LookupPhase::AllServers, 2, true};
         encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
         const auto message = decodeSteerMessage(datagram);
         const auto &packet = std::get<SteeredPacket>(message.value());
@@ -28,6 +29,7 @@
         CPPUNIT_ASSERT(packet.header.isLookupPartial);
         CPPUNIT_ASSERT(packet.header.lookupPhase == LookupPhase::AllServers);
         CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, packet.header.lookupRetries);
+        CPPUNIT_ASSERT(packet.header.acceptsIncarnations);
         CPPUNIT_ASSERT_EQUAL(header.routeTableVersion, packet.header.routeTableVersion);
         CPPUNIT_ASSERT(packet.header.service == header.service);
         CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
@@ -40,6 +42,11 @@
         const auto ownerMessage = decodeSteerMessage(owner);
         CPPUNIT_ASSERT(std::get<OwnerNotice>(ownerMessage.value()).tuple == flow(7));
         CPPUNIT_ASSERT(std::get<OwnerNotice>(ownerMessage.value()).owner == agentAddress(3));
+        CPPUNIT_ASSERT(std::get<OwnerNotice>(ownerMessage.value()).incarnation == Incarnation());
+        CPPUNIT_ASSERT_EQUAL(ownerNoticeLength, owner.size());
+        auto confirmed = encode(OwnerNotice{flow(7), agentAddress(3), {0xC1C2C3C4U}});
+        CPPUNIT_ASSERT_EQUAL(confirmedOwnerNoticeLength, confirmed.size());
+        CPPUNIT_ASSERT_EQUAL(0xC1C2C3C4U, std::get<OwnerNotice>(decodeSteerMessage(confirmed).value()).incarnation.value);
         auto load = encode(LoadNotice{agentAddress(4), 5, 600, 3, true});
         const auto loadMessage = decodeSteerMessage(load);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{600}, std::get<LoadNotice>(loadMessage.value()).openFlows);
@@ -48,11 +55,37 @@
         const auto acknowledgementMessage = decodeSteerMessage(acknowledgement);
         CPPUNIT_ASSERT(std::get<OwnerAcknowledgement>(acknowledgementMessage.value()).tuple == flow(8));
         CPPUNIT_ASSERT(std::get<OwnerAcknowledgement>(acknowledgementMessage.value()).registrar == agentAddress(6));
+        auto newerRoutes = encode(NewerRoutesNotice{1ULL << 40U, balancerAddress(2)});
+        const auto newerRoutesMessage = decodeSteerMessage(newerRoutes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1} << 40U, std::get<NewerRoutesNotice>(newerRoutesMessage.value()).version);
+        CPPUNIT_ASSERT(std::get<NewerRoutesNotice>(newerRoutesMessage.value()).balancer == balancerAddress(2));
+        CPPUNIT_ASSERT(!decodeSteerMessage(std::span(newerRoutes).first(15)));
         auto start = encode(StartNotice{agentAddress(5)});
         const auto startMessage = decodeSteerMessage(start);
         CPPUNIT_ASSERT(std::get<StartNotice>(startMessage.value()).controlHost == agentAddress(5));
     }
 
+    void decodesEndedFlows()
+    {
+        EndedFlowsNotice notice{{0xC1C2C3C4U}, {}};
+        for (std::uint16_t port = 1; port <= maxEndedFlows; ++port) {
+            notice.flows.push_back({flow(port), port * 1000U});
+        }
+        auto bytes = encode(notice);
+        CPPUNIT_ASSERT(bytes.size() <= 1200);
+        const auto message = decodeSteerMessage(bytes);
+        const auto &decoded = std::get<EndedFlowsNotice>(message.value());
+        CPPUNIT_ASSERT(decoded.incarnation == notice.incarnation);
+        CPPUNIT_ASSERT_EQUAL(maxEndedFlows, decoded.flows.size());
+        CPPUNIT_ASSERT(decoded.flows[9].tuple == flow(10));
+        CPPUNIT_ASSERT_EQUAL(10000U, decoded.flows[9].acknowledgement);
+        CPPUNIT_ASSERT(!decodeSteerMessage(std::span(bytes).first(bytes.size() - 1)));
+        CPPUNIT_ASSERT(!decodeSteerMessage(std::span(bytes).first(5)));
+        notice.flows.push_back({flow(1), 1});
+        auto tooMany = encode(notice);
+        CPPUNIT_ASSERT(!decodeSteerMessage(tooMany));
+    }
+
     void rejectsIncompleteAndForeignMessages()
     {
         auto owner = encode(OwnerNotice{flow(7), agentAddress(3)});
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto expiryInterval = std::chrono::seconds(1);
+/// Flows that were opened within this time before a loss of power are not recorded, and their callers learn of the loss later.
+constexpr auto recordInterval = std::chrono::milliseconds(500);
 /// Half the time after which a caller retransmits a SYN, so that load notices about a burst reach the balancers before the retransmissions.
 constexpr auto loadNoticeInterval = std::chrono::milliseconds(250);
 /// If the server does not respond, held requests are released at most this much later than their maximum hold time.
@@ -56,12 +58,23 @@
                                                          Metrics &metrics,
                                                          const PacketCodec &codec,
                                                          const SteeringAgentSettings &settings,
-                                                         StartNoticeHandler onStartNotice)
+                                                         StartNoticeHandler onStartNotice,
+                                                         FlowRecordHandler onFlowRecords,
+                                                         NewerRoutesHandler onNewerRoutes)
 {
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.relayAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(server, bindUdpSocket(context, settings.serverOutput, {.bufferBytes = socketBufferBytes}));
-    return std::unique_ptr<AgentTraffic>(
-        new AgentTraffic(context, clock, logger, metrics, codec, settings, std::move(onStartNotice), std::move(peers), std::move(server)));
+    return std::unique_ptr<AgentTraffic>(new AgentTraffic(context,
+                                                          clock,
+                                                          logger,
+                                                          metrics,
+                                                          codec,
+                                                          settings,
+                                                          std::move(onStartNotice),
+                                                          std::move(onFlowRecords),
+                                                          std::move(onNewerRoutes),
+                                                          std::move(peers),
+                                                          std::move(server)));
 }
 
 AgentTraffic::AgentTraffic(asio::io_context &context,
@@ -71,6 +84,8 @@
                            const PacketCodec &codec,
                            const SteeringAgentSettings &settings,
                            StartNoticeHandler onStartNotice,
+                           FlowRecordHandler onFlowRecords,
+                           NewerRoutesHandler onNewerRoutes,
                            asio::ip::udp::socket peers,
                            asio::ip::udp::socket server)
     : m_clock(clock)
@@ -78,6 +93,8 @@
     , m_codec(codec)
     , m_serverInput(settings.serverInput)
     , m_onStartNotice(std::move(onStartNotice))
+    , m_onFlowRecords(std::move(onFlowRecords))
+    , m_onNewerRoutes(std::move(onNewerRoutes))
     , m_steering(steeringOptions(settings))
     , m_peerSocket(std::move(peers))
     , m_serverSocket(std::move(server))
@@ -91,7 +108,13 @@
                   [this] {
                       sendLoadNotices();
                       resendNotices();
+                      distributeNewerRoutes();
                   })
+    , m_recordTimer(context,
+                    recordInterval,
+                    [this] {
+                        recordFlows();
+                    })
     , m_releaseTimer(context)
     , m_reader(steerHeaderLength)
     , m_heldRequests({.maxAge = 2 * AgentSteeringOptions().maxHoldTime})
@@ -112,6 +135,7 @@
     });
     m_expiryTimer.start();
     m_loadTimer.start();
+    m_recordTimer.start();
 }
 
 void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
@@ -186,11 +210,30 @@
             m_steering.handleAcknowledgement(*acknowledgement);
         } else if (const auto *start = std::get_if<StartNotice>(&*message)) {
             m_onStartNotice(start->controlHost);
+        } else if (const auto *ended = std::get_if<EndedFlowsNotice>(&*message)) {
+            endFlows(now, *ended);
         }
     }
     flush();
 }
 
+void AgentTraffic::recordFlows()
+{
+    const FlowRecordChanges changes = m_steering.takeFlowRecordChanges(m_clock.now());
+    if (changes.isFull || !changes.changes.empty()) {
+        m_onFlowRecords(changes);
+    }
+}
+
+void AgentTraffic::endFlows(TimePoint now, const EndedFlowsNotice &notice)
+{
+    const std::vector<ResetCaller> resets = m_steering.endFlows(now, notice);
+    m_logger.info("recorded-flows-ended", {{"incarnation", notice.incarnation.value}, {"flows", notice.flows.size()}, {"resets", resets.size()}});
+    for (const ResetCaller &reset : resets) {
+        sendReset(reset);
+    }
+}
+
 void AgentTraffic::handleSteeredPacket(TimePoint now, const SteeredPacket &packet, std::span<std::uint8_t> datagram)
 {
     const auto segment = m_codec.decode(packet.packet);
@@ -198,10 +241,38 @@
         m_counters.add(PacketEvent::Unreadable);
         return;
     }
-    execute(m_steering.handleCallerPacket(now, packet.header, *segment, m_notices), *segment, datagram);
+    const AgentDecision decision = m_steering.handleCallerPacket(now, packet.header, *segment, m_notices);
+    const auto *dropped = std::get_if<DropPacket>(&decision);
+    if (dropped != nullptr && dropped->cause == SteerCause::StaleRouteTable && m_staleBalancers.insert(packet.header.balancer).second) {
+        distributeNewerRoutes();
+    }
+    execute(decision, *segment, datagram);
     sendNotices();
 }
 
+void AgentTraffic::distributeNewerRoutes()
+{
+    const TimePoint now = m_clock.now();
+    const auto newer = m_steering.newerRoutes(now);
+    if (!newer) {
+        m_staleBalancers.clear();
+        return;
+    }
+    if (now - m_lastNewerRoutesAt < newerRoutesInterval) {
+        return;
+    }
+    m_lastNewerRoutesAt = now;
+    m_onNewerRoutes(newer->balancer);
+    for (const HostAddress &balancer : m_staleBalancers) {
+        m_peerWriter.add(balancer, keepUntilFlush(encode(*newer)));
+        if (m_peerWriter.isFull()) {
+            flush();
+        }
+    }
+    flush();
+    m_staleBalancers.clear();
+}
+
 void AgentTraffic::handleServerPackets(std::size_t count)
 {
     const TimePoint now = m_clock.now();
@@ -231,12 +302,12 @@
 void AgentTraffic::releaseHeldRequests(TimePoint now)
 {
     const Duration maxHoldTime = m_steering.options().maxHoldTime;
-    while (const auto oldest = m_heldRequests.oldestArrival()) {
-        if (!m_steering.canStartRequest() && now - *oldest < maxHoldTime) {
+    while (m_heldRequests.size() > 0) {
+        auto packet = m_steering.canStartRequest() ? m_heldRequests.pop(now, m_steering.serviceTime()) : m_heldRequests.popAddedBefore(now - maxHoldTime);
+        if (!packet) {
             return;
         }
-        auto packet = m_heldRequests.popOldest(now);
-        const auto segment = packet ? m_codec.decode(*packet) : std::nullopt;
+        const auto segment = m_codec.decode(*packet);
         if (!segment || !std::holds_alternative<DeliverToServer>(m_steering.startHeldRequest(now, *segment))) {
             continue;
         }
@@ -249,9 +320,9 @@
     }
 }
 
-void AgentTraffic::holdRequest(std::span<const std::uint8_t> packet)
+void AgentTraffic::holdRequest(const HoldRequest &decision, std::span<const std::uint8_t> packet)
 {
-    m_heldRequests.push(m_clock.now(), packet);
+    m_heldRequests.push(m_clock.now(), decision.goalAt, packet);
     m_counters.add(PacketEvent::Held);
     if (!m_isReleaseScheduled) {
         m_isReleaseScheduled = true;
@@ -359,9 +430,9 @@
             traffic.m_counters.add(PacketEvent::Dropped);
             logDrop(traffic.m_logger, decision, segment, traffic.m_steering.directory().routes().version());
         }
-        void operator()(const HoldRequest &) const
+        void operator()(const HoldRequest &decision) const
         {
-            traffic.holdRequest(packet());
+            traffic.holdRequest(decision, packet());
         }
         void operator()(const HoldLookup &decision) const
         {
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -36,12 +36,13 @@
                                                                Logger &logger,
                                                                const PacketCodec &codec,
                                                                const SteeringBalancerSettings &settings,
-                                                               StartNoticeHandler onStartNotice)
+                                                               StartNoticeHandler onStartNotice,
+                                                               NewerRoutesHandler onNewerRoutes)
 {
     BOOST_LEAF_AUTO(callers, bindUdpSocket(context, settings.callerAddress, {.bufferBytes = socketBufferBytes}));
     BOOST_LEAF_AUTO(peers, bindUdpSocket(context, settings.peerAddress, {.bufferBytes = socketBufferBytes}));
     return std::unique_ptr<BalancerTraffic>(
-        new BalancerTraffic(context, clock, logger, codec, settings, std::move(onStartNotice), std::move(callers), std::move(peers)));
+        new BalancerTraffic(context, clock, logger, codec, settings, std::move(onStartNotice), std::move(onNewerRoutes), std::move(callers), std::move(peers)));
 }
 
 BalancerTraffic::BalancerTraffic(asio::io_context &context,
@@ -50,12 +51,14 @@
                                  const PacketCodec &codec,
                                  const SteeringBalancerSettings &settings,
                                  StartNoticeHandler onStartNotice,
+                                 NewerRoutesHandler onNewerRoutes,
                                  asio::ip::udp::socket callers,
                                  asio::ip::udp::socket peers)
     : m_clock(clock)
     , m_logger(logger)
     , m_codec(codec)
     , m_onStartNotice(std::move(onStartNotice))
+    , m_onNewerRoutes(std::move(onNewerRoutes))
     , m_steering(steeringOptions(settings))
     , m_startupQueue({})
     , m_callerSocket(std::move(callers))
@@ -197,10 +200,21 @@
             m_steering.handleLoadNotice(now, *load);
         } else if (const auto *start = message ? std::get_if<StartNotice>(&*message) : nullptr) {
             m_onStartNotice(start->controlHost);
+        } else if (const auto *newer = message ? std::get_if<NewerRoutesNotice>(&*message) : nullptr) {
+            handleNewerRoutes(now, *newer);
         } else {
             m_counters.add(PacketEvent::Unreadable);
         }
     }
 }
 
+void BalancerTraffic::handleNewerRoutes(TimePoint now, const NewerRoutesNotice &notice)
+{
+    const bool isNewer = m_steering.isReady() && notice.version > m_steering.directory().routes().version();
+    if (isNewer && now - m_lastNewerRoutesAt >= newerRoutesInterval) {
+        m_lastNewerRoutesAt = now;
+        m_onNewerRoutes(notice.balancer);
+    }
+}
+
 }
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -19,6 +20,8 @@
 /// Time for the leave announcement to reach the leader, one way between availability zones.
 constexpr auto stopDelay = std::chrono::milliseconds(60);
 constexpr int heartbeatsPerLease = 3;
+/// Flow records that are lost with the power of this host are at most this much older than the loss, and the time that the disk takes.
+constexpr auto flowRecordSaveInterval = std::chrono::milliseconds(500);
 /// Bounds the CPU time if the next deadline has passed and a tick finds nothing to do.
 constexpr auto minTickInterval = std::chrono::milliseconds(2);
 /// Hosts that restart after a common power failure start within this time of each other.
@@ -79,6 +82,8 @@
     , m_tickTimer(m_context)
     , m_reopenTimer(m_context)
     , m_stopTimer(m_context)
+    , m_flowRecordTimer(m_context)
+    , m_flowRecordFiles(m_settings.dataDirectory, m_services.logger())
     , m_noticeSocket(m_context)
     , m_seeds(m_settings.discovery.seeds)
 {
@@ -109,6 +114,7 @@
     tryOpenSession();
     m_settingsWatcher.start();
     scheduleTick();
+    scheduleFlowRecordSave();
     m_services.logger().info("started", {{"address", toString(m_settings.peerAddress)}, {"first_start", m_settings.isFirstStart}});
     return {};
 }
@@ -152,6 +158,7 @@
 {
     ControlHostOptions options;
     options.host = m_settings.discovery.common.location.hostName;
+    options.zone = m_settings.discovery.common.location.availabilityZone;
     options.address = toString(m_settings.peerAddress);
     options.epoch = m_services.random()() | 1U; // never 0
     options.replica.heartbeatInterval = m_settings.heartbeat;
@@ -202,11 +209,16 @@
             [this](const HostAddress &host) {
                 sendStartNotice(host);
             },
+        .sendEndedFlows =
+            [this](const EndedFlows &ended) {
+                sendEndedFlows(ended);
+            },
     };
     session->service.emplace(options(), environment, std::move(stored));
     m_session = std::move(session);
     m_session->service->setSeeds(m_seeds);
     m_session->service->start();
+    loadFlowRecords();
     const Consensus::Replica &replica = m_session->service->driver().replica();
     m_services.logger().info("replica-opened",
                              {{"disk", replica.id()},
@@ -250,14 +262,73 @@
 
 void RouteControlProcess::sendStartNotice(const HostAddress &host)
 {
-    const auto notice = encode(StartNotice{m_settings.peerAddress});
+    sendNotice(host, encode(StartNotice{m_settings.peerAddress}));
+}
+
+void RouteControlProcess::sendEndedFlows(const EndedFlows &ended)
+{
+    EndedFlowsNotice notice{{ended.flows.incarnation()}, {}};
+    for (const pb::FlowRecord &record : ended.flows.open()) {
+        const HostAddress caller{record.caller_ip(), static_cast<std::uint16_t>(record.caller_port())};
+        const HostAddress service{record.service_ip(), static_cast<std::uint16_t>(record.service_port())};
+        notice.flows.push_back({{caller, service}, record.acknowledgement()});
+        if (notice.flows.size() == maxEndedFlows) {
+            sendNotice(ended.agent, encode(notice));
+            notice.flows.clear();
+        }
+    }
+    if (!notice.flows.empty()) {
+        sendNotice(ended.agent, encode(notice));
+    }
+}
+
+void RouteControlProcess::sendNotice(const HostAddress &host, std::span<const std::uint8_t> notice)
+{
     asio::error_code error;
-    m_noticeSocket.send_to(asio::buffer(notice), asio::ip::udp::endpoint(asio::ip::address_v4(host.ip), host.port), 0, error);
+    m_noticeSocket.send_to(asio::buffer(notice.data(), notice.size()), asio::ip::udp::endpoint(asio::ip::address_v4(host.ip), host.port), 0, error);
     if (error) {
-        m_services.logger().warning("start-notice-not-sent", {{"host", toString(host)}, {"cause", error.message()}});
+        m_services.logger().warning("notice-not-sent", {{"host", toString(host)}, {"cause", error.message()}});
     }
 }
 
+// Flow records
+
+void RouteControlProcess::loadFlowRecords()
+{
+    // After a failure of the disk, agents report their flows again.
+    if (std::exchange(m_areFlowRecordsLoaded, true)) {
+        return;
+    }
+    handleFailure(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(file, m_flowRecordFiles.load());
+            if (!file.empty()) {
+                BOOST_LEAF_AUTO(flows, m_session->service->flowRecords().load(m_services.clock().now(), wallClockMs(), file));
+                m_services.logger().info("flow-records-loaded", {{"flows", flows}, {"bytes", file.size()}});
+            }
+            return 0;
+        },
+        [&](const Failure &failure) {
+            m_services.logger().warning("flow-records-ignored", {{"cause", failure.detail}});
+            return 0;
+        });
+}
+
+void RouteControlProcess::scheduleFlowRecordSave()
+{
+    m_flowRecordTimer.expires_after(flowRecordSaveInterval);
+    m_flowRecordTimer.async_wait([this](const asio::error_code &error) {
+        if (error) {
+            return;
+        }
+        const bool isSessionOpen = m_session && !m_hasSessionFailed;
+        if (isSessionOpen && !m_flowRecordFiles.isSaving() && m_session->service->flowRecords().takeChanged()) {
+            m_flowRecordFiles.save(m_session->service->flowRecords().toFile(wallClockMs()));
+        }
+        scheduleFlowRecordSave();
+    });
+}
+
 // Requests of operators
 
 void RouteControlProcess::replaceRoutes(const pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler)
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -20,6 +20,22 @@
 constexpr auto freshServerAge = std::chrono::seconds(1);
 constexpr std::uint32_t defaultWeight = 100;
 
+pb::FlowRecords flowRecordsOf(const FlowRecordChanges &changes)
+{
+    pb::FlowRecords message;
+    message.set_incarnation(changes.incarnation.value);
+    message.set_full(changes.isFull);
+    for (const FlowRecordChange &change : changes.changes) {
+        pb::FlowRecord &record = change.isOpen ? *message.add_open() : *message.add_closed();
+        record.set_caller_ip(change.tuple.caller.ip);
+        record.set_caller_port(change.tuple.caller.port);
+        record.set_service_ip(change.tuple.service.ip);
+        record.set_service_port(change.tuple.service.port);
+        record.set_acknowledgement(change.acknowledgement);
+    }
+    return message;
+}
+
 }
 
 SteeringAgentProcess::SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec)
@@ -62,15 +78,30 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
-    BOOST_LEAF_ASSIGN(
-        m_traffic,
-        AgentTraffic::open(
-            m_loop.context(), m_services.clock(), m_services.logger(), m_services.metrics(), m_codec, m_settings, [this](const HostAddress &controlHost) {
-                asio::post(m_context, [this, controlHost] {
-                    m_watcher->controlHostStarted(controlHost);
-                    reportReachableControlHost(controlHost);
-                });
-            }));
+    BOOST_LEAF_ASSIGN(m_traffic,
+                      AgentTraffic::open(
+                          m_loop.context(),
+                          m_services.clock(),
+                          m_services.logger(),
+                          m_services.metrics(),
+                          m_codec,
+                          m_settings,
+                          [this](const HostAddress &controlHost) {
+                              asio::post(m_context, [this, controlHost] {
+                                  m_watcher->controlHostStarted(controlHost);
+                                  reportReachableControlHost(controlHost);
+                              });
+                          },
+                          [this](const FlowRecordChanges &changes) {
+                              asio::post(m_context, [this, message = flowRecordsOf(changes)] {
+                                  m_watcher->recordFlows(message);
+                              });
+                          },
+                          [this](const HostAddress &balancer) {
+                              asio::post(m_context, [this, balancer] {
+                                  m_watcher->fetchConfigFrom(balancer);
+                              });
+                          }));
     m_loop.post([traffic = m_traffic.get()] {
         traffic->start();
     });
@@ -288,7 +319,11 @@
 void SteeringAgentProcess::applyConfig(const ConfigSnapshotPointer &snapshot)
 {
     m_services.metrics().setGauge("routes_version", static_cast<double>(snapshot->routes->version()));
-    reportReachableControlHost(m_watcher->subscriber().controlHost());
+    const WatchSubscriber &subscriber = m_watcher->subscriber();
+    reportReachableControlHost(subscriber.controlHost());
+    if (m_isAnnouncing && subscriber.isControlHostInLocalZone()) {
+        m_announceClient->preferControlHost(subscriber.controlHost());
+    }
     m_loop.post([traffic = m_traffic.get(), snapshot] {
         traffic->update(snapshot);
     });
--- a/src/jujubequay/steering_program/steering_balancer_process.cpp
+++ b/src/jujubequay/steering_program/steering_balancer_process.cpp
@@ -37,6 +37,9 @@
     if (m_watcher) {
         m_watcher->stop();
     }
+    if (m_peerServer) {
+        m_peerServer->stop();
+    }
     m_loop.stop();
 }
 
@@ -44,13 +47,23 @@
 {
     waitForStop();
     BOOST_LEAF_CHECK(m_services.start());
-    BOOST_LEAF_ASSIGN(
-        m_traffic,
-        BalancerTraffic::open(m_loop.context(), m_services.clock(), m_services.logger(), m_codec, m_settings, [this](const HostAddress &controlHost) {
-            asio::post(m_context, [this, controlHost] {
-                m_watcher->controlHostStarted(controlHost);
-            });
-        }));
+    BOOST_LEAF_ASSIGN(m_traffic,
+                      BalancerTraffic::open(
+                          m_loop.context(),
+                          m_services.clock(),
+                          m_services.logger(),
+                          m_codec,
+                          m_settings,
+                          [this](const HostAddress &controlHost) {
+                              asio::post(m_context, [this, controlHost] {
+                                  m_watcher->controlHostStarted(controlHost);
+                              });
+                          },
+                          [this](const HostAddress &balancer) {
+                              asio::post(m_context, [this, balancer] {
+                                  m_watcher->fetchConfigFrom(balancer);
+                              });
+                          }));
     m_loop.post([traffic = m_traffic.get()] {
         traffic->start();
     });
@@ -60,6 +73,10 @@
         applyConfig(snapshot);
     };
     m_watcher = createWatcher(m_context, m_services, m_settings.discovery, std::move(watcher));
+    const auto accept = [this](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
+        return path == "/peer" ? m_watcher->acceptPeerStream(stream) : MessageStreamHandlers{};
+    };
+    BOOST_LEAF_ASSIGN(m_peerServer, MessageServer::listen(m_context, m_services.clock(), m_services.logger(), nullptr, m_settings.peerAddress, accept));
     m_watcher->start();
     m_settingsWatcher.start();
     publishMetrics();
