Name the cause of answers that are too long, and keep public keys

Causes, read by earlier readers of the code: an answer to a non-idempotent request that exceeds the buffer ended with the detail "backend server answered with status 200"; creating a signer key replaced an existing .pub file although it refuses to replace the private one. Ruled out: that such an answer reaches the caller as a success (it ended as AnswerIncomplete before).

Change: the detail names length and bound; an existing .pub file fails with BadKeyFile before anything is written.

--- a/src/jujubequay/agent/request_broker.cpp
+++ b/src/jujubequay/agent/request_broker.cpp
@@ -511,9 +511,16 @@
     }
     Job &job = *found->second;
     if (job.state == Job::State::Running) {
-        const bool isOk = isSuccess(job.status) && !job.isAnswerTooLong;
-        const ResultCode result = job.isAnswerTooLong ? ResultCode::AnswerIncomplete : ResultCode::BackendFailed;
-        complete(now, job, isOk ? ResultCode::Ok : result, isOk ? "" : fmt::format("backend server answered with status {}", job.status));
+        if (job.isAnswerTooLong) {
+            complete(now,
+                     job,
+                     ResultCode::AnswerIncomplete,
+                     fmt::format("the answer of {} bytes exceeds the buffer of {} bytes", job.answerLength, m_options.maxBufferedAnswerBytes));
+        } else if (!isSuccess(job.status)) {
+            complete(now, job, ResultCode::BackendFailed, fmt::format("backend server answered with status {}", job.status));
+        } else {
+            complete(now, job, ResultCode::Ok, "");
+        }
     }
     m_jobs.erase(found);
     apply(now, m_admission.finish(now, event.call));
--- a/src/jujubequay/agent/request_broker_test.cpp
+++ b/src/jujubequay/agent/request_broker_test.cpp
@@ -127,6 +127,7 @@
 struct Answer {
     int headers = 0;
     int trailers = 0;
+    std::string detail;
     ResultCode result = ResultCode::Ok;
     std::uint64_t position = 0;
     Bytes body;
@@ -139,6 +140,7 @@
     for (const pb::AgentMessage &message : messages) {
         if (message.has_header()) {
             ++answer.headers;
+            answer.detail = message.header().detail();
         } else if (message.has_body()) {
             answer.body.insert(answer.body.end(), message.body().data().begin(), message.body().data().end());
         } else if (message.has_trailer()) {
@@ -164,6 +166,7 @@
     CPPUNIT_TEST(cancelledRequestStopsTheBackend);
     CPPUNIT_TEST(requestRefusedByBackendIsNotRun);
     CPPUNIT_TEST(crashedBackendHasUnknownOutcome);
+    CPPUNIT_TEST(answerBeyondTheBufferIsNoSuccess);
     CPPUNIT_TEST(drainRefusesNewWorkAndCompletesRunningWork);
     CPPUNIT_TEST(drainMovesFeedsWithTheirPosition);
     CPPUNIT_TEST(slowCallerAppliesBackpressure);
@@ -269,6 +272,20 @@
         CPPUNIT_ASSERT_EQUAL(1, m_backend->executions[idOf(1)]);
     }
 
+    /// Guards against an incomplete answer that reaches the caller as a success, and against an error that names the wrong cause.
+    void answerBeyondTheBufferIsNoSuccess()
+    {
+        RequestBrokerOptions options;
+        options.maxBufferedAnswerBytes = 4;
+        m_broker = makeBroker(options);
+        establish(flowA);
+        request(flowA, 0, {});
+        respond(m_backend->lastCall, {1, 2, 3, 4, 5});
+        const Answer answer = answerOf(m_flows->messages(flowA, 0));
+        CPPUNIT_ASSERT_EQUAL(ResultCode::AnswerIncomplete, answer.result);
+        CPPUNIT_ASSERT_EQUAL(std::string("the answer of 5 bytes exceeds the buffer of 4 bytes"), answer.detail);
+    }
+
     // Guards against new requests at a draining server, and against a drain that interrupts requests in progress.
     void drainRefusesNewWorkAndCompletesRunningWork()
     {
--- a/src/jujubequay/daemon/key_files_test.cpp
+++ b/src/jujubequay/daemon/key_files_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(flowSecretIsLoadedAsCreated);
     CPPUNIT_TEST(keyFilesReadableByOthersAreRefused);
     CPPUNIT_TEST(existingKeysAreNotOverwritten);
+    CPPUNIT_TEST(existingPublicKeysAreNotOverwritten);
     CPPUNIT_TEST(malformedKeysAreRefused);
     CPPUNIT_TEST(certificateNamesAreChecked);
     CPPUNIT_TEST_SUITE_END();
@@ -102,6 +103,25 @@
                        }));
     }
 
+    /// Operators keep the private key elsewhere. Guards against a public key that is replaced, so that signatures are no longer accepted.
+    void existingPublicKeysAreNotOverwritten()
+    {
+        const std::filesystem::path publicPath = m_path.string() + ".pub";
+        const auto create = [&] {
+            return SignerKey::create(m_path);
+        };
+        CPPUNIT_ASSERT(codeOf(create) == ResultCode::Ok);
+        const auto original = valueOf([&] {
+            return loadSignerPublicKey(publicPath);
+        });
+        std::filesystem::remove(m_path);
+        CPPUNIT_ASSERT(codeOf(create) == ResultCode::BadKeyFile);
+        CPPUNIT_ASSERT(original == valueOf([&] {
+                           return loadSignerPublicKey(publicPath);
+                       }));
+        CPPUNIT_ASSERT(!std::filesystem::exists(m_path));
+    }
+
     void malformedKeysAreRefused()
     {
         for (const char *text : {"",
--- a/src/jujubequay/daemon/signer_key.cpp
+++ b/src/jujubequay/daemon/signer_key.cpp
@@ -34,10 +34,14 @@
     Seed seed;
     randombytes_buf(seed.data(), seed.size());
     SignerKey key(seed);
-    BOOST_LEAF_CHECK(writeKeyFile(path, formatKeyText(secretLabel, seed)));
-    sodium_memzero(seed.data(), seed.size());
     std::filesystem::path publicPath = path;
     publicPath += ".pub";
+    // It may belong to a key whose private file is kept elsewhere.
+    if (std::filesystem::exists(publicPath)) {
+        return fail(ResultCode::BadKeyFile, fmt::format("{}: exists already", publicPath.string()));
+    }
+    BOOST_LEAF_CHECK(writeKeyFile(path, formatKeyText(secretLabel, seed)));
+    sodium_memzero(seed.data(), seed.size());
     std::ofstream file(publicPath);
     file << formatKeyText(publicLabel, key.m_publicKey);
     file.close();
