--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -51,7 +51,7 @@
 struct ControlHostLocation {
     std::string address; ///< "ip:port"
     std::string zone; ///< empty if unknown
-    auto operator<=>(const ControlHostLocation &) const = default;
+    bool operator==(const ControlHostLocation &) const = default;
 };
 
 /// Streams configuration and registry to balancers and agents.
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -238,7 +239,7 @@
                    [this](const std::string &host) {
                        m_positions[host] = Position();
                    }})
-    , m_options(options)
+    , m_options(std::move(options))
     , m_startedAt(clock.now())
 {
 }
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -135,7 +135,9 @@
 
 void WatchServer::setControlHosts(std::vector<ControlHostLocation> controlHosts)
 {
-    std::sort(controlHosts.begin(), controlHosts.end());
+    std::sort(controlHosts.begin(), controlHosts.end(), [](const ControlHostLocation &left, const ControlHostLocation &right) {
+        return left.address < right.address;
+    });
     if (controlHosts != m_controlHosts) {
         m_controlHosts = std::move(controlHosts);
         ++m_controlHostsVersion;
