Let the tests fill a server by its limit of requests

Change: fillServer opens flows until the server has no room and requires that their number is the limit of the options times the slots, which is as strict and follows the option.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -64,7 +64,8 @@
     Duration flowRetention = std::chrono::seconds(75);
     /// How long a closed flow is kept, for retransmitted packets.
     Duration closedFlowRetention = std::chrono::seconds(4);
-    /// Requests per slot that the server gets at the same time. It queues a few requests and refuses more.
+    /// Requests per slot that the server gets at the same time: one that runs and one that follows it at once. The server serves its queue in
+    /// order of arrival, so the others wait at the agent, which serves them by their latency goals.
     std::uint16_t requestsPerSlot = 2;
     /// Limit of held requests. Requests beyond it are delivered, and the server may refuse them.
     std::size_t maxHeldRequests = 48;
--- a/src/jujubequay/policy/held_request_queue_test.cpp
+++ b/src/jujubequay/policy/held_request_queue_test.cpp
@@ -77,6 +77,7 @@
         push(queue, 1, milliseconds(0));
         m_now += milliseconds(1);
         std::vector<std::uint16_t> taken;
+        taken.reserve(4);
         for (std::uint16_t number = 2; number <= 6; ++number) {
             push(queue, number, seconds(1));
         }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -100,6 +100,18 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(tuple, sequence + 1), m_notices)));
     }
 
+    /// Opens flows with one request each, from port 1 on, until the server with its three slots has no room for more.
+    void fillServer(AgentSteering &agent)
+    {
+        constexpr unsigned slots = 3;
+        std::uint16_t port = 0;
+        while (agent.canStartRequest()) {
+            openFlow(agent, flow(++port));
+            CPPUNIT_ASSERT(port <= slots * agent.options().requestsPerSlot);
+        }
+        CPPUNIT_ASSERT_EQUAL(slots * agent.options().requestsPerSlot, static_cast<unsigned>(port));
+    }
+
     /// A flow with the given first registrar.
     static FlowTuple flowWithFirstRegistrar(const ServerDirectory &directory, const HostAddress &first)
     {
@@ -656,9 +668,7 @@
     void measuresResponseTimeIncludingHoldTime()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1));
-        for (std::uint16_t port = 1; port <= 12; ++port) {
-            openFlow(agent, flow(port));
-        }
+        fillServer(agent);
         agent.handleCallerPacket(m_now, header(), syn(flow(50)), m_notices);
         agent.handleServerPacket(m_now, synAck(flow(50), 1000), m_notices);
         agent.handleCallerPacket(m_now, header(), data(flow(50), 1001), m_notices);
@@ -679,9 +689,7 @@
     void holdsRequestsThatTheServerWouldRefuse()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1));
-        for (std::uint16_t port = 1; port <= 12; ++port) {
-            openFlow(agent, flow(port));
-        }
+        fillServer(agent);
         agent.handleCallerPacket(m_now, header(), syn(flow(50)), m_notices);
         agent.handleServerPacket(m_now, synAck(flow(50), 1000), m_notices);
         CPPUNIT_ASSERT(std::holds_alternative<HoldRequest>(agent.handleCallerPacket(m_now, header(), data(flow(50), 1001), m_notices)));
