Ask for newer routes late, seldom, and without servers

Cause, by calculation before any run at size: at 1,000 hosts a configuration is in force everywhere after 0.3 s, so with a grace of 150 ms hundreds of agents would fetch each new table, with 130 bytes for every server, from the few balancers that have it first, over links of 2 Mbit/s, and again every 250 ms until it arrives.

Change: an agent waits for 400 ms from the first packet with the newer table, asks once a second, and a peer that has a configuration gets the route table without servers. A request that cannot be read is logged.

--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -101,8 +101,8 @@
     /// Reports changes of the open flows of the local server. A control host to which the stream is opened later gets all of them.
     Effects recordFlows(const jujubequay::pb::FlowRecords &change);
 
-    /// Local state as an answer to a PeerStateRequest.
-    jujubequay::pb::PeerState peerState() const;
+    /// Local state as an answer to a peer. Without servers if the peer has a configuration: it then has servers from a control host.
+    jujubequay::pb::PeerState peerState(const jujubequay::pb::PeerStateRequest &request) const;
     /// Never null.
     ConfigSnapshotPointer snapshot() const;
     bool isConnected() const;
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -73,6 +73,9 @@
     Duration defaultRequestTimeout = std::chrono::seconds(5);
     /// How long SYNs of balancers with an older route table are still accepted after a packet with a newer version was received.
     Duration routeTableGracePeriod = std::chrono::milliseconds(150);
+    /// How long the control hosts have to distribute a route table before this agent fetches it from a balancer, so that an ordinary change does
+    /// not make all agents ask the few balancers that have received it first.
+    Duration routeTableFetchDelay = std::chrono::milliseconds(400);
     /// A request that has been held for this long is delivered, since its caller is about to time out.
     Duration maxHoldTime = std::chrono::milliseconds(900);
     /// Limit of agents that forward the same packet. A lookup may have to visit all servers: with a limit of 64 it failed among 72 of them.
--- a/include/jujubequay/steering_program/discovery.h
+++ b/include/jujubequay/steering_program/discovery.h
@@ -25,8 +25,8 @@
 /// Called on the traffic thread when a balancer has a newer route table than this process.
 using NewerRoutesHandler = std::function<void(const HostAddress &balancer)>;
 
-/// Minimum time between attempts to get a newer route table from a balancer.
-constexpr auto newerRoutesInterval = std::chrono::milliseconds(250);
+/// Minimum time between attempts to get a newer route table from a balancer, whose link may be slow.
+constexpr auto newerRoutesInterval = std::chrono::seconds(1);
 
 struct WatcherOptions {
     std::string role; ///< "balancer" or "agent"
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -587,7 +587,7 @@
     return effects;
 }
 
-pb::PeerState WatchSubscriber::peerState() const
+pb::PeerState WatchSubscriber::peerState(const pb::PeerStateRequest &request) const
 {
     pb::PeerState state;
     pb::ConfigDelta &config = *state.mutable_config();
@@ -601,8 +601,10 @@
     if (m_routes->version() != 0) {
         *config.mutable_routes() = m_routesMessage;
     }
-    for (const auto &[name, entry] : m_servers) {
-        *state.add_servers() = entry;
+    if (request.revision() == 0) {
+        for (const auto &[name, entry] : m_servers) {
+            *state.add_servers() = entry;
+        }
     }
     return state;
 }
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -91,13 +91,19 @@
 
 MessageStreamHandlers ConfigWatcher::acceptPeerStream(const std::shared_ptr<MessageStream> &stream)
 {
-    const auto handleMessage = [weak = weak_from_this(), weakStream = std::weak_ptr(stream)](const Bytes &) {
+    const auto handleMessage = [weak = weak_from_this(), weakStream = std::weak_ptr(stream)](const Bytes &bytes) {
         const auto self = weak.lock();
         const auto openStream = weakStream.lock();
-        if (self && openStream) {
-            openStream->send(self->m_subscriber.peerState());
-            openStream->close();
+        if (!self || !openStream) {
+            return;
+        }
+        pb::PeerStateRequest request;
+        if (request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            openStream->send(self->m_subscriber.peerState(request));
+        } else {
+            self->m_logger.warning("peer-request-refused", {{"peer", openStream->peer().name}, {"bytes", bytes.size()}});
         }
+        openStream->close();
     };
     return {handleMessage, [](ResultCode) {}};
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -319,7 +319,7 @@
 std::optional<NewerRoutesNotice> AgentSteering::newerRoutes(TimePoint now) const
 {
     const bool isLocalTableOlder = m_directory.routes().version() < m_highestRouteTableVersion;
-    if (!isLocalTableOlder || now - m_highestRouteTableSeenAt <= m_options.routeTableGracePeriod) {
+    if (!isLocalTableOlder || now - m_highestRouteTableSeenAt <= m_options.routeTableFetchDelay) {
         return std::nullopt;
     }
     return NewerRoutesNotice{m_highestRouteTableVersion, m_highestRouteTableBalancer};
