Keep one check of confirmed incarnations

Cause, from reading the whole change again: the check whether an incarnation is confirmed stood in the flow record store, in the server directory and twice in the agent's steering; and since agents hold requests in a queue by goal, PacketQueue::oldestArrival has no caller and no test.

Change: isConfirmed stands beside unconfirmedIncarnation, and the dead function is gone. Behaviour stays.

--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -51,6 +51,9 @@
 /// Incarnation of a running server that has not announced itself yet because its agent has just started.
 constexpr Incarnation unconfirmedIncarnation{1};
 
+/// True if the server itself has stated the incarnation: it is neither unknown nor unconfirmed.
+bool isConfirmed(Incarnation incarnation);
+
 /// One backend server as its agent announced it.
 struct ServerSnapshot {
     std::string name;
--- a/include/jujubequay/policy/packet_queue.h
+++ b/include/jujubequay/policy/packet_queue.h
@@ -25,8 +25,6 @@
     void push(TimePoint now, std::span<const std::uint8_t> packet);
     /// Removes and returns the oldest packet, after dropping those that exceed `maxAge`. Empty if no packet is left.
     std::optional<std::vector<std::uint8_t>> popOldest(TimePoint now);
-    /// Time at which the oldest packet was added; empty without packets.
-    std::optional<TimePoint> oldestArrival() const;
     std::size_t size() const;
     /// Number of packets that were dropped so far.
     std::uint64_t droppedCount() const;
--- a/src/jujubequay/control/config_snapshot.cpp
+++ b/src/jujubequay/control/config_snapshot.cpp
@@ -29,6 +29,11 @@
     return availabilityNames.name(state);
 }
 
+bool isConfirmed(Incarnation incarnation)
+{
+    return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
+}
+
 bool ServerSnapshot::acceptsNewWork() const
 {
     return state == ServerAvailability::Serving || state == ServerAvailability::Suspect;
--- a/src/jujubequay/control/flow_record_store.cpp
+++ b/src/jujubequay/control/flow_record_store.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-bool isConfirmed(Incarnation incarnation)
-{
-    return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
-}
-
 /// True if the registry lists another incarnation of the server, which must have taken its place.
 bool isReplaced(const LeaseRegistry &registry, const std::string &agent, Incarnation incarnation)
 {
--- a/src/jujubequay/policy/packet_queue.cpp
+++ b/src/jujubequay/policy/packet_queue.cpp
@@ -40,11 +40,6 @@
     return packet;
 }
 
-std::optional<TimePoint> PacketQueue::oldestArrival() const
-{
-    return m_packets.empty() ? std::nullopt : std::optional(m_packets.front().addedAt);
-}
-
 std::size_t PacketQueue::size() const
 {
     return m_packets.size();
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -465,7 +465,7 @@
 
 Incarnation AgentSteering::confirmedIncarnation() const
 {
-    return m_server && m_server->incarnation != unconfirmedIncarnation ? m_server->incarnation : Incarnation();
+    return m_server && isConfirmed(m_server->incarnation) ? m_server->incarnation : Incarnation();
 }
 
 AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const
@@ -507,8 +507,7 @@
 {
     std::vector<ResetCaller> resets;
     const Incarnation current = confirmedIncarnation();
-    const bool isConfirmed = notice.incarnation != Incarnation() && notice.incarnation != unconfirmedIncarnation;
-    if (current == Incarnation() || !isConfirmed || notice.incarnation == current) {
+    if (current == Incarnation() || !isConfirmed(notice.incarnation) || notice.incarnation == current) {
         return resets;
     }
     for (const RecordedFlow &recorded : notice.flows) {
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -15,11 +15,6 @@
     return XXH3_64bits_withSeed(&key, sizeof(key), flowHash);
 }
 
-bool isConfirmed(Incarnation incarnation)
-{
-    return incarnation != Incarnation() && incarnation != unconfirmedIncarnation;
-}
-
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
     return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.agentEpoch, server.acceptsNewWork(), std::nullopt};
