Log what a reset is based on, and when a server counts as ended

The line now names the owner, its incarnation, who has said so and how old that is, why the incarnation counts as ended, its successor, whether the packet was a SYN, and whether the server list was complete. server-ended tells when a balancer or an agent begins to believe it, and from which control host, epoch and sequence. Lines are suppressed by event and cause: before, 20 resets on dropped routes within ten seconds hid the one that matters.

Tests: resetStatesWhatItIsBasedOn, reportsEachEndedServerOnce, frequentKindsDoNotHideRareOnes, PacketReportTest.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -177,6 +177,7 @@
     SOURCES
         agent_steering.cpp
         balancer_steering.cpp
+        flow_ownership.cpp
         flow_recorder.cpp
         segment.cpp
         server_directory.cpp
@@ -287,6 +288,7 @@
         traffic_loop.cpp
     TESTS
         flow_record_files_test.cpp
+        packet_report_test.cpp
         server_announcements_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -77,6 +77,14 @@
     bool operator==(const DeregisteredServer &) const = default;
 };
 
+/// Where a server list comes from, for logs.
+struct RegistrySource {
+    HostAddress controlHost; ///< empty before the first list of a control host
+    std::uint64_t epoch = 0; ///< changes with each restart of the control host
+    std::uint64_t sequence = 0; ///< of the newest change in the list
+    bool operator==(const RegistrySource &) const = default;
+};
+
 /// Configuration and server list that a balancer or an agent has received from the control hosts. Immutable once published; each
 /// change is published as a new object. Other threads access it through ConfigSnapshotPointer.
 struct ConfigSnapshot {
@@ -89,6 +97,7 @@
     bool hasRegistry = false; ///< false until a control host has sent its server list
     /// False while restarted control hosts still wait for agents to announce themselves: a server that is not listed may exist.
     bool isRegistryComplete = false;
+    RegistrySource registrySource;
     RouteTablePointer routes = std::make_shared<RouteTable>(); ///< never null; version 0 before the first table was received
 
     /// Null if the service has no bundle in force.
--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -168,6 +168,7 @@
     std::uint64_t m_registryEpoch = 0;
     std::uint64_t m_registrySequence = 0;
     bool m_isRegistryComplete = false;
+    HostAddress m_registryHost; // control host that has sent the server list
     Entries m_servers;
     std::deque<DeregisteredServer> m_deregistered;
     std::optional<Entries> m_incomingRegistry; // full registry that has not been received completely
--- a/include/jujubequay/core/log.h
+++ b/include/jujubequay/core/log.h
@@ -39,6 +39,23 @@
     std::string value;
 };
 
+/// Name of an event. Lines of one event that differ in `kind`, a name from a fixed table, are counted separately for the suppression of
+/// repeats, so that a frequent kind does not hide a rare one.
+struct LogEvent {
+    LogEvent(const char *name) // NOLINT(google-explicit-constructor): most events have a name only
+        : name(name)
+    {
+    }
+    LogEvent(std::string_view name, std::string_view kind = {}) // NOLINT(google-explicit-constructor)
+        : name(name)
+        , kind(kind)
+    {
+    }
+
+    std::string_view name;
+    std::string_view kind;
+};
+
 enum class LogOutput : std::uint8_t {
     StandardError,
     /// A line that cannot be written to the pipe without blocking is dropped and counted, so that a stalled reader never blocks the process.
@@ -49,7 +66,7 @@
 ///
 ///     logger.info("lease-expired", {{"server", name}, {"age_ms", age.count()}});
 ///
-/// Once an event name has been logged `maxRepeats` times within `repeatWindow`, further lines of it are suppressed. The
+/// Once an event has been logged `maxRepeats` times within `repeatWindow`, further lines of it are suppressed. The
 /// first line of the next window gives the number of suppressed lines.
 class Logger
 {
@@ -66,10 +83,10 @@
 
     /// Number of lines dropped because standard output was not writable.
     std::uint64_t droppedLines() const;
-    void debug(std::string_view event, std::initializer_list<LogField> fields = {});
-    void info(std::string_view event, std::initializer_list<LogField> fields = {});
-    void warning(std::string_view event, std::initializer_list<LogField> fields = {});
-    void error(std::string_view event, std::initializer_list<LogField> fields = {});
+    void debug(const LogEvent &event, std::initializer_list<LogField> fields = {});
+    void info(const LogEvent &event, std::initializer_list<LogField> fields = {});
+    void warning(const LogEvent &event, std::initializer_list<LogField> fields = {});
+    void error(const LogEvent &event, std::initializer_list<LogField> fields = {});
 
 protected:
     /// Writes a formatted line. Tests override it to capture the output.
@@ -81,9 +98,9 @@
         std::uint32_t count = 0;
     };
 
-    void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+    void log(LogLevel level, const LogEvent &event, std::initializer_list<LogField> fields);
     /// Returns the number of lines of the event that were suppressed before this one; empty if this line is suppressed as well.
-    std::optional<std::uint32_t> admit(std::string_view event);
+    std::optional<std::uint32_t> admit(const LogEvent &event);
 
     const Clock &m_clock;
     const LogOrigin m_origin;
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -153,6 +153,8 @@
     /// Balancers that have sent packets within the last few seconds.
     std::vector<HostAddress> recentBalancers() const;
     const ServerDirectory &directory() const;
+    /// The servers that have ended since the last call, for logs.
+    std::vector<EndedServer> takeEndedServers();
 
 private:
     enum class FlowState : std::uint8_t {
@@ -181,6 +183,8 @@
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
+        TimePoint remoteLearnedAt{}; ///< when the owner notice was received
+        ResetEvidence evidence; ///< set for orphaned flows
         bool hasPendingRequest = false; ///< the server has not responded to the caller's last data yet
         TimePoint requestSentAt{};
         std::optional<std::uint32_t> callerSequenceEnd; ///< sequence number after the caller's last new data
@@ -205,7 +209,13 @@
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
-    static AgentDecision resetOrphanedFlow(const Segment &segment);
+    static AgentDecision resetOrphanedFlow(const Segment &segment, const Flow &flow);
+    /// Reset of the caller of `segment`, with what is known about the flow.
+    ResetCaller reset(const Segment &segment, SteerCause cause) const;
+    /// What is known about a flow of the local server or of a remote one.
+    ResetEvidence evidenceOf(const Flow &flow) const;
+    /// Marks the flow as owned by a server that has ended.
+    void orphan(TimePoint now, Flow &flow);
     /// True if the newer of the two route tables, the sender's and the local one, leads to the service of the local server.
     bool isRoutedToLocalServer(const SteerHeader &header, const FlowTuple &tuple) const;
     void setOpen(TimePoint now, Flow &flow);
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/core/clock.h>
 #include <jujubequay/policy/least_loaded.h>
+#include <jujubequay/steering/flow_ownership.h>
 #include <jujubequay/steering/segment.h>
 #include <jujubequay/steering/server_directory.h>
 #include <jujubequay/steering/steer_message.h>
@@ -47,6 +48,8 @@
     FlowTuple tuple;
     std::uint32_t sequence = 0; ///< sequence number that the caller expects
     SteerCause cause = SteerCause::NoRoute;
+    bool isOpening = false; ///< the packet that led to the reset is a SYN
+    ResetEvidence evidence{};
 };
 struct DropPacket {
     SteerCause cause = SteerCause::NotReady;
@@ -82,6 +85,8 @@
     /// True once a route table and a server list have been received.
     bool isReady() const;
     const ServerDirectory &directory() const;
+    /// The servers that have ended since the last call, for logs.
+    std::vector<EndedServer> takeEndedServers();
 
 private:
     struct Flow {
@@ -90,6 +95,8 @@
         /// The owner has sent its incarnation. Otherwise the SYN went to this agent, and another server may have opened the flow.
         bool isConfirmed = false;
         TimePoint lastUsed{};
+        OwnershipSource source = OwnershipSource::Placement;
+        TimePoint learnedAt{}; ///< when the source was received
     };
     struct Load {
         LoadNotice notice;
@@ -98,6 +105,8 @@
     };
 
     BalancerDecision handleSyn(TimePoint now, const Segment &segment);
+    /// Reset of the caller of `segment`, with what is known about the flow.
+    ResetCaller reset(const Segment &segment, SteerCause cause) const;
     /// Handles a packet that is not a SYN.
     BalancerDecision handleFlowPacket(TimePoint now, const Segment &segment);
     /// Chooses the server for a new flow. `avoided`: agent that is chosen only if there is no other; may be null.
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -2,11 +2,11 @@
 
 #include <jujubequay/control/config_snapshot.h>
 #include <jujubequay/core/clock.h>
+#include <jujubequay/steering/flow_ownership.h>
 #include <jujubequay/steering/segment.h>
 
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -34,6 +34,13 @@
     bool operator==(const FlowRegistrar &) const = default;
 };
 
+/// An incarnation of a server that has ended, as the directory has learned from a server list.
+struct EndedServer {
+    HostAddress agent;
+    Incarnation incarnation;
+    ServerEnd end;
+};
+
 struct ServerDirectoryOptions {
     /// How long a server is kept after it has disappeared from the server list, for its open flows.
     Duration unlistedRetention = std::chrono::seconds(75);
@@ -67,6 +74,10 @@
     /// True if the server has certainly ended, so that its flows do not exist any more: it has deregistered itself, or it was listed before
     /// another server of the same agent. An incarnation that was never listed may be newer than the list.
     bool hasEnded(const HostAddress &agent, Incarnation incarnation) const;
+    /// Why the server counts as ended; empty if it does not.
+    std::optional<ServerEnd> serverEnd(const HostAddress &agent, Incarnation incarnation) const;
+    /// The servers that have ended since the last call, for logs.
+    std::vector<EndedServer> takeEndedServers();
     /// The agents of all servers by their rank for a flow, best first.
     std::vector<HostAddress> rankedAgents(const FlowTuple &tuple) const;
     /// The registrars of a flow: two agents, if possible of different availability zones, or fewer if there are fewer servers.
@@ -96,6 +107,7 @@
     std::vector<const Group *> rankedGroups(std::uint64_t flowHash) const;
     /// The agent of a group with the highest score, or with the highest one below a bound; null if no score is below it.
     static const FlowRegistrar *bestBelow(const Group &group, std::uint64_t flowHash, std::optional<std::uint64_t> bound);
+    void updateDeregistered(TimePoint now, const ConfigSnapshot &snapshot);
     bool updateServers(TimePoint now, const ConfigSnapshot &snapshot);
     void indexServers();
     void recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server);
@@ -104,8 +116,10 @@
     RouteTablePointer m_routes = std::make_shared<RouteTable>();
     bool m_hasRegistry = false;
     bool m_isRegistryComplete = false;
-    std::set<std::pair<HostAddress, Incarnation>> m_deregistered;
-    std::map<std::pair<HostAddress, Incarnation>, TimePoint> m_replaced; ///< when another server of the same agent was listed
+    using ServerEnds = std::map<std::pair<HostAddress, Incarnation>, ServerEnd>;
+    ServerEnds m_deregistered;
+    ServerEnds m_replaced;
+    std::vector<EndedServer> m_newlyEnded;
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
     std::vector<Group> m_groups;
     std::unordered_map<HostAddress, Position> m_positions; ///< position by agent, for the lookup of each packet
--- a/include/jujubequay/steering_program/packet_report.h
+++ b/include/jujubequay/steering_program/packet_report.h
@@ -46,8 +46,10 @@
     std::array<std::atomic<std::uint64_t>, eventCount> m_counts{};
 };
 
-/// Logs that a flow of a caller was reset.
-void logReset(Logger &logger, const ResetCaller &decision, std::uint64_t routesVersion);
+/// Logs that a flow of a caller was reset, and what was known about its owner.
+void logReset(Logger &logger, TimePoint now, const ResetCaller &decision, const ServerDirectory &directory);
+/// Logs that servers have ended, and which control host has said so.
+void logEndedServers(Logger &logger, std::span<const EndedServer> servers, const RegistrySource &source);
 /// Logs that a packet was dropped.
 void logDrop(Logger &logger, const DropPacket &decision, const Segment &segment, std::uint64_t routesVersion);
 
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -472,6 +472,7 @@
     m_isRegistryComplete = delta.complete();
     m_registryEpoch = delta.epoch();
     m_registrySequence = delta.sequence();
+    m_registryHost = m_rankedHosts[m_currentHost];
     return true;
 }
 
@@ -484,6 +485,7 @@
     snapshot->deregisteredServers.assign(m_deregistered.begin(), m_deregistered.end());
     snapshot->hasRegistry = m_registrySequence != 0;
     snapshot->isRegistryComplete = m_isRegistryComplete;
+    snapshot->registrySource = {m_registryHost, m_registryEpoch, m_registrySequence};
     snapshot->flowKeys = flowKeySetOf(m_flowKeys);
     for (const auto &[name, config] : m_services) {
         snapshot->services.push_back(serviceOf(config));
--- a/src/jujubequay/core/core_test.cpp
+++ b/src/jujubequay/core/core_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(kernelFindsServicesByNameAndType);
     CPPUNIT_TEST(everyResultCodeHasAName);
     CPPUNIT_TEST(repeatedEventsAreSuppressed);
+    CPPUNIT_TEST(frequentKindsDoNotHideRareOnes);
     CPPUNIT_TEST(stalledReaderDoesNotBlockTheLogger);
     CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,19 @@
         CPPUNIT_ASSERT(logger.lines[2].find("suppressed=3") != std::string::npos);
     }
 
+    // Guards against the loss of the one line that explains a failure among many harmless lines of the same event.
+    void frequentKindsDoNotHideRareOnes()
+    {
+        ManualClock clock;
+        CapturingLogger logger(clock, {"test", "host-a", "zone-a"}, {.level = LogLevel::Info, .maxRepeats = 2});
+        for (int round = 0; round < 5; ++round) {
+            logger.info({"flow-reset", "no-route"});
+        }
+        logger.info({"flow-reset", "server-replaced"}, {{"caller", "a"}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, logger.lines.size());
+        CPPUNIT_ASSERT(logger.lines[2].find("event=flow-reset caller=a") != std::string::npos);
+    }
+
     // Guards against a process that blocks on a full pipe when the reader of its log has stalled.
     void stalledReaderDoesNotBlockTheLogger()
     {
--- a/src/jujubequay/core/log.cpp
+++ b/src/jujubequay/core/log.cpp
@@ -62,22 +62,22 @@
 {
 }
 
-void Logger::debug(std::string_view event, std::initializer_list<LogField> fields)
+void Logger::debug(const LogEvent &event, std::initializer_list<LogField> fields)
 {
     log(LogLevel::Debug, event, fields);
 }
 
-void Logger::info(std::string_view event, std::initializer_list<LogField> fields)
+void Logger::info(const LogEvent &event, std::initializer_list<LogField> fields)
 {
     log(LogLevel::Info, event, fields);
 }
 
-void Logger::warning(std::string_view event, std::initializer_list<LogField> fields)
+void Logger::warning(const LogEvent &event, std::initializer_list<LogField> fields)
 {
     log(LogLevel::Warning, event, fields);
 }
 
-void Logger::error(std::string_view event, std::initializer_list<LogField> fields)
+void Logger::error(const LogEvent &event, std::initializer_list<LogField> fields)
 {
     log(LogLevel::Error, event, fields);
 }
@@ -101,7 +101,7 @@
     return m_droppedLines.load(std::memory_order_relaxed);
 }
 
-void Logger::log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void Logger::log(LogLevel level, const LogEvent &event, std::initializer_list<LogField> fields)
 {
     if (level < m_options.level) {
         return;
@@ -117,7 +117,7 @@
                                    quotedIfNeeded(m_origin.program),
                                    quotedIfNeeded(m_origin.host),
                                    quotedIfNeeded(m_origin.zone),
-                                   event);
+                                   event.name);
     for (const LogField &field : fields) {
         line += fmt::format(" {}={}", field.key, quotedIfNeeded(field.value));
     }
@@ -127,10 +127,10 @@
     write(line + "\n");
 }
 
-std::optional<std::uint32_t> Logger::admit(std::string_view event)
+std::optional<std::uint32_t> Logger::admit(const LogEvent &event)
 {
     const TimePoint now = m_clock.now();
-    const auto [entry, inserted] = m_repeats.try_emplace(std::string(event), Repeats{now, 0});
+    const auto [entry, inserted] = m_repeats.try_emplace(fmt::format("{} {}", event.name, event.kind), Repeats{now, 0});
     Repeats &repeats = entry->second;
     std::uint32_t suppressed = 0;
     if (now - repeats.windowStart >= m_options.repeatWindow) {
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -65,11 +65,11 @@
             const bool wasOpen = flow.state == FlowState::Open;
             if (!isFirstServer && isLocalFlow(flow)) {
                 removeFromCounts(flow);
-                flow.state = FlowState::Orphaned;
-                flow.lastUsed = now;
+                orphan(now, flow);
+                flow.evidence.end = ServerEnd{ServerEndCause::Replaced, server ? server->incarnation : Incarnation(), now};
             }
             if (!isFirstServer && wasOpen) {
-                resets.push_back({tuple, flow.lastCallerAcknowledgement, SteerCause::ServerReplaced});
+                resets.push_back({tuple, flow.lastCallerAcknowledgement, SteerCause::ServerReplaced, false, flow.evidence});
             }
         }
     }
@@ -119,7 +119,7 @@
         return DropPacket{SteerCause::StaleRouteTable};
     }
     if (localTableVersion >= header.routeTableVersion && m_directory.routes().find(tuple.service) == nullptr) {
-        return ResetCaller{tuple, segment.acknowledgement, SteerCause::NoRoute};
+        return reset(segment, SteerCause::NoRoute);
     }
     if (!m_server || header.service != m_server->service || !isRoutedToLocalServer(header, tuple)) {
         return redirectSyn(header, segment, SteerCause::NotAccepted);
@@ -169,7 +169,7 @@
             }
         }
     }
-    return ResetCaller{tuple, segment.acknowledgement, SteerCause::NotAccepted};
+    return reset(segment, SteerCause::NotAccepted);
 }
 
 AgentDecision AgentSteering::handleFlowPacket(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
@@ -206,8 +206,8 @@
     case FlowState::Remote: {
         flow.lastUsed = now;
         if (m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation)) {
-            flow.state = FlowState::Orphaned;
-            return resetOrphanedFlow(segment);
+            orphan(now, flow);
+            return resetOrphanedFlow(segment, flow);
         }
         if (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr) {
             return continueLookup(now, header, segment);
@@ -219,17 +219,49 @@
                                              : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
     }
     case FlowState::Orphaned:
-        return resetOrphanedFlow(segment);
+        return resetOrphanedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
 
-AgentDecision AgentSteering::resetOrphanedFlow(const Segment &segment)
+AgentDecision AgentSteering::resetOrphanedFlow(const Segment &segment, const Flow &flow)
 {
     if (segment.isRst) {
         return DropPacket{SteerCause::ServerReplaced};
     }
-    return ResetCaller{flowTupleFromCaller(segment), segment.acknowledgement, SteerCause::ServerReplaced};
+    return ResetCaller{flowTupleFromCaller(segment), segment.acknowledgement, SteerCause::ServerReplaced, false, flow.evidence};
+}
+
+ResetCaller AgentSteering::reset(const Segment &segment, SteerCause cause) const
+{
+    ResetCaller decision{flowTupleFromCaller(segment), segment.acknowledgement, cause, segment.isSyn, {}};
+    const auto found = m_flows.find(decision.tuple);
+    if (found != m_flows.end()) {
+        decision.evidence = evidenceOf(found->second);
+    }
+    return decision;
+}
+
+ResetEvidence AgentSteering::evidenceOf(const Flow &flow) const
+{
+    if (flow.state == FlowState::Orphaned) {
+        return flow.evidence;
+    }
+    if (flow.state == FlowState::Remote) {
+        return {flow.remoteAgent,
+                flow.remoteIncarnation,
+                OwnershipSource::OwnerNotice,
+                flow.remoteLearnedAt,
+                m_directory.serverEnd(flow.remoteAgent, flow.remoteIncarnation)};
+    }
+    return {m_options.agent, confirmedIncarnation(), OwnershipSource::LocalServer, flow.openedAt, std::nullopt};
+}
+
+void AgentSteering::orphan(TimePoint now, Flow &flow)
+{
+    flow.evidence = evidenceOf(flow);
+    flow.state = FlowState::Orphaned;
+    flow.lastUsed = now;
 }
 
 AgentDecision AgentSteering::deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
@@ -285,7 +317,7 @@
         // Bounded, since the server list of a host on the path may stay incomplete.
         return header.lookupRetries < maxLookupRetries ? AgentDecision(HoldLookup{next}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
     }
-    return ResetCaller{tuple, segment.acknowledgement, SteerCause::UnknownFlow};
+    return reset(segment, SteerCause::UnknownFlow);
 }
 
 // Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
@@ -427,8 +459,8 @@
         }
         // The server has owned the flow, since it has confirmed it before, and rejects its packets now.
         close(now, flow);
-        flow.state = FlowState::Orphaned;
-        return resetOrphanedFlow(segment);
+        orphan(now, flow);
+        return resetOrphanedFlow(segment, flow);
     default:
         return DropPacket{SteerCause::UnknownFlow};
     }
@@ -453,6 +485,7 @@
     flow.state = FlowState::Remote;
     flow.remoteAgent = notice.owner;
     flow.remoteIncarnation = notice.incarnation;
+    flow.remoteLearnedAt = now;
     flow.lastUsed = now;
 }
 
@@ -518,7 +551,8 @@
         Flow &flow = m_flows[recorded.tuple];
         flow.state = FlowState::Orphaned;
         flow.lastUsed = now;
-        resets.push_back({recorded.tuple, recorded.acknowledgement, SteerCause::ServerReplaced});
+        flow.evidence = {m_options.agent, notice.incarnation, OwnershipSource::FlowRecord, now, ServerEnd{ServerEndCause::Replaced, current, now}};
+        resets.push_back({recorded.tuple, recorded.acknowledgement, SteerCause::ServerReplaced, false, flow.evidence});
     }
     return resets;
 }
@@ -779,4 +813,9 @@
     return m_directory;
 }
 
+std::vector<EndedServer> AgentSteering::takeEndedServers()
+{
+    return m_directory.takeEndedServers();
+}
+
 }
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -58,7 +58,7 @@
     const FlowTuple tuple = flowTupleFromCaller(segment);
     const Route *route = m_directory.routes().find(tuple.service);
     if (route == nullptr) {
-        return ResetCaller{tuple, segment.acknowledgement, SteerCause::NoRoute};
+        return reset(segment, SteerCause::NoRoute);
     }
     const ServiceKey service = route->serviceFor(hashOf(tuple)).key;
     const auto found = m_flows.find(tuple);
@@ -76,9 +76,9 @@
     }
     const SteerServer *server = chooseServer(now, service, tuple, avoided);
     if (server == nullptr) {
-        return ResetCaller{tuple, segment.acknowledgement, SteerCause::NoServer};
+        return reset(segment, SteerCause::NoServer);
     }
-    m_flows[tuple] = {server->agent, server->incarnation, false, now};
+    m_flows[tuple] = {server->agent, server->incarnation, false, now, OwnershipSource::Placement, now};
     ++m_loads[server->agent].placedSinceNotice;
     return RelayToAgent{server->agent, makeHeader(service, false), SteerCause::Placed};
 }
@@ -98,7 +98,7 @@
             if (segment.isRst) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
-            return ResetCaller{tuple, segment.acknowledgement, SteerCause::ServerReplaced};
+            return reset(segment, SteerCause::ServerReplaced);
         }
         // The registrars know whether another server has opened the flow.
     }
@@ -108,6 +108,17 @@
     return DropPacket{SteerCause::NoServer};
 }
 
+ResetCaller BalancerSteering::reset(const Segment &segment, SteerCause cause) const
+{
+    ResetCaller decision{flowTupleFromCaller(segment), segment.acknowledgement, cause, segment.isSyn, {}};
+    const auto found = m_flows.find(decision.tuple);
+    if (found != m_flows.end()) {
+        const Flow &flow = found->second;
+        decision.evidence = {flow.agent, flow.incarnation, flow.source, flow.learnedAt, m_directory.serverEnd(flow.agent, flow.incarnation)};
+    }
+    return decision;
+}
+
 const SteerServer *BalancerSteering::chooseServer(TimePoint now, ServiceKey service, const FlowTuple &tuple, const HostAddress *avoided)
 {
     std::vector<const SteerServer *> servers;
@@ -180,7 +191,7 @@
 
 void BalancerSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    m_flows[notice.tuple] = {notice.owner, notice.incarnation, notice.incarnation != Incarnation(), now};
+    m_flows[notice.tuple] = {notice.owner, notice.incarnation, notice.incarnation != Incarnation(), now, OwnershipSource::OwnerNotice, now};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
@@ -208,4 +219,9 @@
     return m_directory;
 }
 
+std::vector<EndedServer> BalancerSteering::takeEndedServers()
+{
+    return m_directory.takeEndedServers();
+}
+
 }
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(marksLookupsWithAnIncompleteServerList);
     CPPUNIT_TEST(followsOwnerNotices);
     CPPUNIT_TEST(resetsFlowsOfAReplacedServer);
+    CPPUNIT_TEST(resetStatesWhatItIsBasedOn);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
@@ -142,6 +143,29 @@
         CPPUNIT_ASSERT_EQUAL(55U, std::get<ResetCaller>(decision).sequence);
     }
 
+    /// Guards against resets that cannot be explained afterwards: whose server, who has said so, how old that is, and why the server counts as ended.
+    void resetStatesWhatItIsBasedOn()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
+        const auto replaced = std::get<ResetCaller>(steering.decide(m_now + seconds(3), data(flow(1), 55)));
+        CPPUNIT_ASSERT(!replaced.isOpening);
+        CPPUNIT_ASSERT(replaced.evidence.owner == agentAddress(1));
+        CPPUNIT_ASSERT_EQUAL(101U, replaced.evidence.incarnation.value);
+        CPPUNIT_ASSERT(replaced.evidence.source == OwnershipSource::OwnerNotice);
+        CPPUNIT_ASSERT(replaced.evidence.learnedAt == m_now);
+        const ServerEnd end{ServerEndCause::Replaced, {777}, m_now + seconds(2)};
+        CPPUNIT_ASSERT(replaced.evidence.end == end);
+
+        steering.update(m_now + seconds(3), snapshots.server(1, "feed", ServerAvailability::Draining).build());
+        const auto refused = std::get<ResetCaller>(steering.decide(m_now + seconds(3), syn(flow(2))));
+        CPPUNIT_ASSERT(refused.isOpening);
+        CPPUNIT_ASSERT(refused.evidence.source == OwnershipSource::None);
+        CPPUNIT_ASSERT(!refused.evidence.end);
+    }
+
     /// The agent may have redirected the SYN, or a new server may have taken its place before the balancer learned of it, and the notice of the
     /// owner may be lost. Guards against a reset of such a flow, which is open.
     void asksARegistrarWhenTheServerOfTheSynHasEnded()
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -33,15 +33,29 @@
     if (snapshot.hasRegistry) {
         m_hasRegistry = true;
         m_isRegistryComplete = snapshot.isRegistryComplete;
-        m_deregistered.clear();
-        for (const DeregisteredServer &server : snapshot.deregisteredServers) {
-            m_deregistered.emplace(server.relayAddress, server.incarnation);
-        }
+        updateDeregistered(now, snapshot);
         return updateServers(now, snapshot);
     }
     return false;
 }
 
+void ServerDirectory::updateDeregistered(TimePoint now, const ConfigSnapshot &snapshot)
+{
+    ServerEnds deregistered;
+    for (const DeregisteredServer &server : snapshot.deregisteredServers) {
+        const std::pair key{server.relayAddress, server.incarnation};
+        const auto known = m_deregistered.find(key);
+        if (known != m_deregistered.end()) {
+            deregistered.insert(*known);
+            continue;
+        }
+        const ServerEnd end{ServerEndCause::Deregistered, {}, now};
+        deregistered.emplace(key, end);
+        m_newlyEnded.push_back({server.relayAddress, server.incarnation, end});
+    }
+    m_deregistered = std::move(deregistered);
+}
+
 bool ServerDirectory::updateServers(TimePoint now, const ConfigSnapshot &snapshot)
 {
     std::map<HostAddress, SteerServer> listed;
@@ -78,7 +92,7 @@
     m_servers = std::move(servers);
     indexServers();
     std::erase_if(m_replaced, [&](const auto &entry) {
-        return now - entry.second >= m_options.unlistedRetention;
+        return now - entry.second.learnedAt >= m_options.unlistedRetention;
     });
     return !isUnchanged;
 }
@@ -86,7 +100,9 @@
 void ServerDirectory::recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server)
 {
     if (isConfirmed(previous.incarnation) && isConfirmed(server.incarnation) && previous.incarnation != server.incarnation) {
-        m_replaced[{previous.agent, previous.incarnation}] = now;
+        const ServerEnd end{ServerEndCause::Replaced, server.incarnation, now};
+        m_replaced[{previous.agent, previous.incarnation}] = end;
+        m_newlyEnded.push_back({previous.agent, previous.incarnation, end});
     }
 }
 
@@ -146,6 +162,22 @@
     return m_deregistered.contains({agent, incarnation}) || m_replaced.contains({agent, incarnation});
 }
 
+std::optional<ServerEnd> ServerDirectory::serverEnd(const HostAddress &agent, Incarnation incarnation) const
+{
+    for (const ServerEnds *ends : {&m_deregistered, &m_replaced}) {
+        const auto found = ends->find({agent, incarnation});
+        if (found != ends->end()) {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<EndedServer> ServerDirectory::takeEndedServers()
+{
+    return std::exchange(m_newlyEnded, {});
+}
+
 // The score of the zone comes before that of the server, so that an owner lookup changes zones as rarely as possible.
 std::vector<const ServerDirectory::Group *> ServerDirectory::rankedGroups(std::uint64_t flowHash) const
 {
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(ranksUnlistedServersLast);
     CPPUNIT_TEST(removesADeregisteredServer);
     CPPUNIT_TEST(remembersReplacedServers);
+    CPPUNIT_TEST(reportsEachEndedServerOnce);
     CPPUNIT_TEST(changesZonesOnlyOnceInRankOrder);
     CPPUNIT_TEST(reportsARestartedAgent);
     CPPUNIT_TEST(choosesTwoRegistrarsInASingleZone);
@@ -44,6 +45,24 @@
         }
     }
 
+    /// Guards against a belief that a server has ended of which the logs say nothing, or which they repeat with each list.
+    void reportsEachEndedServerOnce()
+    {
+        ServerDirectory directory({});
+        Snapshots snapshots;
+        directory.update(TimePoint(seconds(1)), snapshots.server(1).server(2).build());
+        CPPUNIT_ASSERT(directory.takeEndedServers().empty());
+        directory.update(TimePoint(seconds(2)), snapshots.incarnation(1, 777).deregistered(2).build());
+        directory.update(TimePoint(seconds(3)), snapshots.build());
+        const std::vector<EndedServer> ended = directory.takeEndedServers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended.size());
+        const ServerEnd deregistered{ServerEndCause::Deregistered, {}, TimePoint(seconds(2))};
+        const ServerEnd replaced{ServerEndCause::Replaced, {777}, TimePoint(seconds(2))};
+        CPPUNIT_ASSERT(ended[0].agent == agentAddress(2) && ended[0].incarnation.value == 102 && ended[0].end == deregistered);
+        CPPUNIT_ASSERT(ended[1].agent == agentAddress(1) && ended[1].incarnation.value == 101 && ended[1].end == replaced);
+        CPPUNIT_ASSERT(directory.takeEndedServers().empty());
+    }
+
     /// A change of the server list must not change ranks among the servers that stay.
     void keepsTheFirstRegistrarOfMostFlowsWhenAServerJoins()
     {
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -141,6 +141,7 @@
 void AgentTraffic::update(const ConfigSnapshotPointer &snapshot)
 {
     m_steering.update(m_clock.now(), *snapshot);
+    logEndedServers(m_logger, m_steering.takeEndedServers(), snapshot->registrySource);
     resendNotices();
     retryLookupsIfServerListStable();
 }
@@ -460,7 +461,7 @@
 {
     m_peerWriter.add(m_codec.callerEndpoint(decision.tuple), keepUntilFlush(m_codec.encodeReset(decision)));
     m_counters.add(PacketEvent::Reset);
-    logReset(m_logger, decision, m_steering.directory().routes().version());
+    logReset(m_logger, m_clock.now(), decision, m_steering.directory());
     if (m_peerWriter.isFull()) {
         flush();
     }
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -87,6 +87,7 @@
 void BalancerTraffic::update(const ConfigSnapshotPointer &snapshot)
 {
     m_steering.update(m_clock.now(), *snapshot);
+    logEndedServers(m_logger, m_steering.takeEndedServers(), snapshot->registrySource);
     if (m_steering.isReady()) {
         releaseStartupQueue();
     }
@@ -179,7 +180,7 @@
     m_pendingResets.push_back(m_codec.encodeReset(decision));
     m_callerWriter.add(m_codec.callerEndpoint(decision.tuple), m_pendingResets.back());
     m_counters.add(PacketEvent::Reset);
-    logReset(m_logger, decision, m_steering.directory().routes().version());
+    logReset(m_logger, m_clock.now(), decision, m_steering.directory());
 }
 
 void BalancerTraffic::flush()
--- a/src/jujubequay/steering_program/packet_report.cpp
+++ b/src/jujubequay/steering_program/packet_report.cpp
@@ -20,6 +20,11 @@
     {PacketEvent::NotSent, "not-sent"},
 }}};
 
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 }
 
 std::string_view packetEventName(PacketEvent event)
@@ -45,18 +50,43 @@
     }
 }
 
-void logReset(Logger &logger, const ResetCaller &decision, std::uint64_t routesVersion)
+void logReset(Logger &logger, TimePoint now, const ResetCaller &decision, const ServerDirectory &directory)
 {
-    logger.info("flow-reset",
+    const ResetEvidence &evidence = decision.evidence;
+    const bool isOwnerKnown = evidence.source != OwnershipSource::None;
+    logger.info({"flow-reset", steerCauseName(decision.cause)},
                 {{"caller", toString(decision.tuple.caller)},
                  {"address", toString(decision.tuple.service)},
                  {"cause", steerCauseName(decision.cause)},
-                 {"routes_version", routesVersion}});
+                 {"opening", decision.isOpening},
+                 {"routes_version", directory.routes().version()},
+                 {"servers_complete", directory.isRegistryComplete()},
+                 {"owner_source", ownershipSourceName(evidence.source)},
+                 {"owner", toString(evidence.owner)},
+                 {"incarnation", evidence.incarnation.value},
+                 {"owner_age_ms", isOwnerKnown ? milliseconds(now - evidence.learnedAt) : 0},
+                 {"end", evidence.end ? serverEndCauseName(evidence.end->cause) : "none"},
+                 {"successor", evidence.end ? evidence.end->successor.value : 0},
+                 {"end_age_ms", evidence.end ? milliseconds(now - evidence.end->learnedAt) : 0}});
+}
+
+void logEndedServers(Logger &logger, std::span<const EndedServer> servers, const RegistrySource &source)
+{
+    for (const EndedServer &server : servers) {
+        logger.info("server-ended",
+                    {{"agent", toString(server.agent)},
+                     {"incarnation", server.incarnation.value},
+                     {"cause", serverEndCauseName(server.end.cause)},
+                     {"successor", server.end.successor.value},
+                     {"control_host", toString(source.controlHost)},
+                     {"registry_epoch", source.epoch},
+                     {"registry_sequence", source.sequence}});
+    }
 }
 
 void logDrop(Logger &logger, const DropPacket &decision, const Segment &segment, std::uint64_t routesVersion)
 {
-    logger.info("packet-dropped",
+    logger.info({"packet-dropped", steerCauseName(decision.cause)},
                 {{"source", toString(segment.source)},
                  {"destination", toString(segment.destination)},
                  {"opening", segment.isSyn},
