--- a/include/jujubequay/core/log.h
+++ b/include/jujubequay/core/log.h
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -42,11 +43,12 @@
 /// Name of an event. Lines of one event that differ in `kind`, a name from a fixed table, are counted separately for the suppression of
 /// repeats, so that a frequent kind does not hide a rare one.
 struct LogEvent {
-    LogEvent(const char *name) // NOLINT(google-explicit-constructor): most events have a name only
+    template<class Name>
+    requires std::convertible_to<const Name &, std::string_view> LogEvent(const Name &name) // NOLINT(google-explicit-constructor): most events have a name only
         : name(name)
     {
     }
-    LogEvent(std::string_view name, std::string_view kind = {}) // NOLINT(google-explicit-constructor)
+    LogEvent(std::string_view name, std::string_view kind)
         : name(name)
         , kind(kind)
     {
