Forget an ended owner when a new flow uses its ports again

What callers saw: a flow that has just been opened is reset by a balancer (server-replaced) at its first request, while its server serves.

Cause: a balancer keeps the owner of a flow for 30 s after its last packet. When that owner ended and its agent got another server, a SYN with the same addresses and ports was sent to this agent as that of a known flow, and the entry stayed: confirmed, with the ended incarnation. The first packet after the handshake was then answered as one of the ended flow. A port comes back after some seconds, and the reset of the ended flow is what makes its caller open another one.

Change: the entry of an ended owner does not decide about a SYN. A server is chosen as for any other flow and replaces the entry.

Evidence: opensANewFlowWithThePortsOfAnEndedOne failed before: 'assertion failed - Expression: !std::holds_alternative<ResetCaller>(decision)', 1 of 85.

--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -63,7 +63,8 @@
     const ServiceKey service = route->serviceFor(hashOf(tuple)).key;
     const auto found = m_flows.find(tuple);
     const HostAddress *avoided = nullptr;
-    if (found != m_flows.end()) {
+    // With an ended owner the SYN opens another flow: an entry that is kept would lead to a reset of it.
+    if (found != m_flows.end() && !m_directory.hasEnded(found->second.agent, found->second.incarnation)) {
         Flow &flow = found->second;
         const SteerServer *server = m_directory.find(flow.agent);
         const bool isUsable = server != nullptr && server->acceptsNewFlows && server->service == service;
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(resetsFlowsOfAReplacedServer);
     CPPUNIT_TEST(resetStatesWhatItIsBasedOn);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
+    CPPUNIT_TEST(opensANewFlowWithThePortsOfAnEndedOne);
+    CPPUNIT_TEST(opensANewFlowWithThePortsOfAFlowOfADrainingServer);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
@@ -182,6 +184,33 @@
         }
     }
 
+    /// The caller uses a port again whose earlier flow belonged to a server that has ended; its agent has another server now. Guards against a reset
+    /// of the new flow because of the old owner.
+    void opensANewFlowWithThePortsOfAnEndedOne()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleLoadNotice(m_now + seconds(5), LoadNotice{agentAddress(1), 0, 0, 3, true});
+        steering.update(m_now + seconds(5), snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(6), syn(flow(1)))) == agentAddress(1));
+        const BalancerDecision decision = steering.decide(m_now + seconds(6), data(flow(1), 900));
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(relayAgent(decision) == agentAddress(1));
+    }
+
+    /// Guards against new flows that follow an earlier flow with the same ports to a server that drains.
+    void opensANewFlowWithThePortsOfAFlowOfADrainingServer()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now + seconds(5), snapshots.server(1, "feed", ServerAvailability::Draining).server(2).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(6), syn(flow(1)))) == agentAddress(2));
+    }
+
     /// The owner notice of a new server may arrive before the list that contains this server.
     void keepsFlowsOfAServerThatIsNewerThanTheList()
     {
