Never reset a late SYN at a balancer

What callers would see: an open flow is reset (no-server or no-route) because a delayed, duplicated or retransmitted SYN reaches a balancer that at this moment has no server that accepts flows, or no route. Or the balancer forgets the owner of the open flow, and its next packets take the long way.

Cause: a balancer answered each SYN as if it opened a flow, without a look at its flow table, and without regard to earlier copies that other balancers have seen.

Change: a SYN within 4 s of the entry of its flow goes to the agent of that entry if no other server accepts it, and always if the owner has sent a notice and is alive; that agent knows whether the flow exists. Without a server or a route, a SYN with such an entry, a retransmission, and a SYN that has waited in the startup queue are never reset. A first SYN without an entry is rejected at once as before. On a missing route nothing is delivered either, so that no SYN of a removed route reaches a server. Older entries do not decide about a SYN: it opens another flow.

Weighed: asking the registrars about a retransmission. They know only flows whose handshake has ended, and these callers do not need the SYN; if they know nothing, their notice may be on its way, so that a reset is still unsafe. Both answers end in silence, which the balancer can choose without asking. Price: if the first copy or the reset for it is lost, a caller without a server waits until its attempt ends, 1.4 s after the first SYN, in place of one more reset after 200 ms.

Not covered: a first copy that is itself delayed and reaches a balancer without an entry, route and server. It cannot be told from a new flow, which has to be rejected at once.

--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -54,6 +54,11 @@
 struct DropPacket {
     SteerCause cause = SteerCause::NotReady;
 };
+/// When a packet reached the balancer.
+enum class PacketArrival : std::uint8_t {
+    JustNow,
+    Queued, ///< it has waited for the configuration of the balancer
+};
 using BalancerDecision = std::variant<RelayToAgent, ResetCaller, DropPacket>;
 
 struct BalancerSteeringOptions {
@@ -76,7 +81,7 @@
     explicit BalancerSteering(BalancerSteeringOptions options);
 
     void update(TimePoint now, const ConfigSnapshot &snapshot);
-    BalancerDecision decide(TimePoint now, const Segment &segment);
+    BalancerDecision decide(TimePoint now, const Segment &segment, PacketArrival arrival = PacketArrival::JustNow);
     void handleOwnerNotice(TimePoint now, const OwnerNotice &notice);
     void handleLoadNotice(TimePoint now, const LoadNotice &notice);
     /// Removes expired flows and loads. Call it about once a second.
@@ -104,7 +109,13 @@
         std::uint32_t placedSinceNotice = 0; ///< flows placed on the server since the notice
     };
 
-    BalancerDecision handleSyn(TimePoint now, const Segment &segment);
+    BalancerDecision handleSyn(TimePoint now, const Segment &segment, PacketArrival arrival);
+    /// True if a SYN that arrives now may be a copy of the one that opened this flow, and the owner has not ended.
+    bool mayBeFlowOfSyn(TimePoint now, const Flow &flow) const;
+    /// True if the SYN of a known flow goes to the same agent again.
+    bool isSuitableForSyn(TimePoint now, const Flow &flow, ServiceKey service, const Segment &segment) const;
+    /// Drops a SYN that cannot be placed if its flow may be open, and resets the caller otherwise.
+    BalancerDecision rejectSyn(const Segment &segment, SteerCause cause, bool mayBeOpen) const;
     /// Reset of the caller of `segment`, with what is known about the flow.
     ResetCaller reset(const Segment &segment, SteerCause cause) const;
     /// Handles a packet that is not a SYN.
--- a/include/jujubequay/steering/flow_ownership.h
+++ b/include/jujubequay/steering/flow_ownership.h
@@ -9,6 +9,10 @@
 
 namespace Jujubequay {
 
+/// A SYN that arrives later than this after the owner of its flow became known opens another flow with the same addresses and ports: callers
+/// send the last copy after 600 ms, and use a port again some seconds after its last use at the earliest.
+constexpr auto maxSynDelay = std::chrono::seconds(4);
+
 /// How a balancer or an agent has learned which server owns a flow.
 enum class OwnershipSource : std::uint8_t {
     None, ///< the owner is unknown
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -50,7 +50,7 @@
     void handlePeerDatagrams(std::size_t count);
     void handleNewerRoutes(TimePoint now, const NewerRoutesNotice &notice);
     /// `datagram`: the packet with steerHeaderLength bytes in front of it.
-    void handlePacket(TimePoint now, std::span<std::uint8_t> datagram);
+    void handlePacket(TimePoint now, std::span<std::uint8_t> datagram, PacketArrival arrival);
     void releaseStartupQueue();
     void relay(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> datagram);
     void sendReset(const ResetCaller &decision);
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -42,7 +42,7 @@
     m_directory.update(now, snapshot);
 }
 
-BalancerDecision BalancerSteering::decide(TimePoint now, const Segment &segment)
+BalancerDecision BalancerSteering::decide(TimePoint now, const Segment &segment, PacketArrival arrival)
 {
     if (!isReady()) {
         return DropPacket{SteerCause::NotReady};
@@ -50,40 +50,60 @@
     if (segment.isRejected || (segment.isSyn && segment.isAck)) {
         return DropPacket{SteerCause::Spoofed};
     }
-    return segment.isSyn ? handleSyn(now, segment) : handleFlowPacket(now, segment);
+    return segment.isSyn ? handleSyn(now, segment, arrival) : handleFlowPacket(now, segment);
 }
 
-BalancerDecision BalancerSteering::handleSyn(TimePoint now, const Segment &segment)
+BalancerDecision BalancerSteering::handleSyn(TimePoint now, const Segment &segment, PacketArrival arrival)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
+    const auto found = m_flows.find(tuple);
+    Flow *known = found != m_flows.end() && mayBeFlowOfSyn(now, found->second) ? &found->second : nullptr;
+    const bool mayBeOpen = known != nullptr || segment.retransmissionCount > 0 || arrival == PacketArrival::Queued;
     const Route *route = m_directory.routes().find(tuple.service);
     if (route == nullptr) {
-        return reset(segment, SteerCause::NoRoute);
+        return rejectSyn(segment, SteerCause::NoRoute, mayBeOpen);
     }
     const ServiceKey service = route->serviceFor(hashOf(tuple)).key;
-    const auto found = m_flows.find(tuple);
-    const HostAddress *avoided = nullptr;
-    // With an ended owner the SYN opens another flow: an entry that is kept would lead to a reset of it.
-    if (found != m_flows.end() && !m_directory.hasEnded(found->second.agent, found->second.incarnation)) {
-        Flow &flow = found->second;
-        const SteerServer *server = m_directory.find(flow.agent);
-        const bool isUsable = server != nullptr && server->acceptsNewFlows && server->service == service;
-        // A first retransmission may be due to a lost packet. A second one suggests that the server does not respond.
-        if (isUsable && segment.retransmissionCount <= 1 && isAgentResponsive(now, flow.agent)) {
-            flow.lastUsed = now;
-            return RelayToAgent{flow.agent, makeHeader(service, false), SteerCause::KnownOwner};
-        }
-        avoided = &flow.agent;
+    if (known != nullptr && isSuitableForSyn(now, *known, service, segment)) {
+        known->lastUsed = now;
+        return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
+    }
+    const SteerServer *server = chooseServer(now, service, tuple, known == nullptr ? nullptr : &known->agent);
+    if (server == nullptr && known != nullptr) {
+        // Its agent knows whether the flow exists.
+        return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
     }
-    const SteerServer *server = chooseServer(now, service, tuple, avoided);
     if (server == nullptr) {
-        return reset(segment, SteerCause::NoServer);
+        return rejectSyn(segment, SteerCause::NoServer, mayBeOpen);
     }
     m_flows[tuple] = {server->agent, server->incarnation, false, now, OwnershipSource::Placement, now};
     ++m_loads[server->agent].placedSinceNotice;
     return RelayToAgent{server->agent, makeHeader(service, false), SteerCause::Placed};
 }
 
+bool BalancerSteering::mayBeFlowOfSyn(TimePoint now, const Flow &flow) const
+{
+    return now - flow.learnedAt < maxSynDelay && !m_directory.hasEnded(flow.agent, flow.incarnation);
+}
+
+bool BalancerSteering::isSuitableForSyn(TimePoint now, const Flow &flow, ServiceKey service, const Segment &segment) const
+{
+    if (flow.source == OwnershipSource::OwnerNotice) {
+        // Even if it accepts no new flows now, since the flow may be open.
+        return now - flow.learnedAt < m_options.loadValidity || isAgentResponsive(now, flow.agent);
+    }
+    const SteerServer *server = m_directory.find(flow.agent);
+    const bool isUsable = server != nullptr && server->acceptsNewFlows && server->service == service;
+    // A first retransmission may be due to a lost packet. A second one suggests that the server does not respond.
+    return isUsable && segment.retransmissionCount <= 1 && isAgentResponsive(now, flow.agent);
+}
+
+// An earlier copy of the SYN may have opened the flow through another balancer. Its registrars may not know it yet, so that only silence is safe.
+BalancerDecision BalancerSteering::rejectSyn(const Segment &segment, SteerCause cause, bool mayBeOpen) const
+{
+    return mayBeOpen ? BalancerDecision(DropPacket{cause}) : BalancerDecision(reset(segment, cause));
+}
+
 BalancerDecision BalancerSteering::handleFlowPacket(TimePoint now, const Segment &segment)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -25,6 +25,14 @@
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAnEndedOne);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAFlowOfADrainingServer);
+    CPPUNIT_TEST(sendsALateSynToTheOwner);
+    CPPUNIT_TEST(keepsTheOwnerWhenALateSynArrives);
+    CPPUNIT_TEST(sendsALateSynToTheServerOfTheFirstOne);
+    CPPUNIT_TEST(neverResetsALateSynWithoutARoute);
+    CPPUNIT_TEST(neverResetsARetransmittedSyn);
+    CPPUNIT_TEST(neverResetsASynThatWasQueued);
+    CPPUNIT_TEST(placesTheLastCopyElsewhereWhenTheOwnerIsSilent);
+    CPPUNIT_TEST(rejectsANewFlowWithThePortsOfAnEarlierOneAtOnce);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
@@ -59,6 +67,13 @@
         return reset->cause;
     }
 
+    SteerCause dropCause(const BalancerDecision &decision) const
+    {
+        const auto *dropped = std::get_if<DropPacket>(&decision);
+        CPPUNIT_ASSERT(dropped != nullptr);
+        return dropped->cause;
+    }
+
 public:
     void dropsPacketsUntilTheConfigurationIsComplete()
     {
@@ -211,6 +226,89 @@
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(6), syn(flow(1)))) == agentAddress(2));
     }
 
+    /// The network may delay or duplicate a SYN. Guards against a reset of an open flow because its server drains and no other one is there.
+    void sendsALateSynToTheOwner()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).build());
+        for (const std::uint32_t copy : {0U, 1U, 2U}) {
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(600), syn(flow(1), copy))) == agentAddress(1));
+        }
+    }
+
+    /// Guards against packets of an open flow that go to another server after a late SYN, because the owner drains.
+    void keepsTheOwnerWhenALateSynArrives()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).server(2).build());
+        for (const std::uint32_t copy : {0U, 1U, 2U}) {
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(600), syn(flow(1), copy))) == agentAddress(1));
+        }
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(700), data(flow(1), 5))) == agentAddress(1));
+    }
+
+    /// The server of the first copy may have opened the flow without a notice to the balancer. Guards against a reset when it drains.
+    void sendsALateSynToTheServerOfTheFirstOne()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(200), syn(flow(1), 1))) == agentAddress(1));
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(300), syn(flow(1), 0))) == agentAddress(1));
+    }
+
+    /// Another balancer may have the route already. Guards against a reset of the flow, and against a SYN on a removed route that reaches a server.
+    void neverResetsALateSynWithoutARoute()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.decide(m_now, syn(flow(1)));
+        steering.update(m_now, snapshots.route(feedAddress, "").build());
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now + milliseconds(100), syn(flow(1), 0))) == SteerCause::NoRoute);
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now + milliseconds(200), syn(flow(2), 1))) == SteerCause::NoRoute);
+    }
+
+    /// An earlier copy may have opened the flow through another balancer. Its owner may have reached no registrar yet, so only silence is safe.
+    void neverResetsARetransmittedSyn()
+    {
+        BalancerSteering steering = this->steering(Snapshots().server(1, "feed", ServerAvailability::Draining));
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now, syn(flow(1), 1))) == SteerCause::NoServer);
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now, syn(flow(1), 2))) == SteerCause::NoServer);
+    }
+
+    /// While a SYN waits for the configuration of a balancer, a copy of it may open the flow through another one.
+    void neverResetsASynThatWasQueued()
+    {
+        BalancerSteering steering = this->steering(Snapshots().route(vaultAddress, "").server(1, "feed", ServerAvailability::Draining));
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now, syn(flow(1)), PacketArrival::Queued)) == SteerCause::NoServer);
+        CPPUNIT_ASSERT(dropCause(steering.decide(m_now, syn(flow(1, vaultAddress)), PacketArrival::Queued)) == SteerCause::NoRoute);
+    }
+
+    /// An owner that has sent a notice once may be down now, with a SYN-ACK that was lost.
+    void placesTheLastCopyElsewhereWhenTheOwnerIsSilent()
+    {
+        BalancerSteering steering = this->steering(Snapshots().server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(2), syn(flow(1), 2))) == agentAddress(2));
+    }
+
+    /// Guards against callers that wait because an earlier flow with the same ports is still in the flow table.
+    void rejectsANewFlowWithThePortsOfAnEarlierOneAtOnce()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).build());
+        CPPUNIT_ASSERT(resetCause(steering.decide(m_now + seconds(6), syn(flow(1)))) == SteerCause::NoServer);
+    }
+
     /// The owner notice of a new server may arrive before the list that contains this server.
     void keepsFlowsOfAServerThatIsNewerThanTheList()
     {
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -102,12 +102,12 @@
 {
     const TimePoint now = m_clock.now();
     for (std::size_t index = 0; index < count; ++index) {
-        handlePacket(now, m_reader.withHeadroom(index));
+        handlePacket(now, m_reader.withHeadroom(index), PacketArrival::JustNow);
     }
     flush();
 }
 
-void BalancerTraffic::handlePacket(TimePoint now, std::span<std::uint8_t> datagram)
+void BalancerTraffic::handlePacket(TimePoint now, std::span<std::uint8_t> datagram, PacketArrival arrival)
 {
     const auto packet = datagram.subspan(steerHeaderLength);
     const auto segment = m_codec.decode(packet);
@@ -138,7 +138,7 @@
             logDrop(traffic.m_logger, decision, segment, traffic.m_steering.directory().routes().version());
         }
     };
-    std::visit(Visitor{*this, *segment, datagram}, m_steering.decide(now, *segment));
+    std::visit(Visitor{*this, *segment, datagram}, m_steering.decide(now, *segment, arrival));
 }
 
 void BalancerTraffic::releaseStartupQueue()
@@ -149,7 +149,7 @@
     while (const auto packet = m_startupQueue.popOldest(now)) {
         datagram.assign(steerHeaderLength, 0);
         datagram.insert(datagram.end(), packet->begin(), packet->end());
-        handlePacket(now, datagram);
+        handlePacket(now, datagram, PacketArrival::Queued);
         flush();
     }
     if (queuedCount > 0) {
