Never reset a late SYN at an agent

What callers would see: an open flow is reset (not-accepted, no-route) because a retransmitted SYN was placed on or redirected to a server that does not take it. Or a registrar forgets the owner of an open flow: a late SYN with two redirects was passed to its local server and replaced the entry.

Cause: as at the balancers, a SYN that could not be served was answered as if it opened a flow. An entry of a remote flow counted only while the SYN had hops left.

Change: a retransmission that cannot be served is dropped, with the same cause.

Evidence: of 96 steering tests three failed before: neverResetsARetransmittedSyn ('holds_alternative<DropPacket>(refused)'), keepsTheOwnerOfARemoteFlowWhenALateSynArrives ('holds_alternative<DropPacket>(...redirected, syn...)') and opensANewFlowWithThePortsOfARemoteFlow ('holds_alternative<DeliverToServer>(... syn ...)'). Now all 96 pass.

Not covered: a first copy that waited in a balancer's startup queue is not marked as such on the way, so an agent that can't place it resets the caller. Packets wait there for 600 ms at most.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -200,8 +200,12 @@
     /// Handles a caller's packet that is not a SYN.
     AgentDecision handleFlowPacket(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
     AgentDecision deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
-    /// Redirects a SYN to the best other server of its service, or resets the caller after too many attempts.
+    /// Redirects a SYN to the best other server of its service, or rejects it after too many attempts.
     AgentDecision redirectSyn(const SteerHeader &header, const Segment &segment, SteerCause cause) const;
+    /// True if a SYN that arrives now may be a copy of the one that opened this flow at another server, which has not ended.
+    bool mayBeRemoteFlowOfSyn(TimePoint now, const Flow &flow) const;
+    /// Resets the caller for a first SYN, and drops a retransmission.
+    AgentDecision rejectSyn(const Segment &segment, SteerCause cause) const;
     /// Forwards a packet whose owner is unknown to the next agent of the owner lookup, or ends the lookup.
     AgentDecision continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const;
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -106,10 +106,11 @@
         if (isLocalFlow(flow)) {
             return deliver(now, flow, header, segment, notices);
         }
-        if (flow.state == FlowState::Remote && header.hops < maxSynHops) {
+        if (mayBeRemoteFlowOfSyn(now, flow)) {
             SteerHeader next = header;
             ++next.hops;
-            return RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner};
+            return header.hops < maxSynHops ? AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner})
+                                            : AgentDecision(DropPacket{SteerCause::TooManyHops});
         }
     }
     const std::uint64_t localTableVersion = m_directory.routes().version();
@@ -119,7 +120,7 @@
         return DropPacket{SteerCause::StaleRouteTable};
     }
     if (localTableVersion >= header.routeTableVersion && m_directory.routes().find(tuple.service) == nullptr) {
-        return reset(segment, SteerCause::NoRoute);
+        return rejectSyn(segment, SteerCause::NoRoute);
     }
     if (!m_server || header.service != m_server->service || !isRoutedToLocalServer(header, tuple)) {
         return redirectSyn(header, segment, SteerCause::NotAccepted);
@@ -169,7 +170,18 @@
             }
         }
     }
-    return reset(segment, SteerCause::NotAccepted);
+    return rejectSyn(segment, SteerCause::NotAccepted);
+}
+
+bool AgentSteering::mayBeRemoteFlowOfSyn(TimePoint now, const Flow &flow) const
+{
+    return flow.state == FlowState::Remote && now - flow.remoteLearnedAt < maxSynDelay && !m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation);
+}
+
+// An earlier copy of the SYN may have opened the flow at another server. Its registrars may not know it yet, so that only silence is safe.
+AgentDecision AgentSteering::rejectSyn(const Segment &segment, SteerCause cause) const
+{
+    return segment.retransmissionCount > 0 ? AgentDecision(DropPacket{cause}) : AgentDecision(reset(segment, cause));
 }
 
 AgentDecision AgentSteering::handleFlowPacket(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_TEST(redirectsSynsWhileDraining);
     CPPUNIT_TEST(redirectsASynThatTheServerRejects);
     CPPUNIT_TEST(resetsTheCallerAfterTwoRedirects);
+    CPPUNIT_TEST(neverResetsARetransmittedSyn);
+    CPPUNIT_TEST(keepsTheOwnerOfARemoteFlowWhenALateSynArrives);
+    CPPUNIT_TEST(opensANewFlowWithThePortsOfARemoteFlow);
     CPPUNIT_TEST(resetsTheCallerOfARemovedRoute);
     CPPUNIT_TEST(acceptsSynsOfABalancerWithANewerRouteTable);
     CPPUNIT_TEST(dropsSynsOfABalancerWithAStaleRouteTable);
@@ -530,6 +533,50 @@
         CPPUNIT_ASSERT(std::get<ResetCaller>(decision).cause == SteerCause::NotAccepted);
     }
 
+    /// An earlier copy may have opened the flow at another server. Guards against a reset because the local server drains or the route is missing here.
+    void neverResetsARetransmittedSyn()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1));
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, false, 3}, false);
+        const AgentDecision refused = agent.handleCallerPacket(m_now, header(), syn(flow(1), 1), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(refused));
+        CPPUNIT_ASSERT(std::get<DropPacket>(refused).cause == SteerCause::NotAccepted);
+        agent.update(m_now, snapshots.route(feedAddress, "").build());
+        const AgentDecision withoutRoute = agent.handleCallerPacket(m_now, header(), syn(flow(1), 1), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(withoutRoute));
+        CPPUNIT_ASSERT(std::get<DropPacket>(withoutRoute).cause == SteerCause::NoRoute);
+    }
+
+    /// A SYN may have been redirected twice before it reaches a registrar. Guards against a reset of the flow, and against a registrar that forgets
+    /// the owner because it passes the SYN to its own server.
+    void keepsTheOwnerOfARemoteFlowWhenALateSynArrives()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        SteerHeader redirected = header();
+        redirected.hops = 2;
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices)));
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        agent.update(m_now, snapshots.route(feedAddress, "").build());
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices)));
+    }
+
+    /// Guards against new flows that follow an earlier flow with the same ports to its server, which may have ended.
+    void opensANewFlowWithThePortsOfARemoteFlow()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(2), {102}});
+        agent.update(m_now, snapshots.incarnation(3, 777).build());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, header(), syn(flow(2)), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now + seconds(6), header(), syn(flow(2)), m_notices)));
+    }
+
     /// A balancer with an older route table must not open flows on a route that was removed.
     void resetsTheCallerOfARemovedRoute()
     {
