Keep an open flow whose server rejects a late SYN

What callers would see: an open flow is reset (server-replaced) by its agent although the server holds it.

Cause: an agent delivers a late SYN of an open flow to its server. A server rejects a SYN that it can't accept, and the agent took any rejected packet of an open flow as proof that the server has lost the flow. Whether servers reject the SYN of a flow that they hold is not known; the protocol does not exclude it.

Change: only later packets of the flow are such proof.

Evidence: keepsAnOpenFlowWhenItsServerRejectsALateSyn failed before ('holds_alternative<DropPacket>(agent.handleServerPacket(... rejected(syn ...)))', 1 of 97). Now all 97 steering tests pass.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -463,6 +463,11 @@
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
     }
     case FlowState::Open:
+        if (segment.isSyn) {
+            // The server may hold the flow and reject only the copy of its SYN. Later the SYN opens another flow with the same ports.
+            return now - flow.openedAt < maxSynDelay ? AgentDecision(DropPacket{SteerCause::NotAccepted})
+                                                     : redirectSyn(header, segment, SteerCause::NotAccepted);
+        }
         if (!flow.isConfirmedByServer) {
             // The packet has acknowledged the SYN-ACK of another server, which owns the flow.
             removeFromCounts(flow);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(neverResetsARetransmittedSyn);
     CPPUNIT_TEST(keepsTheOwnerOfARemoteFlowWhenALateSynArrives);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfARemoteFlow);
+    CPPUNIT_TEST(keepsAnOpenFlowWhenItsServerRejectsALateSyn);
     CPPUNIT_TEST(resetsTheCallerOfARemovedRoute);
     CPPUNIT_TEST(acceptsSynsOfABalancerWithANewerRouteTable);
     CPPUNIT_TEST(dropsSynsOfABalancerWithAStaleRouteTable);
@@ -577,6 +578,24 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now + seconds(6), header(), syn(flow(2)), m_notices)));
     }
 
+    /// A server may reject a copy of the SYN while it is full. Guards against a reset of the flow, which it still holds.
+    void keepsAnOpenFlowWhenItsServerRejectsALateSyn()
+    {
+        for (const bool hasServerAnswered : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+            openFlow(agent, flow(1));
+            if (hasServerAnswered) {
+                agent.handleServerPacket(m_now, fromServer(flow(1)), m_notices);
+            }
+            CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), syn(flow(1), 1), m_notices)));
+            CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(syn(flow(1), 1)), m_notices)));
+            CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+            // A new flow with the ports of an earlier one, which the agent still lists as open.
+            const AgentDecision decision = agent.handleServerPacket(m_now + seconds(6), rejected(syn(flow(1))), m_notices);
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        }
+    }
+
     /// A balancer with an older route table must not open flows on a route that was removed.
     void resetsTheCallerOfARemovedRoute()
     {
