Ask a registrar if a notice may belong to another flow

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves, because an owner notice of an earlier flow with the same addresses and ports arrived late, or because a SYN opened another flow after the notice.

Cause: a balancer took the last notice for the owner of the open flow, and a notice names no flow but the addresses and ports. If that server had ended, or ended later, the balancer reset the caller alone.

Change: a balancer resets alone only if the owner has ended after its notice, no SYN has followed the notice, and no earlier notice named another owner. In all other cases it asks a registrar, and the end of that lookup decides. A notice about a server that has ended already is ignored.

Weighed: a number in the notice that identifies the flow, such as the caller's acknowledgement. It would also cover the case below, but needs a third form of the notice beside the two that old and new processes exchange, and a window that grows with the bytes of a long flow. Never to reset at a balancer: each reset would need a registrar, also the many after a server has been replaced. The price of this change is one more hop for the resets concerned.

Not covered: a late notice about a server that still runs replaces the entry of a SYN without a notice of its own; if that server then ends before the owner's notice corrects the entry, the flow is reset.

--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -97,7 +97,8 @@
     struct Flow {
         HostAddress agent; ///< agent of the server that owns the flow
         Incarnation incarnation; ///< incarnation of that server; 0 if unknown
-        /// The owner has sent its incarnation. Otherwise the SYN went to this agent, and another server may have opened the flow.
+        /// The owner has sent its incarnation, and neither a SYN nor an earlier notice points to another flow with the same addresses and ports.
+        /// Otherwise another server may own the flow, and the registrars decide whether it has ended.
         bool isConfirmed = false;
         TimePoint lastUsed{};
         OwnershipSource source = OwnershipSource::Placement;
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -66,11 +66,14 @@
     const ServiceKey service = route->serviceFor(hashOf(tuple)).key;
     if (known != nullptr && isSuitableForSyn(now, *known, service, segment)) {
         known->lastUsed = now;
+        // Its agent may redirect the SYN if it opens another flow.
+        known->isConfirmed = false;
         return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
     }
     const SteerServer *server = chooseServer(now, service, tuple, known == nullptr ? nullptr : &known->agent);
     if (server == nullptr && known != nullptr) {
         // Its agent knows whether the flow exists.
+        known->isConfirmed = false;
         return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
     }
     if (server == nullptr) {
@@ -212,7 +215,17 @@
 
 void BalancerSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    m_flows[notice.tuple] = {notice.owner, notice.incarnation, notice.incarnation != Incarnation(), now, OwnershipSource::OwnerNotice, now};
+    if (m_directory.hasEnded(notice.owner, notice.incarnation)) {
+        // It may belong to an earlier flow with the same addresses and ports. The registrars know whether this flow has ended.
+        return;
+    }
+    Flow &flow = m_flows[notice.tuple];
+    const bool isFirstNotice = flow.source != OwnershipSource::OwnerNotice;
+    const bool areIncarnationsKnown = flow.incarnation != Incarnation() && notice.incarnation != Incarnation();
+    const bool isSameOwner = flow.agent == notice.owner && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
+    // Notices that name different owners belong to different flows, and may arrive in any order.
+    const bool isConfirmed = notice.incarnation != Incarnation() && (isFirstNotice || isSameOwner);
+    flow = {notice.owner, notice.incarnation, isConfirmed, now, OwnershipSource::OwnerNotice, now};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -33,6 +33,9 @@
     CPPUNIT_TEST(neverResetsASynThatWasQueued);
     CPPUNIT_TEST(placesTheLastCopyElsewhereWhenTheOwnerIsSilent);
     CPPUNIT_TEST(rejectsANewFlowWithThePortsOfAnEarlierOneAtOnce);
+    CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
+    CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
+    CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
@@ -309,6 +312,47 @@
         CPPUNIT_ASSERT(resetCause(steering.decide(m_now + seconds(6), syn(flow(1)))) == SteerCause::NoServer);
     }
 
+    /// The notice belongs to an earlier flow with the same addresses and ports. Guards against a reset of the open one.
+    void ignoresANoticeAboutAnEndedServer()
+    {
+        for (const bool isDeregistered : {false, true}) {
+            Snapshots snapshots;
+            BalancerSteering steering = this->steering(snapshots.server(1).server(3, "vault"));
+            steering.decide(m_now, syn(flow(1)));
+            steering.update(m_now, (isDeregistered ? snapshots.deregistered(3) : snapshots.incarnation(3, 777)).build());
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
+        }
+    }
+
+    /// Two notices that name different owners belong to two flows, and the later one may be the older. Guards against a reset of the open flow when the
+    /// server of the other one ends.
+    void asksARegistrarAfterContradictoryNotices()
+    {
+        for (const HostAddress &contradictory : {agentAddress(1), agentAddress(3)}) {
+            Snapshots snapshots;
+            BalancerSteering steering = this->steering(snapshots.server(1).server(2).server(3));
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), contradictory, {contradictory == agentAddress(1) ? 99U : 103U}});
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+            steering.update(m_now, snapshots.incarnation(1, 777).build());
+            const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
+            CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
+        }
+    }
+
+    /// The SYN may have opened another flow at another server. Guards against a reset of it when the server of the earlier flow ends.
+    void asksARegistrarIfASynFollowedTheNotice()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(1), syn(flow(1)))) == agentAddress(1));
+        steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
+        const BalancerDecision decision = steering.decide(m_now + seconds(2), data(flow(1), 55));
+        CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+    }
+
     /// The owner notice of a new server may arrive before the list that contains this server.
     void keepsFlowsOfAServerThatIsNewerThanTheList()
     {
