--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -42,7 +42,7 @@
     m_directory.update(now, snapshot);
 }
 
-BalancerDecision BalancerSteering::decide(TimePoint now, const Segment &segment)
+BalancerDecision BalancerSteering::decide(TimePoint now, const Segment &segment, PacketArrival arrival)
 {
     if (!isReady()) {
         return DropPacket{SteerCause::NotReady};
@@ -50,39 +50,63 @@
     if (segment.isRejected || (segment.isSyn && segment.isAck)) {
         return DropPacket{SteerCause::Spoofed};
     }
-    return segment.isSyn ? handleSyn(now, segment) : handleFlowPacket(now, segment);
+    return segment.isSyn ? handleSyn(now, segment, arrival) : handleFlowPacket(now, segment);
 }
 
-BalancerDecision BalancerSteering::handleSyn(TimePoint now, const Segment &segment)
+BalancerDecision BalancerSteering::handleSyn(TimePoint now, const Segment &segment, PacketArrival arrival)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
+    const auto found = m_flows.find(tuple);
+    Flow *known = found != m_flows.end() && mayBeFlowOfSyn(now, found->second) ? &found->second : nullptr;
+    const bool mayBeOpen = known != nullptr || segment.retransmissionCount > 0 || arrival == PacketArrival::Queued;
     const Route *route = m_directory.routes().find(tuple.service);
     if (route == nullptr) {
-        return reset(segment, SteerCause::NoRoute);
+        return rejectSyn(segment, SteerCause::NoRoute, mayBeOpen);
     }
     const ServiceKey service = route->serviceFor(hashOf(tuple)).key;
-    const auto found = m_flows.find(tuple);
-    const HostAddress *avoided = nullptr;
-    if (found != m_flows.end()) {
-        Flow &flow = found->second;
-        const SteerServer *server = m_directory.find(flow.agent);
-        const bool isUsable = server != nullptr && server->acceptsNewFlows && server->service == service;
-        // A first retransmission may be due to a lost packet. A second one suggests that the server does not respond.
-        if (isUsable && segment.retransmissionCount <= 1 && isAgentResponsive(now, flow.agent)) {
-            flow.lastUsed = now;
-            return RelayToAgent{flow.agent, makeHeader(service, false), SteerCause::KnownOwner};
-        }
-        avoided = &flow.agent;
+    if (known != nullptr && isSuitableForSyn(now, *known, service, segment)) {
+        known->lastUsed = now;
+        // Its agent may redirect the SYN if it opens another flow.
+        known->isConfirmed = false;
+        return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
+    }
+    const SteerServer *server = chooseServer(now, service, tuple, known == nullptr ? nullptr : &known->agent);
+    if (server == nullptr && known != nullptr) {
+        // Its agent knows whether the flow exists.
+        known->isConfirmed = false;
+        return RelayToAgent{known->agent, makeHeader(service, false), SteerCause::KnownOwner};
     }
-    const SteerServer *server = chooseServer(now, service, tuple, avoided);
     if (server == nullptr) {
-        return reset(segment, SteerCause::NoServer);
+        return rejectSyn(segment, SteerCause::NoServer, mayBeOpen);
     }
     m_flows[tuple] = {server->agent, server->incarnation, false, now, OwnershipSource::Placement, now};
     ++m_loads[server->agent].placedSinceNotice;
     return RelayToAgent{server->agent, makeHeader(service, false), SteerCause::Placed};
 }
 
+bool BalancerSteering::mayBeFlowOfSyn(TimePoint now, const Flow &flow) const
+{
+    return now - flow.learnedAt < maxSynDelay && !m_directory.hasEnded(flow.agent, flow.incarnation);
+}
+
+bool BalancerSteering::isSuitableForSyn(TimePoint now, const Flow &flow, ServiceKey service, const Segment &segment) const
+{
+    if (flow.source == OwnershipSource::OwnerNotice) {
+        // Even if it accepts no new flows now, since the flow may be open.
+        return now - flow.learnedAt < m_options.loadValidity || isAgentResponsive(now, flow.agent);
+    }
+    const SteerServer *server = m_directory.find(flow.agent);
+    const bool isUsable = server != nullptr && server->acceptsNewFlows && server->service == service;
+    // A first retransmission may be due to a lost packet. A second one suggests that the server does not respond.
+    return isUsable && segment.retransmissionCount <= 1 && isAgentResponsive(now, flow.agent);
+}
+
+// An earlier copy of the SYN may have opened the flow through another balancer. Its registrars may not know it yet, so that only silence is safe.
+BalancerDecision BalancerSteering::rejectSyn(const Segment &segment, SteerCause cause, bool mayBeOpen) const
+{
+    return mayBeOpen ? BalancerDecision(DropPacket{cause}) : BalancerDecision(reset(segment, cause));
+}
+
 BalancerDecision BalancerSteering::handleFlowPacket(TimePoint now, const Segment &segment)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
@@ -191,7 +215,17 @@
 
 void BalancerSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    m_flows[notice.tuple] = {notice.owner, notice.incarnation, notice.incarnation != Incarnation(), now, OwnershipSource::OwnerNotice, now};
+    if (m_directory.hasEnded(notice.owner, notice.incarnation)) {
+        // It may belong to an earlier flow with the same addresses and ports. The registrars know whether this flow has ended.
+        return;
+    }
+    Flow &flow = m_flows[notice.tuple];
+    const bool isFirstNotice = flow.source != OwnershipSource::OwnerNotice;
+    const bool areIncarnationsKnown = flow.incarnation != Incarnation() && notice.incarnation != Incarnation();
+    const bool isSameOwner = flow.agent == notice.owner && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
+    // Notices that name different owners belong to different flows, and may arrive in any order.
+    const bool isConfirmed = notice.incarnation != Incarnation() && (isFirstNotice || isSameOwner);
+    flow = {notice.owner, notice.incarnation, isConfirmed, now, OwnershipSource::OwnerNotice, now};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
