--- a/include/jujubequay/flow/agent_ingress.h
+++ b/include/jujubequay/flow/agent_ingress.h
@@ -4,6 +4,7 @@
 #include <jujubequay/flow/initial_packet_table.h>
 #include <jujubequay/wire/relay_header.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <span>
@@ -17,9 +18,10 @@
     StaleIncarnation, ///< the header names an earlier incarnation of this agent
     NotForAgents, ///< the relay kind is one that only balancers accept
     NotInitial, ///< the header announces an Initial packet, but the datagram has no long QUIC header
-    Draining, ///< an Initial packet reached a draining server and cannot be redirected
 };
 
+constexpr std::size_t ingressDropCauseCount = static_cast<std::size_t>(IngressDropCause::NotInitial) + 1;
+
 std::string_view ingressDropCauseName(IngressDropCause cause);
 
 /// The datagram is passed to the local QUIC server.
--- a/include/jujubequay/service/agent_path.h
+++ b/include/jujubequay/service/agent_path.h
@@ -47,7 +47,7 @@
     std::atomic<std::uint64_t> replies{0}; ///< datagrams for callers that were sent to balancers
     std::atomic<std::uint64_t> unsentDatagrams{0}; ///< relayed datagrams that the socket failed to send
     std::atomic<std::uint64_t> noReturnPath{0}; ///< datagrams for callers that were dropped because no return path is known
-    std::array<std::atomic<std::uint64_t>, 5> dropped{}; ///< dropped relayed datagrams by IngressDropCause
+    std::array<std::atomic<std::uint64_t>, ingressDropCauseCount> dropped{}; ///< dropped relayed datagrams by IngressDropCause
     std::array<std::atomic<std::uint64_t>, 5> invalidRelays{}; ///< invalid relayed datagrams by RelayError
 };
 
--- a/src/jujubequay/flow/agent_ingress.cpp
+++ b/src/jujubequay/flow/agent_ingress.cpp
@@ -8,12 +8,11 @@
 
 namespace {
 
-constexpr NameTable<IngressDropCause, 5> ingressDropCauseNames{{{
+constexpr NameTable<IngressDropCause, ingressDropCauseCount> ingressDropCauseNames{{{
     {IngressDropCause::WrongService, "wrong-service"},
     {IngressDropCause::StaleIncarnation, "stale-incarnation"},
     {IngressDropCause::NotForAgents, "not-for-agents"},
     {IngressDropCause::NotInitial, "not-an-opening"},
-    {IngressDropCause::Draining, "draining"},
 }}};
 
 bool hasSecondChoice(const RelayHeader &header)
