Claim a flow only when its handshake has ended

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves. A SYN was answered by two servers, one of them after a redirect; the other one opened the flow; the first one's server ended before the next packet.

Cause: the agent of a redirected SYN sends its notice with the SYN-ACK, so that the balancer finds it, and this notice stated the incarnation like that of an owner. A balancer took it as confirmed, and reset the flow alone.

The registrars still get theirs with the incarnation when the handshake has ended. A balancer takes the incarnation from its server list then, as it does for a SYN that it has placed, and asks a registrar when this one has ended. Before, packets after such a notice went to the agent of a server that had deregistered itself, where nobody answers.

Evidence: of 102 steering tests two failed before: claimsNoFlowBeforeItsHandshakeHasEnded ('m_notices[0].notice.incarnation == Incarnation()') and asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded ('relayAgent(...) == agentAddress(2)'). Now all 102 pass.

Ruled out: no notice with the SYN-ACK. The caller's next packet would go to the server that has redirected the SYN, and through a lookup.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -413,7 +413,8 @@
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
             if (flow.header.hops > 0) {
-                notices.push_back(noticeToBalancer(flow.header, tuple));
+                // Without an incarnation: another server may have answered, too, and own the flow.
+                notices.push_back({flow.header.balancer, {tuple, m_options.agent, {}}});
             }
         }
         flow.serverInitialSequence = segment.sequence;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(keepsTheOwnerOfARemoteFlowWhenALateSynArrives);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfARemoteFlow);
     CPPUNIT_TEST(keepsAnOpenFlowWhenItsServerRejectsALateSyn);
+    CPPUNIT_TEST(claimsNoFlowBeforeItsHandshakeHasEnded);
     CPPUNIT_TEST(resetsTheCallerOfARemovedRoute);
     CPPUNIT_TEST(acceptsSynsOfABalancerWithANewerRouteTable);
     CPPUNIT_TEST(dropsSynsOfABalancerWithAStaleRouteTable);
@@ -596,6 +597,24 @@
         }
     }
 
+    /// Two servers may answer the copies of a SYN, and the caller opens the flow at one of them. Guards against a balancer that takes the other one for
+    /// the owner, and resets the open flow when that server ends.
+    void claimsNoFlowBeforeItsHandshakeHasEnded()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        SteerHeader redirected = header();
+        redirected.hops = 1;
+        redirected.acceptsIncarnations = true;
+        agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices);
+        agent.handleServerPacket(m_now, synAck(flow(1), 1000), m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_notices.size());
+        CPPUNIT_ASSERT(m_notices[0].destination == balancerAddress(1));
+        CPPUNIT_ASSERT(m_notices[0].notice.incarnation == Incarnation());
+        agent.handleCallerPacket(m_now, redirected, data(flow(1), 1001), m_notices);
+        CPPUNIT_ASSERT(m_notices.back().destination == balancerAddress(1));
+        CPPUNIT_ASSERT_EQUAL(101U, m_notices.back().notice.incarnation.value);
+    }
+
     /// A balancer with an older route table must not open flows on a route that was removed.
     void resetsTheCallerOfARemovedRoute()
     {
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -225,7 +225,9 @@
     const bool isSameOwner = flow.agent == notice.owner && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
     // Notices that name different owners belong to different flows, and may arrive in any order.
     const bool isConfirmed = notice.incarnation != Incarnation() && (isFirstNotice || isSameOwner);
-    flow = {notice.owner, notice.incarnation, isConfirmed, now, OwnershipSource::OwnerNotice, now};
+    const SteerServer *listed = m_directory.find(notice.owner);
+    const Incarnation listedIncarnation = listed == nullptr ? Incarnation() : listed->incarnation;
+    flow = {notice.owner, notice.incarnation == Incarnation() ? listedIncarnation : notice.incarnation, isConfirmed, now, OwnershipSource::OwnerNotice, now};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
+    CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
@@ -353,6 +354,18 @@
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
     }
 
+    /// The server has answered the SYN, and its notice states no incarnation. Guards against packets that are sent to its agent after the server
+    /// has ended, where nobody answers.
+    void asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1)});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
+        steering.update(m_now, snapshots.deregistered(1).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(2));
+    }
+
     /// The owner notice of a new server may arrive before the list that contains this server.
     void keepsFlowsOfAServerThatIsNewerThanTheList()
     {
