Look the owner up if a registrar's notices contradict each other

What callers would see: an open flow is reset by a registrar (server-replaced) while its server serves, because a late owner notice of an earlier flow with the same addresses and ports has replaced the right one.

Cause: a registrar took its last notice for that of the open flow, as the balancers did.

Change: a registrar ignores a notice about a server that has ended. After notices with different owners it resets no caller alone when the last one has ended, but continues the lookup; if no server has the flow, the lookup ends with a reset (unknown-flow). The mark stays for the life of the entry, since notices to registrars are repeated.

Evidence: of 104 steering tests two failed before with a reset ('!std::holds_alternative<ResetCaller>(decision)'): registrarIgnoresANoticeAboutAnEndedServer and registrarLooksForTheOwnerAfterContradictoryNotices. Now all 104 pass; registrarResetsFlowsOfAReplacedServer is unchanged.

Not covered: the only notice of a registrar is about an earlier flow, its server has ended, and the notice of the open flow is still on its way.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -184,6 +184,8 @@
         HostAddress remoteAgent; ///< agent of the owner of a remote flow
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
+        /// Notices have named different owners. Whether the flow of a packet has ended is then decided by an owner lookup.
+        bool isContested = false;
         ResetEvidence evidence; ///< set for orphaned flows
         bool hasPendingRequest = false; ///< the server has not responded to the caller's last data yet
         TimePoint requestSentAt{};
@@ -213,6 +215,8 @@
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
+    /// True if the owner in the notice is not the only one that was named for the addresses and ports of this flow.
+    static bool contradicts(const OwnerNotice &notice, const Flow &flow);
     static AgentDecision resetOrphanedFlow(const Segment &segment, const Flow &flow);
     /// Reset of the caller of `segment`, with what is known about the flow.
     ResetCaller reset(const Segment &segment, SteerCause cause) const;
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -218,6 +218,9 @@
     case FlowState::Remote: {
         flow.lastUsed = now;
         if (m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation)) {
+            if (flow.isContested) {
+                return continueLookup(now, header, segment);
+            }
             orphan(now, flow);
             return resetOrphanedFlow(segment, flow);
         }
@@ -488,13 +491,15 @@
 
 void AgentSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    if (notice.owner == m_options.agent) {
+    // A notice about an ended server may belong to an earlier flow with the same addresses and ports.
+    if (notice.owner == m_options.agent || m_directory.hasEnded(notice.owner, notice.incarnation)) {
         return;
     }
     const auto found = m_flows.find(notice.tuple);
     if (found != m_flows.end() && found->second.state == FlowState::Open) {
         return;
     }
+    const bool isContested = found != m_flows.end() && contradicts(notice, found->second);
     if (found != m_flows.end()) {
         removeFromCounts(found->second);
     }
@@ -504,9 +509,18 @@
     flow.remoteAgent = notice.owner;
     flow.remoteIncarnation = notice.incarnation;
     flow.remoteLearnedAt = now;
+    flow.isContested = isContested;
     flow.lastUsed = now;
 }
 
+// Notices that name different owners belong to different flows, and may arrive in any order.
+bool AgentSteering::contradicts(const OwnerNotice &notice, const Flow &flow)
+{
+    const bool areIncarnationsKnown = flow.remoteIncarnation != Incarnation() && notice.incarnation != Incarnation();
+    const bool isOtherIncarnation = areIncarnationsKnown && flow.remoteIncarnation != notice.incarnation;
+    return flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
+}
+
 // Flows that are idle for longer than the idle timeout need not be kept, so after that time this agent has observed all other flows.
 bool AgentSteering::isFlowTableComplete(TimePoint now) const
 {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(forwardsPacketsOfARemoteFlowToItsOwner);
     CPPUNIT_TEST(registrarResetsFlowsOfAReplacedServer);
     CPPUNIT_TEST(registrarKeepsFlowsOfAServerThatIsNewerThanItsList);
+    CPPUNIT_TEST(registrarIgnoresANoticeAboutAnEndedServer);
+    CPPUNIT_TEST(registrarLooksForTheOwnerAfterContradictoryNotices);
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
@@ -337,6 +339,35 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
     }
 
+    /// The notice belongs to an earlier flow with the same addresses and ports. Guards against a reset of the open one.
+    void registrarIgnoresANoticeAboutAnEndedServer()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(2), {102}});
+        agent.update(m_now, snapshots.incarnation(3, 777).build());
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
+
+    /// Two notices that name different owners belong to two flows, and the later one may be the older. Guards against a reset of the open flow when the
+    /// server of the other one ends.
+    void registrarLooksForTheOwnerAfterContradictoryNotices()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+    }
+
     /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
     void looksForTheOwnerIfItsIncarnationIsUnknown()
     {
