--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -175,6 +175,7 @@
 
 jujubequay_module(steering
     SOURCES
+        agent_owner_lookup.cpp
         agent_steering.cpp
         balancer_steering.cpp
         flow_ownership.cpp
--- /dev/null
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -0,0 +1,80 @@
+#include <jujubequay/steering/agent_steering.h>
+
+#include <algorithm>
+
+// The owner lookup of AgentSteering.
+
+namespace Jujubequay {
+
+AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
+{
+    const FlowTuple tuple = flowTupleFromCaller(segment);
+    SteerHeader next = header;
+    ++next.hops;
+    next.isLookupPartial = header.isLookupPartial || !isServerListStable(now);
+    if (next.hops > m_options.maxHops) {
+        return DropPacket{SteerCause::TooManyHops};
+    }
+    const auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, next);
+    next.wantsOwnerNotice = true;
+    if (agent) {
+        return RelayToAgent{*agent, next, SteerCause::OwnerLookup};
+    }
+    // All servers have been tried. The caller should not have to wait for a flow that has no owner.
+    if (segment.isRst) {
+        return DropPacket{SteerCause::UnknownFlow};
+    }
+    if (next.isLookupPartial) {
+        // Bounded, since the server list of a host on the path may stay incomplete.
+        return header.lookupRetries < maxLookupRetries ? AgentDecision(HoldLookup{next}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
+    }
+    return reset(segment, SteerCause::UnknownFlow);
+}
+
+// Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
+// other agents as registrars.
+std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const
+{
+    if (next.lookupPhase == LookupPhase::AllServers) {
+        return m_directory.nextAgent(tuple, m_options.agent);
+    }
+    const std::vector<FlowRegistrar> registrars = m_directory.registrars(tuple);
+    if (registrars.empty()) {
+        return std::nullopt;
+    }
+    const auto isOtherAgent = [this](const FlowRegistrar &registrar) {
+        return registrar.agent != m_options.agent;
+    };
+    if (!isLookup && isOtherAgent(registrars.front())) {
+        // The balancer has sent the packet here because it assumes that the local server owns the flow.
+        next.lookupPhase = LookupPhase::FirstRegistrar;
+        return registrars.front().agent;
+    }
+    if (next.lookupPhase == LookupPhase::FirstRegistrar && registrars.size() > 1 && isOtherAgent(registrars.back())) {
+        next.lookupPhase = LookupPhase::SecondRegistrar;
+        return registrars.back().agent;
+    }
+    next.lookupPhase = LookupPhase::AllServers;
+    // The first registrar ranks best.
+    return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
+}
+
+// Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
+// before that.
+AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
+{
+    SteerHeader restarted = header;
+    restarted.hops = 0;
+    restarted.isLookupPartial = false;
+    restarted.lookupPhase = LookupPhase::FirstRegistrar;
+    restarted.lookupRetries = static_cast<std::uint8_t>(std::min<unsigned>(header.lookupRetries + 1U, maxLookupRetries));
+    const auto registrar = m_directory.firstRegistrar(flowTupleFromCaller(segment));
+    const bool mayOwnFlow = m_server && !isFlowTableComplete(now);
+    if (!mayOwnFlow && registrar && *registrar != m_options.agent) {
+        restarted.wantsOwnerNotice = true;
+        return RelayToAgent{*registrar, restarted, SteerCause::OwnerLookup};
+    }
+    return handleCallerPacket(now, restarted, segment, notices);
+}
+
+}
