Keep the handshake of a flow when a registrar gets a notice about another

What callers would see: requests on a flow that has just been opened are not answered, or the flow is reset (server-replaced), because a late notice of an earlier flow with the same addresses and ports reached the agent of its server during the handshake.

Cause: the notice replaced the half-open flow of the local server by a remote one, so that the end of the handshake was sent to the agent of the earlier owner, or answered with a reset if that one ended.

Change: a half-open flow stays, and the agent remembers the other server beside it. The caller's acknowledgement decides: near the local server's sequence number it opens the flow here, otherwise the packet goes to the other server, or on with the lookup if that one has ended. If the local server rejects the SYN or is replaced, the entry becomes a remote flow.

Weighed: to ignore such a notice. The agent is a registrar of the flow, and would send each packet that a balancer asks about through a lookup.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -181,7 +181,7 @@
         SteerHeader header; ///< header of the last SYN or probe
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t lastCallerAcknowledgement = 0;
-        HostAddress remoteAgent; ///< agent of the owner of a remote flow
+        HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
         /// Notices have named different owners. Whether the flow of a packet has ended is then decided by an owner lookup.
@@ -215,6 +215,9 @@
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
+    /// Passes a packet to the owner of a remote flow, or to the other server of a flow that the caller has not opened at the local one. Continues the
+    /// lookup if that server is unknown.
+    AgentDecision passToOtherServer(TimePoint now, const SteerHeader &header, const Segment &segment, Flow &flow);
     /// True if the owner in the notice is not the only one that was named for the addresses and ports of this flow.
     static bool contradicts(const OwnerNotice &notice, const Flow &flow);
     static AgentDecision resetOrphanedFlow(const Segment &segment, const Flow &flow);
@@ -222,7 +225,7 @@
     ResetCaller reset(const Segment &segment, SteerCause cause) const;
     /// What is known about a flow of the local server or of a remote one.
     ResetEvidence evidenceOf(const Flow &flow) const;
-    /// Marks the flow as owned by a server that has ended.
+    /// Marks the flow as owned by a server that has ended, or as remote if another server is known for it.
     void orphan(TimePoint now, Flow &flow);
     /// True if the newer of the two route tables, the sender's and the local one, leads to the service of the local server.
     bool isRoutedToLocalServer(const SteerHeader &header, const FlowTuple &tuple) const;
@@ -257,6 +260,8 @@
     void removeFromCounts(Flow &flow);
     /// True if the local server owns the flow or may own it.
     static bool isLocalFlow(const Flow &flow);
+    /// True if the local server has got the SYN, but the caller may have opened the flow at another server.
+    static bool isHalfOpen(const Flow &flow);
 
     const AgentSteeringOptions m_options;
     ServerDirectory m_directory;
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -203,10 +203,10 @@
     switch (flow.state) {
     case FlowState::SynDelivered:
         // The caller has established the flow with another server, whose SYN-ACK arrived first.
-        return continueLookup(now, header, segment);
+        return passToOtherServer(now, header, segment, flow);
     case FlowState::SynAckSent:
         if (!segment.isRst && segment.acknowledgement - flow.serverInitialSequence - 1 >= maxInitialWindowBytes) {
-            return continueLookup(now, header, segment);
+            return passToOtherServer(now, header, segment, flow);
         }
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
@@ -215,30 +215,34 @@
     case FlowState::Probed:
     case FlowState::Closed:
         return deliver(now, flow, header, segment, notices);
-    case FlowState::Remote: {
-        flow.lastUsed = now;
-        if (m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation)) {
-            if (flow.isContested) {
-                return continueLookup(now, header, segment);
-            }
-            orphan(now, flow);
-            return resetOrphanedFlow(segment, flow);
-        }
-        if (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr) {
-            return continueLookup(now, header, segment);
-        }
-        SteerHeader next = header;
-        next.wantsOwnerNotice = true;
-        ++next.hops;
-        return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
-                                             : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
-    }
+    case FlowState::Remote:
+        return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
         return resetOrphanedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
 
+AgentDecision AgentSteering::passToOtherServer(TimePoint now, const SteerHeader &header, const Segment &segment, Flow &flow)
+{
+    if (flow.remoteAgent != HostAddress()) {
+        flow.lastUsed = now;
+    }
+    const bool hasEnded = m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation);
+    if (hasEnded && flow.state == FlowState::Remote && !flow.isContested) {
+        orphan(now, flow);
+        return resetOrphanedFlow(segment, flow);
+    }
+    if (hasEnded || (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr)) {
+        return continueLookup(now, header, segment);
+    }
+    SteerHeader next = header;
+    next.wantsOwnerNotice = true;
+    ++next.hops;
+    return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
+                                         : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
+}
+
 AgentDecision AgentSteering::resetOrphanedFlow(const Segment &segment, const Flow &flow)
 {
     if (segment.isRst) {
@@ -274,6 +278,10 @@
 
 void AgentSteering::orphan(TimePoint now, Flow &flow)
 {
+    if (isHalfOpen(flow) && flow.remoteAgent != HostAddress()) {
+        flow.state = FlowState::Remote;
+        return;
+    }
     flow.evidence = evidenceOf(flow);
     flow.state = FlowState::Orphaned;
     flow.lastUsed = now;
@@ -392,6 +400,10 @@
     case FlowState::SynDelivered:
     case FlowState::Probed: {
         removeFromCounts(flow);
+        if (flow.state == FlowState::SynDelivered && flow.remoteAgent != HostAddress()) {
+            flow.state = FlowState::Remote;
+            return DropPacket{SteerCause::NotAccepted};
+        }
         m_flows.erase(found);
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
     }
@@ -429,12 +441,16 @@
         return;
     }
     const bool isContested = found != m_flows.end() && contradicts(notice, found->second);
-    if (found != m_flows.end()) {
+    // The caller's acknowledgement will show whether it has opened a flow at the local server or at the one in the notice.
+    const bool keepsState = found != m_flows.end() && isHalfOpen(found->second);
+    if (found != m_flows.end() && !keepsState) {
         removeFromCounts(found->second);
     }
     Flow &flow = m_flows[notice.tuple];
-    flow = {};
-    flow.state = FlowState::Remote;
+    if (!keepsState) {
+        flow = {};
+        flow.state = FlowState::Remote;
+    }
     flow.remoteAgent = notice.owner;
     flow.remoteIncarnation = notice.incarnation;
     flow.remoteLearnedAt = now;
@@ -608,6 +624,11 @@
     return flow.state == FlowState::SynDelivered || flow.state == FlowState::SynAckSent || flow.state == FlowState::Open || flow.state == FlowState::Probed;
 }
 
+bool AgentSteering::isHalfOpen(const Flow &flow)
+{
+    return flow.state == FlowState::SynDelivered || flow.state == FlowState::SynAckSent;
+}
+
 void AgentSteering::startRequest(TimePoint now, Flow &flow)
 {
     flow.requestSentAt = now;
@@ -718,7 +739,8 @@
 {
     for (auto entry = m_flows.begin(); entry != m_flows.end();) {
         Flow &flow = entry->second;
-        const bool usesShortRetention = flow.state == FlowState::Closed || flow.state == FlowState::SynDelivered || flow.state == FlowState::Probed;
+        const bool isUnanswered = flow.state == FlowState::SynDelivered && flow.remoteAgent == HostAddress();
+        const bool usesShortRetention = flow.state == FlowState::Closed || flow.state == FlowState::Probed || isUnanswered;
         const bool isExpired = now - flow.lastUsed > (usesShortRetention ? m_options.closedFlowRetention : m_options.flowRetention);
         // A caller that times out may send nothing more. Without this its request would count as pending until the flow expires.
         if (flow.hasPendingRequest && now - flow.requestSentAt > requestTimeout(entry->first.service)) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(registrarKeepsFlowsOfAServerThatIsNewerThanItsList);
     CPPUNIT_TEST(registrarIgnoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(registrarLooksForTheOwnerAfterContradictoryNotices);
+    CPPUNIT_TEST(keepsAHalfOpenFlowWhenANoticeArrives);
+    CPPUNIT_TEST(remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered);
+    CPPUNIT_TEST(remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn);
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
@@ -308,6 +311,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3)});
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
         const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
@@ -368,6 +372,67 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
     }
 
+    /// A late notice of an earlier flow with the same addresses and ports arrives during the handshake at the local server. Guards against packets of the
+    /// new flow that are sent to the owner of the earlier one, and against a reset when that one ends.
+    void keepsAHalfOpenFlowWhenANoticeArrives()
+    {
+        for (const bool hasOtherEnded : {false, true}) {
+            for (const bool isBeforeSynAck : {false, true}) {
+                Snapshots snapshots;
+                AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+                const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+                agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
+                if (isBeforeSynAck) {
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                }
+                agent.handleServerPacket(m_now, synAck(tuple, 1000), m_notices);
+                if (!isBeforeSynAck) {
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                }
+                if (hasOtherEnded) {
+                    agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+                }
+                // The acknowledgement shows at which server the caller has opened the flow.
+                const AgentDecision other = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+                CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(other));
+                CPPUNIT_ASSERT(hasOtherEnded || std::get<RelayToAgent>(other).agent == agentAddress(3));
+                CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(tuple, 1001), m_notices)));
+                CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
+            }
+        }
+    }
+
+    /// Guards against a registrar that forgets an owner because a copy of the SYN was sent to its local server, which never answered.
+    void remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.expire(m_now + seconds(10));
+        const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(10), lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::KnownOwner);
+    }
+
+    /// Guards against a registrar that forgets or resets the flow of another server when its local server rejects the SYN or is replaced.
+    void remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn()
+    {
+        for (const bool isRejected : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+            agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
+            agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+            if (isRejected) {
+                CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(syn(flow(1))), m_notices)));
+            } else {
+                CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).empty());
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+            const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+            CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        }
+    }
+
     /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
     void looksForTheOwnerIfItsIncarnationIsUnknown()
     {
