Look the owner up if a replaced server never opened the flow

What callers would see: an open flow is reset (server-replaced) by an agent while its server serves. The agent's own server got a copy of the SYN, the caller opened the flow at another server, and the agent's server was replaced.

Cause: an agent marked each flow of a replaced server as ended, also those whose handshake had not ended there and those that were only probed. A packet that reached it, as a registrar or as the agent to which the SYN was sent, was answered with a reset.

Change: for such flows the agent continues the owner lookup; if no server has the flow, the lookup ends with a reset (unknown-flow). Flows that were open at the replaced server are reset at once as before.

Evidence: looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened failed before ('!std::holds_alternative<ResetCaller>(decision)', 1 of 108). Now all 108 steering tests pass.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -184,7 +184,8 @@
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
-        /// Notices have named different owners. Whether the flow of a packet has ended is then decided by an owner lookup.
+        /// Notices have named different owners, or the local server was replaced before it was known to own the flow. An owner lookup then decides
+        /// whether the flow of a packet has ended.
         bool isContested = false;
         ResetEvidence evidence; ///< set for orphaned flows
         bool hasPendingRequest = false; ///< the server has not responded to the caller's last data yet
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -218,7 +218,7 @@
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
-        return resetOrphanedFlow(segment, flow);
+        return flow.isContested ? continueLookup(now, header, segment) : resetOrphanedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
@@ -282,6 +282,8 @@
         flow.state = FlowState::Remote;
         return;
     }
+    // The server got the SYN, or a probe, of a flow that another server may own.
+    flow.isContested = flow.isContested || isHalfOpen(flow) || flow.state == FlowState::Probed;
     flow.evidence = evidenceOf(flow);
     flow.state = FlowState::Orphaned;
     flow.lastUsed = now;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(keepsAHalfOpenFlowWhenANoticeArrives);
     CPPUNIT_TEST(remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered);
     CPPUNIT_TEST(remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn);
+    CPPUNIT_TEST(looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened);
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
@@ -433,6 +434,28 @@
         }
     }
 
+    /// The local server got a copy of the SYN, and the caller opened the flow at another server. Guards against a reset of it when the local server is
+    /// replaced.
+    void looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened()
+    {
+        for (const bool hasAnswered : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+            const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+            agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
+            if (hasAnswered) {
+                agent.handleServerPacket(m_now, synAck(tuple, 1000), m_notices);
+            }
+            CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).empty());
+            const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+            CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+            // The notice of the owner may arrive later.
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            const AgentDecision known = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(known).agent == agentAddress(3));
+        }
+    }
+
     /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
     void looksForTheOwnerIfItsIncarnationIsUnknown()
     {
