--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(resetStatesWhatItIsBasedOn);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAnEndedOne);
+    CPPUNIT_TEST(keepsAFlowThatACopyOfTheSynHasOpenedAtANewServer);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAFlowOfADrainingServer);
     CPPUNIT_TEST(sendsALateSynToTheOwner);
     CPPUNIT_TEST(keepsTheOwnerWhenALateSynArrives);
@@ -219,6 +220,21 @@
         CPPUNIT_ASSERT(relayAgent(decision) == agentAddress(1));
     }
 
+    /// The server of the first copy has ended without an answer, and the second copy goes to its successor at the same agent. Guards against a reset of
+    /// the flow because the first copy was placed on the ended server.
+    void keepsAFlowThatACopyOfTheSynHasOpenedAtANewServer()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.handleLoadNotice(m_now, LoadNotice{agentAddress(1), 0, 0, 3, true});
+        steering.decide(m_now, syn(flow(1)));
+        steering.update(m_now + milliseconds(100), snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(200), syn(flow(1), 1))) == agentAddress(1));
+        const BalancerDecision decision = steering.decide(m_now + milliseconds(220), data(flow(1), 5));
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::KnownOwner);
+    }
+
     /// Guards against new flows that follow an earlier flow with the same ports to a server that drains.
     void opensANewFlowWithThePortsOfAFlowOfADrainingServer()
     {
