--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -203,10 +203,10 @@
     switch (flow.state) {
     case FlowState::SynDelivered:
         // The caller has established the flow with another server, whose SYN-ACK arrived first.
-        return continueLookup(now, header, segment);
+        return passToOtherServer(now, header, segment, flow);
     case FlowState::SynAckSent:
         if (!segment.isRst && segment.acknowledgement - flow.serverInitialSequence - 1 >= maxInitialWindowBytes) {
-            return continueLookup(now, header, segment);
+            return passToOtherServer(now, header, segment, flow);
         }
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
@@ -215,25 +215,32 @@
     case FlowState::Probed:
     case FlowState::Closed:
         return deliver(now, flow, header, segment, notices);
-    case FlowState::Remote: {
+    case FlowState::Remote:
+        return passToOtherServer(now, header, segment, flow);
+    case FlowState::Orphaned:
+        return flow.isContested ? continueLookup(now, header, segment) : resetOrphanedFlow(segment, flow);
+    }
+    return DropPacket{SteerCause::UnknownFlow};
+}
+
+AgentDecision AgentSteering::passToOtherServer(TimePoint now, const SteerHeader &header, const Segment &segment, Flow &flow)
+{
+    if (flow.remoteAgent != HostAddress()) {
         flow.lastUsed = now;
-        if (m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation)) {
-            orphan(now, flow);
-            return resetOrphanedFlow(segment, flow);
-        }
-        if (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr) {
-            return continueLookup(now, header, segment);
-        }
-        SteerHeader next = header;
-        next.wantsOwnerNotice = true;
-        ++next.hops;
-        return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
-                                             : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
     }
-    case FlowState::Orphaned:
+    const bool hasEnded = m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation);
+    if (hasEnded && flow.state == FlowState::Remote && !flow.isContested) {
+        orphan(now, flow);
         return resetOrphanedFlow(segment, flow);
     }
-    return DropPacket{SteerCause::UnknownFlow};
+    if (hasEnded || (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr)) {
+        return continueLookup(now, header, segment);
+    }
+    SteerHeader next = header;
+    next.wantsOwnerNotice = true;
+    ++next.hops;
+    return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
+                                         : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
 }
 
 AgentDecision AgentSteering::resetOrphanedFlow(const Segment &segment, const Flow &flow)
@@ -271,6 +278,12 @@
 
 void AgentSteering::orphan(TimePoint now, Flow &flow)
 {
+    if (isHalfOpen(flow) && flow.remoteAgent != HostAddress()) {
+        flow.state = FlowState::Remote;
+        return;
+    }
+    // The server got the SYN, or a probe, of a flow that another server may own.
+    flow.isContested = flow.isContested || isHalfOpen(flow) || flow.state == FlowState::Probed;
     flow.evidence = evidenceOf(flow);
     flow.state = FlowState::Orphaned;
     flow.lastUsed = now;
@@ -307,59 +320,6 @@
     return DeliverToServer{};
 }
 
-AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
-{
-    const FlowTuple tuple = flowTupleFromCaller(segment);
-    SteerHeader next = header;
-    ++next.hops;
-    next.isLookupPartial = header.isLookupPartial || !isServerListStable(now);
-    if (next.hops > m_options.maxHops) {
-        return DropPacket{SteerCause::TooManyHops};
-    }
-    const auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, next);
-    next.wantsOwnerNotice = true;
-    if (agent) {
-        return RelayToAgent{*agent, next, SteerCause::OwnerLookup};
-    }
-    // All servers have been tried. The caller should not have to wait for a flow that has no owner.
-    if (segment.isRst) {
-        return DropPacket{SteerCause::UnknownFlow};
-    }
-    if (next.isLookupPartial) {
-        // Bounded, since the server list of a host on the path may stay incomplete.
-        return header.lookupRetries < maxLookupRetries ? AgentDecision(HoldLookup{next}) : AgentDecision(DropPacket{SteerCause::UnknownFlow});
-    }
-    return reset(segment, SteerCause::UnknownFlow);
-}
-
-// Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
-// other agents as registrars.
-std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const
-{
-    if (next.lookupPhase == LookupPhase::AllServers) {
-        return m_directory.nextAgent(tuple, m_options.agent);
-    }
-    const std::vector<FlowRegistrar> registrars = m_directory.registrars(tuple);
-    if (registrars.empty()) {
-        return std::nullopt;
-    }
-    const auto isOtherAgent = [this](const FlowRegistrar &registrar) {
-        return registrar.agent != m_options.agent;
-    };
-    if (!isLookup && isOtherAgent(registrars.front())) {
-        // The balancer has sent the packet here because it assumes that the local server owns the flow.
-        next.lookupPhase = LookupPhase::FirstRegistrar;
-        return registrars.front().agent;
-    }
-    if (next.lookupPhase == LookupPhase::FirstRegistrar && registrars.size() > 1 && isOtherAgent(registrars.back())) {
-        next.lookupPhase = LookupPhase::SecondRegistrar;
-        return registrars.back().agent;
-    }
-    next.lookupPhase = LookupPhase::AllServers;
-    // The first registrar ranks best.
-    return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
-}
-
 std::optional<NewerRoutesNotice> AgentSteering::newerRoutes(TimePoint now) const
 {
     const bool isLocalTableOlder = m_directory.routes().version() < m_highestRouteTableVersion;
@@ -379,24 +339,6 @@
     return m_directory.isReady() && m_directory.isRegistryComplete() && now - m_serverListChangedAt >= m_options.stabilizationTime;
 }
 
-// Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
-// before that.
-AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
-{
-    SteerHeader restarted = header;
-    restarted.hops = 0;
-    restarted.isLookupPartial = false;
-    restarted.lookupPhase = LookupPhase::FirstRegistrar;
-    restarted.lookupRetries = static_cast<std::uint8_t>(std::min<unsigned>(header.lookupRetries + 1U, maxLookupRetries));
-    const auto registrar = m_directory.firstRegistrar(flowTupleFromCaller(segment));
-    const bool mayOwnFlow = m_server && !isFlowTableComplete(now);
-    if (!mayOwnFlow && registrar && *registrar != m_options.agent) {
-        restarted.wantsOwnerNotice = true;
-        return RelayToAgent{*registrar, restarted, SteerCause::OwnerLookup};
-    }
-    return handleCallerPacket(now, restarted, segment, notices);
-}
-
 // Packets of the server
 
 AgentDecision AgentSteering::handleServerPacket(TimePoint now, const Segment &segment, std::vector<AddressedNotice> &notices)
@@ -413,7 +355,8 @@
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
             if (flow.header.hops > 0) {
-                notices.push_back(noticeToBalancer(flow.header, tuple));
+                // Without an incarnation: another server may have answered, too, and own the flow.
+                notices.push_back({flow.header.balancer, {tuple, m_options.agent, {}}});
             }
         }
         flow.serverInitialSequence = segment.sequence;
@@ -459,6 +402,10 @@
     case FlowState::SynDelivered:
     case FlowState::Probed: {
         removeFromCounts(flow);
+        if (flow.state == FlowState::SynDelivered && flow.remoteAgent != HostAddress()) {
+            flow.state = FlowState::Remote;
+            return DropPacket{SteerCause::NotAccepted};
+        }
         m_flows.erase(found);
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
     }
@@ -487,25 +434,40 @@
 
 void AgentSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
-    if (notice.owner == m_options.agent) {
+    // A notice about an ended server may belong to an earlier flow with the same addresses and ports.
+    if (notice.owner == m_options.agent || m_directory.hasEnded(notice.owner, notice.incarnation)) {
         return;
     }
     const auto found = m_flows.find(notice.tuple);
     if (found != m_flows.end() && found->second.state == FlowState::Open) {
         return;
     }
-    if (found != m_flows.end()) {
+    const bool isContested = found != m_flows.end() && contradicts(notice, found->second);
+    // The caller's acknowledgement will show whether it has opened a flow at the local server or at the one in the notice.
+    const bool keepsState = found != m_flows.end() && isHalfOpen(found->second);
+    if (found != m_flows.end() && !keepsState) {
         removeFromCounts(found->second);
     }
     Flow &flow = m_flows[notice.tuple];
-    flow = {};
-    flow.state = FlowState::Remote;
+    if (!keepsState) {
+        flow = {};
+        flow.state = FlowState::Remote;
+    }
     flow.remoteAgent = notice.owner;
     flow.remoteIncarnation = notice.incarnation;
     flow.remoteLearnedAt = now;
+    flow.isContested = isContested;
     flow.lastUsed = now;
 }
 
+// Notices that name different owners belong to different flows, and may arrive in any order.
+bool AgentSteering::contradicts(const OwnerNotice &notice, const Flow &flow)
+{
+    const bool areIncarnationsKnown = flow.remoteIncarnation != Incarnation() && notice.incarnation != Incarnation();
+    const bool isOtherIncarnation = areIncarnationsKnown && flow.remoteIncarnation != notice.incarnation;
+    return flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
+}
+
 // Flows that are idle for longer than the idle timeout need not be kept, so after that time this agent has observed all other flows.
 bool AgentSteering::isFlowTableComplete(TimePoint now) const
 {
@@ -664,6 +626,11 @@
     return flow.state == FlowState::SynDelivered || flow.state == FlowState::SynAckSent || flow.state == FlowState::Open || flow.state == FlowState::Probed;
 }
 
+bool AgentSteering::isHalfOpen(const Flow &flow)
+{
+    return flow.state == FlowState::SynDelivered || flow.state == FlowState::SynAckSent;
+}
+
 void AgentSteering::startRequest(TimePoint now, Flow &flow)
 {
     flow.requestSentAt = now;
@@ -774,7 +741,8 @@
 {
     for (auto entry = m_flows.begin(); entry != m_flows.end();) {
         Flow &flow = entry->second;
-        const bool usesShortRetention = flow.state == FlowState::Closed || flow.state == FlowState::SynDelivered || flow.state == FlowState::Probed;
+        const bool isUnanswered = flow.state == FlowState::SynDelivered && flow.remoteAgent == HostAddress();
+        const bool usesShortRetention = flow.state == FlowState::Closed || flow.state == FlowState::Probed || isUnanswered;
         const bool isExpired = now - flow.lastUsed > (usesShortRetention ? m_options.closedFlowRetention : m_options.flowRetention);
         // A caller that times out may send nothing more. Without this its request would count as pending until the flow expires.
         if (flow.hasPendingRequest && now - flow.requestSentAt > requestTimeout(entry->first.service)) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -26,6 +26,12 @@
     CPPUNIT_TEST(forwardsPacketsOfARemoteFlowToItsOwner);
     CPPUNIT_TEST(registrarResetsFlowsOfAReplacedServer);
     CPPUNIT_TEST(registrarKeepsFlowsOfAServerThatIsNewerThanItsList);
+    CPPUNIT_TEST(registrarIgnoresANoticeAboutAnEndedServer);
+    CPPUNIT_TEST(registrarLooksForTheOwnerAfterContradictoryNotices);
+    CPPUNIT_TEST(keepsAHalfOpenFlowWhenANoticeArrives);
+    CPPUNIT_TEST(remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered);
+    CPPUNIT_TEST(remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn);
+    CPPUNIT_TEST(looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened);
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
@@ -47,6 +53,7 @@
     CPPUNIT_TEST(keepsTheOwnerOfARemoteFlowWhenALateSynArrives);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfARemoteFlow);
     CPPUNIT_TEST(keepsAnOpenFlowWhenItsServerRejectsALateSyn);
+    CPPUNIT_TEST(claimsNoFlowBeforeItsHandshakeHasEnded);
     CPPUNIT_TEST(resetsTheCallerOfARemovedRoute);
     CPPUNIT_TEST(acceptsSynsOfABalancerWithANewerRouteTable);
     CPPUNIT_TEST(dropsSynsOfABalancerWithAStaleRouteTable);
@@ -305,6 +312,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3)});
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
         const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
@@ -336,6 +344,118 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
     }
 
+    /// The notice belongs to an earlier flow with the same addresses and ports. Guards against a reset of the open one.
+    void registrarIgnoresANoticeAboutAnEndedServer()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(2), {102}});
+        agent.update(m_now, snapshots.incarnation(3, 777).build());
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
+
+    /// Two notices that name different owners belong to two flows, and the later one may be the older. Guards against a reset of the open flow when the
+    /// server of the other one ends.
+    void registrarLooksForTheOwnerAfterContradictoryNotices()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+    }
+
+    /// A late notice of an earlier flow with the same addresses and ports arrives during the handshake at the local server. Guards against packets of the
+    /// new flow that are sent to the owner of the earlier one, and against a reset when that one ends.
+    void keepsAHalfOpenFlowWhenANoticeArrives()
+    {
+        for (const bool hasOtherEnded : {false, true}) {
+            for (const bool isBeforeSynAck : {false, true}) {
+                Snapshots snapshots;
+                AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+                const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+                agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
+                if (isBeforeSynAck) {
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                }
+                agent.handleServerPacket(m_now, synAck(tuple, 1000), m_notices);
+                if (!isBeforeSynAck) {
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                }
+                if (hasOtherEnded) {
+                    agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+                }
+                // The acknowledgement shows at which server the caller has opened the flow.
+                const AgentDecision other = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+                CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(other));
+                CPPUNIT_ASSERT(hasOtherEnded || std::get<RelayToAgent>(other).agent == agentAddress(3));
+                CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(tuple, 1001), m_notices)));
+                CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
+            }
+        }
+    }
+
+    /// Guards against a registrar that forgets an owner because a copy of the SYN was sent to its local server, which never answered.
+    void remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.expire(m_now + seconds(10));
+        const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(10), lookupHeader(), data(flow(1), 5), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::KnownOwner);
+    }
+
+    /// Guards against a registrar that forgets or resets the flow of another server when its local server rejects the SYN or is replaced.
+    void remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn()
+    {
+        for (const bool isRejected : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+            agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
+            agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+            if (isRejected) {
+                CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(syn(flow(1))), m_notices)));
+            } else {
+                CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).empty());
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+            const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
+            CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+        }
+    }
+
+    /// The local server got a copy of the SYN, and the caller opened the flow at another server. Guards against a reset of it when the local server is
+    /// replaced.
+    void looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened()
+    {
+        for (const bool hasAnswered : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+            const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+            agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
+            if (hasAnswered) {
+                agent.handleServerPacket(m_now, synAck(tuple, 1000), m_notices);
+            }
+            CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).empty());
+            const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+            CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+            // The notice of the owner may arrive later.
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            const AgentDecision known = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(known).agent == agentAddress(3));
+        }
+    }
+
     /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
     void looksForTheOwnerIfItsIncarnationIsUnknown()
     {
@@ -596,6 +716,24 @@
         }
     }
 
+    /// Two servers may answer the copies of a SYN, and the caller opens the flow at one of them. Guards against a balancer that takes the other one for
+    /// the owner, and resets the open flow when that server ends.
+    void claimsNoFlowBeforeItsHandshakeHasEnded()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        SteerHeader redirected = header();
+        redirected.hops = 1;
+        redirected.acceptsIncarnations = true;
+        agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices);
+        agent.handleServerPacket(m_now, synAck(flow(1), 1000), m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_notices.size());
+        CPPUNIT_ASSERT(m_notices[0].destination == balancerAddress(1));
+        CPPUNIT_ASSERT(m_notices[0].notice.incarnation == Incarnation());
+        agent.handleCallerPacket(m_now, redirected, data(flow(1), 1001), m_notices);
+        CPPUNIT_ASSERT(m_notices.back().destination == balancerAddress(1));
+        CPPUNIT_ASSERT_EQUAL(101U, m_notices.back().notice.incarnation.value);
+    }
+
     /// A balancer with an older route table must not open flows on a route that was removed.
     void resetsTheCallerOfARemovedRoute()
     {
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(resetStatesWhatItIsBasedOn);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfTheSynHasEnded);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAnEndedOne);
+    CPPUNIT_TEST(keepsAFlowThatACopyOfTheSynHasOpenedAtANewServer);
     CPPUNIT_TEST(opensANewFlowWithThePortsOfAFlowOfADrainingServer);
     CPPUNIT_TEST(sendsALateSynToTheOwner);
     CPPUNIT_TEST(keepsTheOwnerWhenALateSynArrives);
@@ -36,6 +37,7 @@
     CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
+    CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
     CPPUNIT_TEST(keepsFlowsOfAnUnlistedServer);
@@ -218,6 +220,21 @@
         CPPUNIT_ASSERT(relayAgent(decision) == agentAddress(1));
     }
 
+    /// The server of the first copy has ended without an answer, and the second copy goes to its successor at the same agent. Guards against a reset of
+    /// the flow because the first copy was placed on the ended server.
+    void keepsAFlowThatACopyOfTheSynHasOpenedAtANewServer()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1));
+        steering.handleLoadNotice(m_now, LoadNotice{agentAddress(1), 0, 0, 3, true});
+        steering.decide(m_now, syn(flow(1)));
+        steering.update(m_now + milliseconds(100), snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(200), syn(flow(1), 1))) == agentAddress(1));
+        const BalancerDecision decision = steering.decide(m_now + milliseconds(220), data(flow(1), 5));
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::KnownOwner);
+    }
+
     /// Guards against new flows that follow an earlier flow with the same ports to a server that drains.
     void opensANewFlowWithThePortsOfAFlowOfADrainingServer()
     {
@@ -353,6 +370,18 @@
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
     }
 
+    /// The server has answered the SYN, and its notice states no incarnation. Guards against packets that are sent to its agent after the server
+    /// has ended, where nobody answers.
+    void asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1)});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
+        steering.update(m_now, snapshots.deregistered(1).build());
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(2));
+    }
+
     /// The owner notice of a new server may arrive before the list that contains this server.
     void keepsFlowsOfAServerThatIsNewerThanTheList()
     {
