Keep the flows that a restarted server opened before its announcement

Callers of a server that had restarted after a crash saw an open flow reset, by the agent or by a balancer, while the server served it.

A server accepts flows from its start on, and its agent delivers SYNs to it for as long as the server before counts as responsive. Until the first announcement of the new process arrives, the agent attributed such flows to the incarnation before: notices to balancers and registrars named it. With the announcement the agent reset all open flows, those of the new process too, and once balancers and registrars listed the new incarnation, they counted the named one as ended and reset the flow on its next packet.

The announcement says when the process started. A flow whose SYN was answered at or after that time was opened by the new process, since both use one address: the agent keeps it, notifies its registrars again, and sends the notice with the right incarnation to all balancers that have sent packets lately. If the server's clock is ahead of the agent's, such flows are reset as before; if it is behind, flows of the earlier process may be kept, whose next packet the server rejects, which resets the caller.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -23,6 +23,7 @@
     Incarnation incarnation; ///< changes with each restart of the server
     bool acceptsNewFlows = false;
     std::uint16_t slots = 1; ///< requests that the server runs at the same time
+    std::optional<TimePoint> startedAt; ///< when the process of the server started, by the clock of the agent; empty if unknown
     bool operator==(const LocalServer &) const = default;
 };
 
@@ -108,7 +109,8 @@
 
     void update(TimePoint now, const ConfigSnapshot &snapshot);
     /// Sets the local server, or none. `isFresh`: the server has just started, so this agent has observed all of its flows.
-    /// Returns a reset for each open flow of a server that is replaced.
+    /// Returns a reset for each open flow of a server that is replaced. The flows that the new server has opened already are kept; call
+    /// `resendNotices` for them.
     std::vector<ResetCaller> setServer(TimePoint now, const std::optional<LocalServer> &server, bool isFresh);
 
     /// Handles a caller's packet that a balancer or another agent has sent. Appends owner notices to `notices`.
@@ -178,6 +180,7 @@
         TimePoint lastUsed{};
         TimePoint synReceivedAt{};
         TimePoint openedAt{};
+        std::optional<TimePoint> synAckSentAt; ///< when the server last answered a SYN of the flow before it was open
         SteerHeader header; ///< header of the last SYN or probe
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t lastCallerAcknowledgement = 0;
@@ -214,6 +217,8 @@
     ResetCaller reset(const Segment &segment, SteerCause cause) const;
     /// What is known about a flow of the local server or of a remote one.
     ResetEvidence evidenceOf(const Flow &flow) const;
+    /// True if the process of `server` has answered the SYN of a local flow.
+    static bool isAcceptedBy(const LocalServer &server, const Flow &flow);
     /// Marks the flow as owned by a server that has ended.
     void orphan(TimePoint now, Flow &flow);
     /// True if the newer of the two route tables, the sender's and the local one, leads to the service of the local server.
@@ -227,6 +232,8 @@
     /// Sets the registrars of a flow from the current server list. Returns true if notifications are pending.
     bool updateRegistrars(const FlowTuple &tuple, Flow &flow) const;
     void notifyRegistrars(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices) const;
+    /// Corrects what registrars and balancers were told about flows of the server that were attributed to the one before.
+    void correctOwnerNotices(std::vector<AddressedNotice> &notices);
     static bool hasPendingNotification(const Flow &flow, std::uint8_t maxNotices);
     /// True if the flow table lists every flow of the local server.
     bool isFlowTableComplete(TimePoint now) const;
@@ -266,6 +273,7 @@
     FlowRecorder m_flowRecorder;
     Incarnation m_recordedIncarnation; ///< server to which the recorded flows belong
     std::unordered_set<FlowTuple> m_pendingNotifications; ///< open flows with a registrar that may not have been notified
+    std::unordered_set<FlowTuple> m_misattributedFlows; ///< flows of which notices may have named the incarnation before
     std::unordered_map<HostAddress, TimePoint> m_balancerLastSeen;
     std::size_t m_pendingRequestCount = 0;
     std::size_t m_localFlowCount = 0;
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -74,6 +74,7 @@
     asio::ip::tcp::socket m_probeSocket;
     const std::uint32_t m_epoch; ///< identifies this run of the agent; never 0
     const std::uint32_t m_absentIncarnation; ///< announced if no server runs; greater than unconfirmedIncarnation
+    std::optional<TimePoint> m_serverStartedAt; ///< when the server started, by the clock of the process; empty if its clock is ahead
     bool m_isServerAbsent = false; ///< the server refused the connection when this agent started
     bool m_isServerRunning = false; ///< the server accepts connections but has not announced itself yet
     std::optional<LocalServer> m_localServer;
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -62,6 +62,11 @@
         m_unobservedBefore = isFresh || !isFirstServer ? std::nullopt : std::optional(now);
         m_outlierDetector = OutlierDetector({});
         for (auto &[tuple, flow] : m_flows) {
+            // A server accepts flows from its start on, before its first announcement reaches this agent.
+            if (!isFirstServer && server && isAcceptedBy(*server, flow)) {
+                m_misattributedFlows.insert(tuple);
+                continue;
+            }
             const bool wasOpen = flow.state == FlowState::Open;
             if (!isFirstServer && isLocalFlow(flow)) {
                 removeFromCounts(flow);
@@ -257,6 +262,11 @@
     return {m_options.agent, confirmedIncarnation(), OwnershipSource::LocalServer, flow.openedAt, std::nullopt};
 }
 
+bool AgentSteering::isAcceptedBy(const LocalServer &server, const Flow &flow)
+{
+    return isLocalFlow(flow) && server.startedAt && flow.synAckSentAt && *flow.synAckSentAt >= *server.startedAt;
+}
+
 void AgentSteering::orphan(TimePoint now, Flow &flow)
 {
     flow.evidence = evidenceOf(flow);
@@ -404,6 +414,9 @@
                 notices.push_back(noticeToBalancer(flow.header, tuple));
             }
         }
+        if (flow.state == FlowState::SynAckSent) {
+            flow.synAckSentAt = now;
+        }
         flow.serverInitialSequence = segment.sequence;
         return SendToCaller{};
     }
@@ -603,8 +616,30 @@
     }
 }
 
+void AgentSteering::correctOwnerNotices(std::vector<AddressedNotice> &notices)
+{
+    for (const FlowTuple &tuple : std::exchange(m_misattributedFlows, {})) {
+        const auto found = m_flows.find(tuple);
+        if (found == m_flows.end()) {
+            continue;
+        }
+        Flow &flow = found->second;
+        if (flow.state == FlowState::SynAckSent && flow.header.hops > 0) {
+            notices.push_back(noticeToBalancer(flow.header, tuple));
+        } else if (flow.state == FlowState::Open) {
+            for (const HostAddress &balancer : recentBalancers()) {
+                notices.push_back({balancer, {tuple, m_options.agent, confirmedIncarnation()}});
+            }
+            flow.registrars.clear();
+            updateRegistrars(tuple, flow);
+            m_pendingNotifications.insert(tuple);
+        }
+    }
+}
+
 void AgentSteering::resendNotices(TimePoint now, std::vector<AddressedNotice> &notices)
 {
+    correctOwnerNotices(notices);
     std::erase_if(m_pendingNotifications, [&](const FlowTuple &tuple) {
         const auto found = m_flows.find(tuple);
         if (found == m_flows.end() || found->second.state != FlowState::Open) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -59,6 +60,7 @@
     CPPUNIT_TEST(holdsNoRequestForAnIdleServerWithoutSlots);
     CPPUNIT_TEST(servesABurstWithoutRefusals);
     CPPUNIT_TEST(redirectsSynsWhileTheServerResetsRequests);
+    CPPUNIT_TEST(keepsFlowsThatANewServerOpenedBeforeItsAnnouncement);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -801,6 +803,53 @@
         }
         CPPUNIT_ASSERT(agentWithEarlyFins.load().acceptsNewFlows);
     }
+
+    /// A server that starts after a crash accepts flows before its first announcement. Guards against a reset of these flows by the agent,
+    /// or by a balancer that was told the incarnation before.
+    void keepsFlowsThatANewServerOpenedBeforeItsAnnouncement()
+    {
+        Snapshots snapshots;
+        snapshots.server(1).server(2).server(3);
+        AgentSteering agent = this->agent(1, snapshots);
+        BalancerSteering balancer({.zone = "zone-a", .noticeAddress = balancerAddress(1)});
+        balancer.update(m_now - seconds(10), snapshots.build());
+        const auto passNotices = [&] {
+            for (const AddressedNotice &addressed : m_notices) {
+                if (addressed.destination == balancerAddress(1)) {
+                    balancer.handleOwnerNotice(m_now, addressed.notice);
+                }
+            }
+        };
+        openFlow(agent, flow(1));
+
+        m_now += seconds(2);
+        const TimePoint startedAt = m_now;
+        openFlow(agent, flow(2));
+        SteerHeader lookup = header();
+        lookup.wantsOwnerNotice = true;
+        lookup.acceptsIncarnations = true;
+        agent.handleCallerPacket(m_now, lookup, data(flow(2), 1001), m_notices);
+        passNotices();
+
+        m_now += seconds(1);
+        m_notices.clear();
+        const auto resets = agent.setServer(m_now, LocalServer{serviceKey("feed"), {777}, true, 3, startedAt}, true);
+        agent.resendNotices(m_now, m_notices);
+        passNotices();
+        balancer.update(m_now, snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(balancer.decide(m_now, data(flow(2), 1001))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resets.size());
+        CPPUNIT_ASSERT(resets[0].tuple == flow(1));
+        for (const FlowRegistrar &registrar : agent.directory().registrars(flow(2))) {
+            CPPUNIT_ASSERT(registrar.agent == agentAddress(1) || std::any_of(m_notices.begin(), m_notices.end(), [&](const AddressedNotice &addressed) {
+                               return addressed.destination == registrar.agent && addressed.notice.tuple == flow(2)
+                                   && addressed.notice.incarnation.value == 777;
+                           }));
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(2), 1001), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -152,7 +152,7 @@
     for (const ResetCaller &decision : m_steering.setServer(m_clock.now(), server, isFresh)) {
         sendReset(decision);
     }
-    flush();
+    resendNotices();
     if (!wasServerKnown) {
         retryLookups();
     }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -163,6 +163,11 @@
         m_services.logger().info("announcement-late", {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
         return;
     }
+    if (outcome == AnnouncementOutcome::NewServer) {
+        const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const std::chrono::milliseconds startedAt(announcement.startedAtMs);
+        m_serverStartedAt = startedAt <= wallTime ? std::optional(m_services.clock().now() - (wallTime - startedAt)) : std::nullopt;
+    }
     if (outcome != AnnouncementOutcome::Renewed) {
         m_services.logger().info("server",
                                  {{"id", announcement.id},
@@ -252,7 +257,8 @@
         localServer = LocalServer{serviceKey(current->service),
                                   {m_announcements.incarnation()},
                                   m_announcements.acceptsNewFlows(m_services.clock().now()),
-                                  static_cast<std::uint16_t>(current->slots)};
+                                  static_cast<std::uint16_t>(current->slots),
+                                  m_serverStartedAt};
     } else if (m_isServerRunning) {
         localServer = LocalServer{serviceKey(m_settings.service), unconfirmedIncarnation, true, 1};
     }
