Do not count a server as ended because an earlier incarnation is listed

A balancer or an agent could reset the open flows of a running server: it believed that the server had been replaced by its predecessor.

A full list of a control host that has restarted, or a removal after missing heartbeats, takes the running incarnation B out of the list of a watcher, and with it the order by which later entries are compared. If the control host then merges the entry of the earlier incarnation A from a host that lags, the watcher lists A. The directory still had B as unlisted, saw another incarnation of the same agent, and recorded B as replaced for 75 s, whichever of the two was newer.

Evidence: ignoresAnIncarnationThatWasReplaced failed before.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -290,6 +290,7 @@
         flow_record_files_test.cpp
         packet_report_test.cpp
         server_announcements_test.cpp
+        server_end_random_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
 jujubequay_module(operator_program
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -61,6 +61,7 @@
     ServiceId serviceId; ///< zero while the service has no bundle in force
     HostAddress relayAddress; ///< relay address of the server's agent
     Incarnation incarnation;
+    std::uint64_t order = 0; ///< increases with each incarnation of a name, also across control hosts
     ServerAvailability state = ServerAvailability::Starting;
     std::uint32_t agentEpoch = 0; ///< changes with each restart of the agent
     std::uint32_t weight = 100; ///< 1 to 1000; the default is 100
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -21,6 +21,7 @@
     ServiceKey service;
     std::string zone; ///< availability zone
     Incarnation incarnation;
+    std::uint64_t order = 0; ///< increases with each incarnation of the agent's servers
     std::uint32_t agentEpoch = 0; ///< changes with each restart of the agent
     bool acceptsNewFlows = false;
     /// When the server disappeared from the server list; empty while it is listed. An unlisted server may still own flows.
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -88,6 +88,7 @@
     server.service = entry.service();
     server.relayAddress = parseHostAddress(entry.relay_address()).value_or(HostAddress());
     server.incarnation = Incarnation{entry.incarnation()};
+    server.order = entry.order();
     server.state = availabilityOf(entry.state());
     server.agentEpoch = entry.agent_epoch();
     server.weight = entry.weight();
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -17,7 +17,20 @@
 
 SteerServer steerServerOf(const ServerSnapshot &server)
 {
-    return {server.relayAddress, serviceKey(server.service), server.zone, server.incarnation, server.agentEpoch, server.acceptsNewWork(), std::nullopt};
+    return {server.relayAddress,
+            serviceKey(server.service),
+            server.zone,
+            server.incarnation,
+            server.order,
+            server.agentEpoch,
+            server.acceptsNewWork(),
+            std::nullopt};
+}
+
+// A control host that has restarted or was cut off may list an incarnation after this host has learned of a later one.
+bool isEarlierIncarnation(const SteerServer &server, const SteerServer &other)
+{
+    return isConfirmed(server.incarnation) && isConfirmed(other.incarnation) && server.incarnation != other.incarnation && server.order < other.order;
 }
 
 }
@@ -62,6 +75,14 @@
     for (const ServerSnapshot &server : snapshot.servers) {
         listed[server.relayAddress] = steerServerOf(server);
     }
+    for (const auto &[service, previous] : m_servers) {
+        for (const SteerServer &server : previous) {
+            const auto current = listed.find(server.agent);
+            if (current != listed.end() && isEarlierIncarnation(current->second, server)) {
+                listed.erase(current);
+            }
+        }
+    }
     std::map<ServiceKey, std::vector<SteerServer>> servers;
     for (const auto &[agent, server] : listed) {
         servers[server.service].push_back(server);
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(ranksUnlistedServersLast);
     CPPUNIT_TEST(removesADeregisteredServer);
     CPPUNIT_TEST(remembersReplacedServers);
+    CPPUNIT_TEST(ignoresAnIncarnationThatWasReplaced);
     CPPUNIT_TEST(reportsEachEndedServerOnce);
     CPPUNIT_TEST(changesZonesOnlyOnceInRankOrder);
     CPPUNIT_TEST(reportsARestartedAgent);
@@ -135,6 +136,23 @@
         CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {101}));
     }
 
+    /// A control host that has restarted may list an earlier incarnation before it learns of the running one. Guards against a running server
+    /// that counts as replaced by its predecessor.
+    void ignoresAnIncarnationThatWasReplaced()
+    {
+        ServerDirectory directory({});
+        Snapshots snapshots;
+        directory.update(TimePoint(seconds(1)), snapshots.server(1).server(2).incarnation(1, 777).order(1, 20).build());
+        directory.update(TimePoint(seconds(2)), Snapshots().server(2).build());
+        directory.update(TimePoint(seconds(3)), Snapshots().server(1).server(2).order(1, 10).build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {777}));
+        CPPUNIT_ASSERT_EQUAL(777U, directory.find(agentAddress(1))->incarnation.value);
+        CPPUNIT_ASSERT(!directory.find(agentAddress(1))->acceptsNewFlows);
+        directory.update(TimePoint(seconds(4)), snapshots.build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {777}));
+        CPPUNIT_ASSERT(directory.find(agentAddress(1))->acceptsNewFlows);
+    }
+
     void removesADeregisteredServer()
     {
         Snapshots snapshots;
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -117,6 +117,16 @@
         return *this;
     }
 
+    Snapshots &order(std::uint32_t number, std::uint64_t order)
+    {
+        for (ServerSnapshot &server : m_servers) {
+            if (server.relayAddress == agentAddress(number)) {
+                server.order = order;
+            }
+        }
+        return *this;
+    }
+
     Snapshots &agentEpoch(std::uint32_t number, std::uint32_t epoch)
     {
         for (ServerSnapshot &server : m_servers) {
