Do not count a server as ended while it is listed

A server that was listed, replaced by another incarnation and listed again counted as ended for 75 s, and balancers reset its open flows for as long.

The order of a new incarnation may be lower than that of its predecessor if the clocks of two control hosts differ by more than the predecessor's life, and the host of the new one does not know the predecessor. The host corrects the order with the next announcement, but the directory kept the end that it had recorded. A listed incarnation is now removed from the replaced ones.

Evidence: keepsAServerThatIsListedAgain failed before.

--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -85,6 +85,7 @@
     }
     std::map<ServiceKey, std::vector<SteerServer>> servers;
     for (const auto &[agent, server] : listed) {
+        m_replaced.erase({agent, server.incarnation});
         servers[server.service].push_back(server);
     }
     for (const auto &[service, previous] : m_servers) {
--- a/src/jujubequay/steering/server_directory_test.cpp
+++ b/src/jujubequay/steering/server_directory_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(removesADeregisteredServer);
     CPPUNIT_TEST(remembersReplacedServers);
     CPPUNIT_TEST(ignoresAnIncarnationThatWasReplaced);
+    CPPUNIT_TEST(keepsAServerThatIsListedAgain);
     CPPUNIT_TEST(reportsEachEndedServerOnce);
     CPPUNIT_TEST(changesZonesOnlyOnceInRankOrder);
     CPPUNIT_TEST(reportsARestartedAgent);
@@ -153,6 +154,19 @@
         CPPUNIT_ASSERT(directory.find(agentAddress(1))->acceptsNewFlows);
     }
 
+    /// The clocks of control hosts differ, so the order of a new incarnation may be corrected after it was listed. Guards against a server
+    /// that counts as ended although it is listed again.
+    void keepsAServerThatIsListedAgain()
+    {
+        ServerDirectory directory({});
+        Snapshots snapshots;
+        directory.update(TimePoint(seconds(1)), snapshots.server(1).incarnation(1, 777).order(1, 10).build());
+        directory.update(TimePoint(seconds(2)), snapshots.incarnation(1, 101).order(1, 15).build());
+        directory.update(TimePoint(seconds(3)), snapshots.incarnation(1, 777).order(1, 16).build());
+        CPPUNIT_ASSERT(!directory.hasEnded(agentAddress(1), {777}));
+        CPPUNIT_ASSERT(directory.hasEnded(agentAddress(1), {101}));
+    }
+
     void removesADeregisteredServer()
     {
         Snapshots snapshots;
