Ignore the departure of an earlier server with the same id

A running server got no new flows and its announcements were ignored for the rest of its life, after a delayed deregistration of the process before it had reached the agent; its flows were reset if the agent was then stopped.

A server may start again under its id, and its calls may be delayed. The agent compared only the id of a deregistration. It now compares the start time too, which a server states in all of its calls; a call without it is attributed by the id as before.

Evidence: ignoresTheDepartureOfAnEarlierServerWithTheSameId failed before.

--- a/include/jujubequay/steering_program/server_announcements.h
+++ b/include/jujubequay/steering_program/server_announcements.h
@@ -37,8 +37,8 @@
     explicit ServerAnnouncements(Duration silenceLimit);
 
     AnnouncementOutcome handleAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
-    /// Marks the server as departing. Returns false if `id` is not the current server.
-    bool handleDeparture(const std::string &id);
+    /// Marks the server as departing. Returns false if `id` is not the current server, or if a start time is given and differs.
+    bool handleDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs);
     /// Removes the current server, whose process has ended.
     void removeServer();
 
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -34,8 +34,8 @@
 
     /// Handles an announcement of the local server. It is in effect on return.
     void handleServerAnnouncement(const ServerAnnouncement &announcement);
-    /// Handles the announcement that the process of the local server is about to end.
-    void handleServerDeparture(const std::string &id);
+    /// Handles the announcement that the process of the local server is about to end. `startedAtMs`: its start time, if it states it.
+    void handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs);
 
 private:
     void applyConfig(const ConfigSnapshotPointer &snapshot);
--- a/src/jujubequay/steering_program/server_announcements.cpp
+++ b/src/jujubequay/steering_program/server_announcements.cpp
@@ -45,9 +45,9 @@
     return isChanged ? AnnouncementOutcome::Changed : AnnouncementOutcome::Renewed;
 }
 
-bool ServerAnnouncements::handleDeparture(const std::string &id)
+bool ServerAnnouncements::handleDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
-    if (!m_current || m_current->id != id) {
+    if (!m_current || m_current->id != id || startedAtMs.value_or(m_current->startedAtMs) != m_current->startedAtMs) {
         return false;
     }
     m_hasAnnouncedDeparture = true;
--- a/src/jujubequay/steering_program/server_announcements_test.cpp
+++ b/src/jujubequay/steering_program/server_announcements_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(recognisesANewIncarnationWithTheSameId);
     CPPUNIT_TEST(keepsAnIncarnationDraining);
     CPPUNIT_TEST(ignoresTheDepartureOfAnotherServer);
+    CPPUNIT_TEST(ignoresTheDepartureOfAnEarlierServerWithTheSameId);
     CPPUNIT_TEST(acceptsNoNewFlowsForAnUnresponsiveServer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -69,13 +70,24 @@
     void ignoresTheDepartureOfAnotherServer()
     {
         announce("i-2", 2000, 1);
-        CPPUNIT_ASSERT(!m_announcements.handleDeparture("i-1"));
+        CPPUNIT_ASSERT(!m_announcements.handleDeparture("i-1", std::nullopt));
         CPPUNIT_ASSERT(m_announcements.acceptsNewFlows(m_now));
-        CPPUNIT_ASSERT(m_announcements.handleDeparture("i-2"));
+        CPPUNIT_ASSERT(m_announcements.handleDeparture("i-2", std::nullopt));
         CPPUNIT_ASSERT(!m_announcements.acceptsNewFlows(m_now));
         CPPUNIT_ASSERT(announce("i-2", 2000, 5) == AnnouncementOutcome::Late);
     }
 
+    /// A departure that was delayed by a partition must not end a server that was started again under the same id.
+    void ignoresTheDepartureOfAnEarlierServerWithTheSameId()
+    {
+        announce("i-1", 1000, 7);
+        announce("i-1", 2000, 1);
+        CPPUNIT_ASSERT(!m_announcements.handleDeparture("i-1", 1000));
+        CPPUNIT_ASSERT(m_announcements.acceptsNewFlows(m_now));
+        CPPUNIT_ASSERT(announce("i-1", 2000, 2) == AnnouncementOutcome::Renewed);
+        CPPUNIT_ASSERT(m_announcements.handleDeparture("i-1", 2000));
+    }
+
     void acceptsNoNewFlowsForAnUnresponsiveServer()
     {
         announce("i-1", 1000, 1);
--- a/src/jujubequay/steering_program/server_end_random_test.cpp
+++ b/src/jujubequay/steering_program/server_end_random_test.cpp
@@ -405,7 +405,7 @@
             note(fmt::format("server {} deregisters", index));
             for (std::uint64_t call = 0; call <= below(2); ++call) {
                 callAgent(index, [this, index, announcement = server.announcement](Agent &agent) {
-                    if (agent.announcements->handleDeparture(announcement.id)) {
+                    if (agent.announcements->handleDeparture(announcement.id, announcement.startedAtMs)) {
                         applyServer(index);
                     }
                 });
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -189,10 +189,10 @@
     return announcement.warmupLeft.count() > 0 && startedAt > m_startedAtWallClock - freshServerAge;
 }
 
-void SteeringAgentProcess::handleServerDeparture(const std::string &id)
+void SteeringAgentProcess::handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
-    if (!m_announcements.handleDeparture(id)) {
-        m_services.logger().info("leave-ignored", {{"id", id}});
+    if (!m_announcements.handleDeparture(id, startedAtMs)) {
+        m_services.logger().info("leave-ignored", {{"id", id}, {"started_ms", startedAtMs.value_or(0)}});
         return;
     }
     m_services.logger().info("server-leaves", {{"id", id}});
