Announce the end of a departing server only after it has ended

Callers saw open flows reset by balancers and by the agent while the server still served them, if the agent was stopped just after the server had deregistered: planned work on a machine stops both.

A server that has announced its departure may serve its flows for seconds. The agent checks every 100 ms whether the process has ended before it announces the end, but on SIGTERM it announced the end without a check. Control hosts distribute such an end as a deregistration, and each host resets the flows of that incarnation. The agent now makes the check on SIGTERM too; a server that has ended by then is still announced within the stop delay. Each check has its own socket, so that the last one need not wait for one in progress.

Evidence: doesNotAnnounceTheEndOfAServerThatRunsWhenItStops failed before; announcesTheEndOfAServerWhenItStops passes before and after.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -291,6 +291,7 @@
         packet_report_test.cpp
         server_announcements_test.cpp
         server_end_random_test.cpp
+        steering_agent_process_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
 jujubequay_module(operator_program
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -57,7 +57,6 @@
                          })
     , m_endTimer(m_context)
     , m_announcements(maxMissedAnnouncements * m_settings.announceInterval)
-    , m_probeSocket(m_context)
     , m_epoch(static_cast<std::uint32_t>(m_services.random()()) | 1U)
     , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
 {
@@ -208,12 +207,21 @@
         if (error || m_isStopping || !m_announcements.hasAnnouncedDeparture()) {
             return;
         }
-        probeServer([this](const asio::error_code &connectError) {
-            if (m_isStopping || !m_announcements.hasAnnouncedDeparture()) {
-                return;
-            }
-            connectError == asio::error::connection_refused ? handleServerEnd() : scheduleEndCheck();
-        });
+        checkServerEnd();
+    });
+}
+
+void SteeringAgentProcess::checkServerEnd()
+{
+    probeServer([this](const asio::error_code &error) {
+        if (!m_announcements.hasAnnouncedDeparture()) {
+            return;
+        }
+        if (error == asio::error::connection_refused) {
+            handleServerEnd();
+        } else if (!m_isStopping) {
+            scheduleEndCheck();
+        }
     });
 }
 
@@ -226,9 +234,10 @@
 void SteeringAgentProcess::probeServer(std::function<void(const asio::error_code &)> handler)
 {
     const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
-    m_probeSocket.async_connect(server, [this, handler = std::move(handler)](const asio::error_code &error) {
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    socket->async_connect(server, [socket, handler = std::move(handler)](const asio::error_code &error) {
         asio::error_code ignored;
-        m_probeSocket.close(ignored);
+        socket->close(ignored);
         handler(error);
     });
 }
@@ -359,7 +368,7 @@
         m_isStopping = true;
         m_services.logger().info("stopping", {{"signal", signal}, {"server_left", m_announcements.hasAnnouncedDeparture()}});
         if (m_announcements.hasAnnouncedDeparture()) {
-            handleServerEnd();
+            checkServerEnd();
         }
         // The server may continue to run, and its packets pass only through this agent. Therefore the agent does not drain: a quick restart
         // is the shortest interruption.
