--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -34,8 +34,8 @@
 
     /// Handles an announcement of the local server. It is in effect on return.
     void handleServerAnnouncement(const ServerAnnouncement &announcement);
-    /// Handles the announcement that the process of the local server is about to end.
-    void handleServerDeparture(const std::string &id);
+    /// Handles the announcement that the process of the local server is about to end. `startedAtMs`: its start time, if it states it.
+    void handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs);
 
 private:
     void applyConfig(const ConfigSnapshotPointer &snapshot);
@@ -43,8 +43,10 @@
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry serverEntry() const;
     void scheduleEndCheck();
+    /// Checks whether the process of a departing server has ended, and again later if it has not.
+    void checkServerEnd();
     void handleServerEnd();
-    /// Tries to connect to the server. Only one attempt at a time.
+    /// Tries to connect to the server.
     void probeServer(std::function<void(const asio::error_code &)> handler);
     bool hasStartedTogetherWithAgent(const ServerAnnouncement &announcement) const;
     /// Checks whether the server runs, so that a restarted agent need not wait for the next announcement.
@@ -71,9 +73,9 @@
     ServerAnnouncements m_announcements;
     /// Start time of this agent by the wall clock, for comparison with the start time that the server announces.
     const std::chrono::system_clock::time_point m_startedAtWallClock = std::chrono::system_clock::now();
-    asio::ip::tcp::socket m_probeSocket;
     const std::uint32_t m_epoch; ///< identifies this run of the agent; never 0
     const std::uint32_t m_absentIncarnation; ///< announced if no server runs; greater than unconfirmedIncarnation
+    std::optional<TimePoint> m_serverStartedAt; ///< when the server started, by the clock of the process; empty if its clock is ahead
     bool m_isServerAbsent = false; ///< the server refused the connection when this agent started
     bool m_isServerRunning = false; ///< the server accepts connections but has not announced itself yet
     std::optional<LocalServer> m_localServer;
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -57,7 +57,6 @@
                          })
     , m_endTimer(m_context)
     , m_announcements(maxMissedAnnouncements * m_settings.announceInterval)
-    , m_probeSocket(m_context)
     , m_epoch(static_cast<std::uint32_t>(m_services.random()()) | 1U)
     , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
 {
@@ -163,6 +162,11 @@
         m_services.logger().info("announcement-late", {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
         return;
     }
+    if (outcome == AnnouncementOutcome::NewServer) {
+        const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const std::chrono::milliseconds startedAt(announcement.startedAtMs);
+        m_serverStartedAt = startedAt <= wallTime ? std::optional(m_services.clock().now() - (wallTime - startedAt)) : std::nullopt;
+    }
     if (outcome != AnnouncementOutcome::Renewed) {
         m_services.logger().info("server",
                                  {{"id", announcement.id},
@@ -184,10 +188,10 @@
     return announcement.warmupLeft.count() > 0 && startedAt > m_startedAtWallClock - freshServerAge;
 }
 
-void SteeringAgentProcess::handleServerDeparture(const std::string &id)
+void SteeringAgentProcess::handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
-    if (!m_announcements.handleDeparture(id)) {
-        m_services.logger().info("leave-ignored", {{"id", id}});
+    if (!m_announcements.handleDeparture(id, startedAtMs)) {
+        m_services.logger().info("leave-ignored", {{"id", id}, {"started_ms", startedAtMs.value_or(0)}});
         return;
     }
     m_services.logger().info("server-leaves", {{"id", id}});
@@ -203,12 +207,21 @@
         if (error || m_isStopping || !m_announcements.hasAnnouncedDeparture()) {
             return;
         }
-        probeServer([this](const asio::error_code &connectError) {
-            if (m_isStopping || !m_announcements.hasAnnouncedDeparture()) {
-                return;
-            }
-            connectError == asio::error::connection_refused ? handleServerEnd() : scheduleEndCheck();
-        });
+        checkServerEnd();
+    });
+}
+
+void SteeringAgentProcess::checkServerEnd()
+{
+    probeServer([this](const asio::error_code &error) {
+        if (!m_announcements.hasAnnouncedDeparture()) {
+            return;
+        }
+        if (error == asio::error::connection_refused) {
+            handleServerEnd();
+        } else if (!m_isStopping) {
+            scheduleEndCheck();
+        }
     });
 }
 
@@ -221,9 +234,10 @@
 void SteeringAgentProcess::probeServer(std::function<void(const asio::error_code &)> handler)
 {
     const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
-    m_probeSocket.async_connect(server, [this, handler = std::move(handler)](const asio::error_code &error) {
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    socket->async_connect(server, [socket, handler = std::move(handler)](const asio::error_code &error) {
         asio::error_code ignored;
-        m_probeSocket.close(ignored);
+        socket->close(ignored);
         handler(error);
     });
 }
@@ -252,7 +266,8 @@
         localServer = LocalServer{serviceKey(current->service),
                                   {m_announcements.incarnation()},
                                   m_announcements.acceptsNewFlows(m_services.clock().now()),
-                                  static_cast<std::uint16_t>(current->slots)};
+                                  static_cast<std::uint16_t>(current->slots),
+                                  m_serverStartedAt};
     } else if (m_isServerRunning) {
         localServer = LocalServer{serviceKey(m_settings.service), unconfirmedIncarnation, true, 1};
     }
@@ -353,7 +368,7 @@
         m_isStopping = true;
         m_services.logger().info("stopping", {{"signal", signal}, {"server_left", m_announcements.hasAnnouncedDeparture()}});
         if (m_announcements.hasAnnouncedDeparture()) {
-            handleServerEnd();
+            checkServerEnd();
         }
         // The server may continue to run, and its packets pass only through this agent. Therefore the agent does not drain: a quick restart
         // is the shortest interruption.
