Test that a lagging control host cannot reinstate a server

The comparison of orders in WatchSubscriber::isOutdated could be removed without a failing test; laggingControlHostCannotReinstateAServer fails then.

--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(ignoresStartNoticesWhileItReceivesState);
     CPPUNIT_TEST(isolatedControlHostDisconnectsWatchers);
     CPPUNIT_TEST(laggingControlHostCannotReinstateAState);
+    CPPUNIT_TEST(laggingControlHostCannotReinstateAServer);
     CPPUNIT_TEST(slowWatcherSkipsStatesAndCatchesUp);
     CPPUNIT_TEST(restartedControlHostDoesNotEmptyTheServerList);
     CPPUNIT_TEST(largeRegistryIsReplacedAsAWhole);
@@ -308,6 +309,35 @@
     }
 
     // Guards against a control host that stores each change for a slow watcher.
+    /// A full list of a control host that lags must not replace a server by its predecessor.
+    void laggingControlHostCannotReinstateAServer()
+    {
+        const auto list = [](std::uint64_t order, std::uint32_t incarnation) {
+            pb::WatchDown message;
+            pb::RegistryDelta &delta = *message.mutable_registry();
+            delta.set_epoch(5);
+            delta.set_sequence(9);
+            delta.set_full(true);
+            pb::ServerEntry &entry = *delta.add_servers();
+            entry.set_name("127.0.0.2:4500");
+            entry.set_relay_address("127.0.0.2:4500");
+            entry.set_state(pb::SERVER_STATE_SERVING);
+            entry.set_order(order);
+            entry.set_incarnation(incarnation);
+            return message;
+        };
+        std::mt19937_64 random(1);
+        WatchSubscriber subscriber(balancerOptions(), random);
+        Connection connection(subscriber);
+        const TimePoint now{seconds(10)};
+        connection.run(now);
+        subscriber.receive(now, connection.stream(), list(20, 102));
+        subscriber.receive(now, connection.stream(), list(10, 101));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, subscriber.snapshot()->servers.size());
+        CPPUNIT_ASSERT_EQUAL(102U, subscriber.snapshot()->servers[0].incarnation.value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, subscriber.snapshot()->servers[0].order);
+    }
+
     void slowWatcherSkipsStatesAndCatchesUp()
     {
         m_connection->rollOut(1);
--- a/src/jujubequay/steering_program/server_end_random_test.cpp
+++ b/src/jujubequay/steering_program/server_end_random_test.cpp
@@ -744,7 +744,7 @@
 std::uint64_t seedCount()
 {
     const char *text = std::getenv("JJQ_SERVER_END_SEEDS");
-    return text == nullptr ? 40 : std::strtoull(text, nullptr, 10);
+    return text == nullptr ? 150 : std::strtoull(text, nullptr, 10);
 }
 
 }
