--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -188,6 +188,12 @@
         flow_recorder_test.cpp
         server_directory_test.cpp
         steer_message_test.cpp
+        steering_random_callers.cpp
+        steering_random_events.cpp
+        steering_random_hosts.cpp
+        steering_random_run.cpp
+        steering_random_servers.cpp
+        steering_random_test.cpp
     DEPENDS jujubequay_control jujubequay_policy)
 
 jujubequay_module(client
