--- a/src/jujubequay/steering/steering_random_callers.cpp
+++ b/src/jujubequay/steering/steering_random_callers.cpp
@@ -28,7 +28,7 @@
     Caller &caller = m_callers[index];
     ++caller.timer;
     std::uint16_t port = caller.nextPort;
-    const bool isPortReused = m_reusesPorts && !caller.usedPorts.empty() && chance(0.3);
+    const bool isPortReused = m_options.reusesPorts && !caller.usedPorts.empty() && chance(0.3);
     if (isPortReused) {
         port = caller.usedPorts[random(static_cast<std::uint32_t>(caller.usedPorts.size()))];
     } else {
--- a/src/jujubequay/steering/steering_random_events.cpp
+++ b/src/jujubequay/steering/steering_random_events.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t maxDeregistered = 64;
+/// The address of a server is not used for another service before.
+constexpr auto reuseTime = std::chrono::seconds(2);
 
 }
 
@@ -113,7 +115,7 @@
 
 void SteeringRandomRun::startEvent()
 {
-    const std::uint32_t kind = random(m_hasFaults ? 16 : 12);
+    const std::uint32_t kind = random(m_options.hasFaults ? 16 : 12);
     switch (kind) {
     case 0:
     case 1:
@@ -184,6 +186,7 @@
         after(isAnswered ? Milliseconds(random(50)) : Milliseconds(1000 + random(2000)), [this, index, server, onEnd] {
             if (m_agents[index].server == server) {
                 m_agents[index].server.reset();
+                m_agents[index].serverEndedAt = m_now;
                 logEvent(fmt::format("server {} of agent {} ends", server->incarnation.value, index));
                 after(Milliseconds(random(100)), [this, index] {
                     if (!m_agents[index].server) {
@@ -213,7 +216,7 @@
 {
     const auto previous = unusedAgent(true);
     const auto next = unusedAgent(false);
-    if (previous && next) {
+    if (previous && next && m_now - m_agents[*next].serverEndedAt > reuseTime) {
         startServer(*next, m_agents[*previous].server->service);
         leave(*previous, [this, index = *previous] {
             m_agents[index].isInUse = false;
--- a/src/jujubequay/steering/steering_random_run.cpp
+++ b/src/jujubequay/steering/steering_random_run.cpp
@@ -22,17 +22,15 @@
 
 }
 
-SteeringRandomRun::SteeringRandomRun(unsigned seed, bool hasFaults, bool isTracing)
+SteeringRandomRun::SteeringRandomRun(unsigned seed, SteeringRandomOptions options)
     : m_seed(seed)
-    , m_hasFaults(hasFaults)
-    , m_isTracing(isTracing)
+    , m_options(options)
     , m_random(seed)
 {
     m_now = TimePoint(std::chrono::hours(1));
     m_end = m_now + runTime;
-    m_reusesPorts = random(2) == 0;
     m_loss = std::array{0.0, 0.002, 0.02}.at(random(3));
-    m_noticeLoss = m_hasFaults ? std::array{0.0, 0.05, 0.3}.at(random(3)) : m_loss;
+    m_noticeLoss = m_options.hasFaults ? std::array{0.0, 0.05, 0.3}.at(random(3)) : m_loss;
     m_routes.set_idle_timeout_ms(15000);
     setRoute(feedAddress, {"feed"});
     setRoute(vaultAddress, {"vault"});
@@ -150,14 +148,14 @@
 
 void SteeringRandomRun::note(std::uint64_t flow, const std::string &text)
 {
-    if (m_isTracing && flow < m_flows.size()) {
+    if (m_options.isTracing && flow < m_flows.size()) {
         m_flows[flow].trace.push_back(fmt::format("{:.4f} {}", std::chrono::duration<double>(m_now - m_end + runTime).count(), text));
     }
 }
 
 void SteeringRandomRun::logEvent(const std::string &text)
 {
-    if (m_isTracing) {
+    if (m_options.isTracing) {
         m_log.push_back(fmt::format("{:.4f} {}", std::chrono::duration<double>(m_now - m_end + runTime).count(), text));
     }
 }
@@ -170,7 +168,7 @@
     const bool isRouteDropped = dropped != m_routeDroppedAt.end() && dropped->second + configTime > flow.startedAt;
     const Agent &agent = m_agents[flow.ownerAgent];
     const bool hasOwnerEnded = !agent.server || agent.server->incarnation != flow.owner;
-    const bool isDisturbed = m_hasFaults && m_now - agent.disturbedAt < contactTime;
+    const bool isDisturbed = m_options.hasFaults && m_now - agent.disturbedAt < contactTime;
     return isRouteDropped || hasOwnerEnded || isDisturbed || m_now - flow.startedAt > maxFlowAge || m_now - flow.lastUsed > idleTimeout;
 }
 
@@ -179,9 +177,10 @@
     const std::string full = rule + (m_flows[flow].isPortReused ? ", reused port" : "");
     note(flow, "BROKEN: " + full);
     m_findings.push_back({full,
-                          fmt::format("seed {} faults {} time {:.3f} flow {}: {} {}",
+                          fmt::format("seed {} faults {} reuse {} time {:.3f} flow {}: {} {}",
                                       m_seed,
-                                      m_hasFaults,
+                                      m_options.hasFaults,
+                                      m_options.reusesPorts,
                                       std::chrono::duration<double>(m_now - m_end + runTime).count(),
                                       flow,
                                       full,
@@ -233,7 +232,7 @@
         const FlowRecord &flow = m_flows[caller.flow];
         const bool isInWindow = decision.sequence - flow.lastAcknowledgement + maxResetDistance <= 2 * maxResetDistance;
         const bool isOfThisFlow = number == caller.flow || isInWindow;
-        const bool isSenderDisturbed = m_hasFaults && m_now - disturbedAt < contactTime;
+        const bool isSenderDisturbed = m_options.hasFaults && m_now - disturbedAt < contactTime;
         if (!flow.openedAt || !isOfThisFlow || isSenderDisturbed || isExempt(flow)) {
             continue;
         }
--- a/src/jujubequay/steering/steering_random_run.h
+++ b/src/jujubequay/steering/steering_random_run.h
@@ -25,14 +25,19 @@
     std::uint64_t flow = 0; ///< number of the flow within the run
 };
 
+struct SteeringRandomOptions {
+    bool hasFaults = false; ///< servers and hosts also crash and notices get lost; otherwise all events are planned work
+    bool reusesPorts = false; ///< callers open flows from ports of earlier flows
+    bool isTracing = false;
+};
+
 /// A random schedule of balancers, agents, servers and callers without a network, whose open flows are checked.
 ///
 /// Time is simulated. The same seed results in the same run.
 class SteeringRandomRun
 {
 public:
-    /// `hasFaults`: servers and hosts also crash and notices get lost. Otherwise all events are planned work.
-    SteeringRandomRun(unsigned seed, bool hasFaults, bool isTracing);
+    SteeringRandomRun(unsigned seed, SteeringRandomOptions options);
     void run();
 
     const std::vector<Finding> &findings() const;
@@ -107,6 +112,7 @@
         TimePoint startedAt{};
         TimePoint disturbedAt{}; ///< last restart or crash of the agent or its server
         std::shared_ptr<Server> server;
+        TimePoint serverEndedAt{};
         std::optional<Announced> announced;
         bool isServerRunning = false; ///< found at the start of the agent, and not announced yet
         std::string service = "feed"; ///< of a server that is not announced yet
@@ -225,10 +231,8 @@
     void report(const std::string &rule, std::uint64_t flow, const std::string &detail);
 
     const unsigned m_seed;
-    const bool m_hasFaults;
-    const bool m_isTracing;
+    const SteeringRandomOptions m_options;
     std::mt19937 m_random;
-    bool m_reusesPorts = false;
     double m_loss = 0;
     double m_noticeLoss = 0;
     TimePoint m_now{};
