--- a/src/jujubequay/steering/steering_random_events.cpp
+++ b/src/jujubequay/steering/steering_random_events.cpp
@@ -224,7 +224,6 @@
     }
 }
 
-// On the stop signal an agent takes a server that has announced its departure for ended.
 void SteeringRandomRun::restartAgent(std::size_t index)
 {
     Agent &agent = m_agents[index];
@@ -232,7 +231,9 @@
         return;
     }
     logEvent(fmt::format("agent {} stops", index));
-    handleServerEnd(index);
+    if (!agent.server) {
+        handleServerEnd(index);
+    }
     agent.disturbedAt = m_now;
     after(Milliseconds(300), [this, index] {
         Agent &agent = m_agents[index];
--- a/src/jujubequay/steering/steering_random_hosts.cpp
+++ b/src/jujubequay/steering/steering_random_hosts.cpp
@@ -227,9 +227,9 @@
     if (agent.announced) {
         const bool isSilent = m_now - agent.announced->lastAt > silenceLimit;
         const bool accepts = !agent.announced->isDraining && !agent.announced->hasDeparted && !isSilent;
-        server = LocalServer{serviceKey(agent.announced->service), agent.announced->incarnation, accepts, 2};
+        server = LocalServer{serviceKey(agent.announced->service), agent.announced->incarnation, accepts, 2, agent.announced->startedAt};
     } else if (agent.isServerRunning) {
-        server = LocalServer{serviceKey(agent.service), unconfirmedIncarnation, true, 1};
+        server = LocalServer{serviceKey(agent.service), unconfirmedIncarnation, true, 1, std::nullopt};
     }
     const bool wasServerKnown = agent.steering->isServerKnown();
     if (wasServerKnown && server == agent.applied) {
@@ -255,7 +255,7 @@
         return;
     }
     const bool wasDraining = !isNew && agent.announced->isDraining;
-    agent.announced = Announced{server.service, server.incarnation, m_now, server.isDraining || wasDraining, false};
+    agent.announced = Announced{server.service, server.incarnation, m_now, server.isDraining || wasDraining, false, server.startedAt};
     applyServer(index, isNew && (!isFirst || server.startedAt > agent.startedAt - freshServerAge));
 }
 
--- a/src/jujubequay/steering/steering_random_run.h
+++ b/src/jujubequay/steering/steering_random_run.h
@@ -103,6 +103,7 @@
         TimePoint lastAt{};
         bool isDraining = false;
         bool hasDeparted = false;
+        TimePoint startedAt{}; ///< when the server started
     };
     struct Agent {
         HostAddress address;
