Ask a registrar before the reset of a flow that was idle

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves, because the balancer remembers an earlier flow with the same addresses and ports whose server has ended; the open one went through other balancers so far.

Cause: an entry of the flow table counts for 30 s after its last packet, longer than callers keep a port out of use.

Change: a balancer resets alone only if the flow was used within the last 4 s. Otherwise it asks a registrar, and the end of that lookup decides. Price: one hop more for such resets. Not changed: a registrar's own entry of an earlier flow, which the notices about the new one correct.

Evidence: asksARegistrarIfTheFlowWasIdle failed before ('relay != nullptr').

--- a/include/jujubequay/steering/flow_ownership.h
+++ b/include/jujubequay/steering/flow_ownership.h
@@ -9,9 +9,11 @@
 
 namespace Jujubequay {
 
-/// A SYN that arrives later than this after the owner of its flow became known opens another flow with the same addresses and ports: callers
-/// send the last copy after 600 ms, and use a port again some seconds after its last use at the earliest.
-constexpr auto maxSynDelay = std::chrono::seconds(4);
+/// Callers use a port again this long after its last use at the earliest.
+constexpr auto minPortReuseTime = std::chrono::seconds(4);
+/// A SYN that arrives later than this after the owner of its flow became known opens another flow with the same addresses and ports. Callers send
+/// the last copy of a SYN after 600 ms.
+constexpr auto maxSynDelay = minPortReuseTime;
 
 /// How a balancer or an agent has learned which server owns a flow.
 enum class OwnershipSource : std::uint8_t {
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -113,18 +113,19 @@
     const auto found = m_flows.find(tuple);
     if (found != m_flows.end()) {
         Flow &flow = found->second;
+        const bool isSameFlow = now - flow.lastUsed < minPortReuseTime;
         flow.lastUsed = now;
         const bool hasServerEnded = m_directory.hasEnded(flow.agent, flow.incarnation);
         if (!hasServerEnded) {
             return RelayToAgent{flow.agent, makeHeader({}, false), SteerCause::KnownOwner};
         }
-        if (flow.isConfirmed) {
+        if (flow.isConfirmed && isSameFlow) {
             if (segment.isRst) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
             return reset(segment, SteerCause::ServerReplaced);
         }
-        // The registrars know whether another server has opened the flow.
+        // The registrars know whether another server has opened the flow, or another flow with the same addresses and ports.
     }
     if (const auto registrar = m_directory.firstRegistrar(tuple)) {
         return RelayToAgent{*registrar, makeHeader({}, true), SteerCause::OwnerLookup};
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(rejectsANewFlowWithThePortsOfAnEarlierOneAtOnce);
     CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
+    CPPUNIT_TEST(asksARegistrarIfTheFlowWasIdle);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
@@ -358,6 +359,20 @@
         }
     }
 
+    /// The caller may have used its port for another flow meanwhile, which it has opened through another balancer. Guards against a reset of it
+    /// because of what this balancer knows about the earlier one.
+    void asksARegistrarIfTheFlowWasIdle()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.decide(m_now + seconds(1), data(flow(1), 55));
+        steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
+        const BalancerDecision decision = steering.decide(m_now + seconds(6), data(flow(1), 900));
+        CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
+    }
+
     /// The SYN may have opened another flow at another server. Guards against a reset of it when the server of the earlier flow ends.
     void asksARegistrarIfASynFollowedTheNotice()
     {
