Let callers of the random schedule ignore resets out of window

The schedule counted a reset of an open flow that its caller ignores: one whose sequence number is not near the caller's last acknowledgement number, as those that answer a SYN.

--- a/src/jujubequay/steering/steering_random_hosts.cpp
+++ b/src/jujubequay/steering/steering_random_hosts.cpp
@@ -120,7 +120,7 @@
 {
     note(flow, fmt::format("{} resets ({})", toString(sender), steerCauseName(decision.cause)));
     transmit(false, [this, decision, sender, disturbedAt, flow, decidedAt = m_now] {
-        checkReset(decision, sender, disturbedAt, flow, decidedAt);
+        checkReset(decision, sender, disturbedAt, decidedAt);
         Segment segment = fromServer(decision.tuple);
         segment.isRst = true;
         segment.sequence = decision.sequence;
--- a/src/jujubequay/steering/steering_random_run.cpp
+++ b/src/jujubequay/steering/steering_random_run.cpp
@@ -223,7 +223,7 @@
     }
 }
 
-void SteeringRandomRun::checkReset(const ResetCaller &decision, const HostAddress &sender, TimePoint disturbedAt, std::uint64_t number, TimePoint decidedAt)
+void SteeringRandomRun::checkReset(const ResetCaller &decision, const HostAddress &sender, TimePoint disturbedAt, TimePoint decidedAt)
 {
     for (const Caller &caller : m_callers) {
         if (caller.tuple != decision.tuple || caller.state == CallerState::Idle) {
@@ -231,21 +231,20 @@
         }
         const FlowRecord &flow = m_flows[caller.flow];
         const bool isInWindow = decision.sequence - flow.lastAcknowledgement + maxResetDistance <= 2 * maxResetDistance;
-        const bool isOfThisFlow = number == caller.flow || isInWindow;
         const bool isSenderDisturbed = m_options.hasFaults && m_now - disturbedAt < contactTime;
-        if (!flow.openedAt || !isOfThisFlow || isSenderDisturbed || isExempt(flow)) {
+        // The caller of an open flow ignores a reset whose sequence number is far from its last acknowledgement number.
+        if (!flow.openedAt || !isInWindow || isSenderDisturbed || isExempt(flow)) {
             continue;
         }
         const ResetEvidence &evidence = decision.evidence;
         const bool isOlder = evidence.source != OwnershipSource::None && evidence.learnedAt != TimePoint() && evidence.learnedAt < flow.startedAt;
-        report(fmt::format("reset by {} ({}{}, owner by {}{}{}{})",
+        report(fmt::format("reset by {} ({}{}, owner by {}{}{})",
                            agentAt(sender) ? "agent" : "balancer",
                            steerCauseName(decision.cause),
                            decision.isOpening ? ", on a SYN" : "",
                            ownershipSourceName(evidence.source),
                            isOlder ? ", learned before the flow" : "",
-                           decidedAt < *flow.openedAt ? ", decided before it opened" : "",
-                           isInWindow ? "" : ", out of window"),
+                           decidedAt < *flow.openedAt ? ", decided before it opened" : ""),
                caller.flow,
                fmt::format("sender {} owner agent {} incarnation {} opened {:.3f}; evidence owner {} incarnation {} learned {:.3f} end {} decided {:.3f}",
                            toString(sender),
--- a/src/jujubequay/steering/steering_random_run.h
+++ b/src/jujubequay/steering/steering_random_run.h
@@ -227,7 +227,7 @@
     // Checks
     void checkDelivery(std::size_t agent, const Packet &packet);
     void checkStrays(FlowRecord &flow, std::uint64_t number);
-    void checkReset(const ResetCaller &decision, const HostAddress &sender, TimePoint disturbedAt, std::uint64_t flow, TimePoint decidedAt);
+    void checkReset(const ResetCaller &decision, const HostAddress &sender, TimePoint disturbedAt, TimePoint decidedAt);
     bool isExempt(const FlowRecord &flow) const;
     void report(const std::string &rule, std::uint64_t flow, const std::string &detail);
 
