Count no server as observed that ran before its agent

What callers saw: a flow whose server ran on was reset (`unknown-flow`). The server had started, the flow had opened through the agent's earlier run, and the agent was restarted within one second of the server's start. The server counted as one that had started together with the agent, so the flow table counted as complete, the agent probed the server for no flow, and an owner lookup ended without an owner.

Only a server that has started after its agent counts as observed now. The start times are of the wall clock of the machine, which may step: a server that the agent found running at its own start, or whose start lies in the future, does not count as observed. In doubt the flow table is incomplete, which costs probes. The random schedule follows the same rule.

Evidence: observesOnlyServersThatStartAfterTheAgent fails with the rule before (49'999 ms against a start at 50 s).

--- a/include/jujubequay/steering_program/server_announcements.h
+++ b/include/jujubequay/steering_program/server_announcements.h
@@ -28,6 +28,13 @@
     Late, ///< ignored: out of order, or from an earlier incarnation
 };
 
+/// True if the server has certainly started after its agent, which then has observed all of its flows. An earlier run of the agent may have
+/// opened flows of any other server. Times are of the wall clock of the machine; it may have been set back if the server seems to start later
+/// than `wallTime`.
+bool hasStartedAfterAgent(const ServerAnnouncement &announcement,
+                          std::chrono::system_clock::time_point agentStartedAt,
+                          std::chrono::system_clock::time_point wallTime);
+
 /// State of the local server from its announcements, which may arrive out of order. An incarnation is identified by the server's start time
 /// and id, so a late announcement of an earlier incarnation is ignored.
 class ServerAnnouncements
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -48,7 +48,6 @@
     void handleServerEnd();
     /// Tries to connect to the server.
     void probeServer(std::function<void(const asio::error_code &)> handler);
-    bool hasStartedTogetherWithAgent(const ServerAnnouncement &announcement) const;
     /// Checks whether the server runs, so that a restarted agent need not wait for the next announcement.
     void checkServer();
     /// Reports to the announce client that a control host is reachable.
@@ -72,7 +71,7 @@
     std::shared_ptr<AnnounceClient> m_announceClient;
     ServerAnnouncements m_announcements;
     /// Start time of this agent by the wall clock, for comparison with the start time that the server announces.
-    const std::chrono::system_clock::time_point m_startedAtWallClock = std::chrono::system_clock::now();
+    std::chrono::system_clock::time_point m_startedAtWallClock;
     const std::uint32_t m_epoch; ///< identifies this run of the agent; never 0
     const std::uint32_t m_absentIncarnation; ///< announced if no server runs; greater than unconfirmedIncarnation
     std::optional<TimePoint> m_serverStartedAt; ///< when the server started, by the clock of the process; empty if its clock is ahead
--- a/src/jujubequay/steering/steering_random_hosts.cpp
+++ b/src/jujubequay/steering/steering_random_hosts.cpp
@@ -1,5 +1,7 @@
 #include <fmt/format.h>
 
+#include <utility>
+
 #include "steering_random_run.h"
 #include "steering_test_support.h"
 
@@ -9,8 +11,6 @@
 
 constexpr auto queueAge = std::chrono::milliseconds(600);
 constexpr auto silenceLimit = std::chrono::seconds(3);
-/// A server that starts at most this long before its agent counts as fresh.
-constexpr auto freshServerAge = std::chrono::seconds(1);
 
 }
 
@@ -248,7 +248,7 @@
 void SteeringRandomRun::handleAnnouncement(std::size_t index, const Server &server)
 {
     Agent &agent = m_agents[index];
-    agent.isServerRunning = false;
+    const bool wasRunning = std::exchange(agent.isServerRunning, false);
     const bool isFirst = !agent.announced;
     const bool isNew = isFirst || agent.announced->incarnation != server.incarnation;
     if (!isNew && agent.announced->hasDeparted) {
@@ -256,7 +256,7 @@
     }
     const bool wasDraining = !isNew && agent.announced->isDraining;
     agent.announced = Announced{server.service, server.incarnation, m_now, server.isDraining || wasDraining, false};
-    applyServer(index, isNew && (!isFirst || server.startedAt > agent.startedAt - freshServerAge));
+    applyServer(index, isNew && (!isFirst || (!wasRunning && server.startedAt > agent.startedAt)));
 }
 
 void SteeringRandomRun::handleServerEnd(std::size_t index)
--- a/src/jujubequay/steering_program/server_announcements.cpp
+++ b/src/jujubequay/steering_program/server_announcements.cpp
@@ -14,6 +14,14 @@
 
 }
 
+bool hasStartedAfterAgent(const ServerAnnouncement &announcement,
+                          std::chrono::system_clock::time_point agentStartedAt,
+                          std::chrono::system_clock::time_point wallTime)
+{
+    const std::chrono::system_clock::time_point startedAt{std::chrono::milliseconds(announcement.startedAtMs)};
+    return announcement.warmupLeft.count() > 0 && startedAt > agentStartedAt && startedAt <= wallTime;
+}
+
 ServerAnnouncements::ServerAnnouncements(Duration silenceLimit)
     : m_silenceLimit(silenceLimit)
 {
--- a/src/jujubequay/steering_program/server_announcements_test.cpp
+++ b/src/jujubequay/steering_program/server_announcements_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(ignoresTheDepartureOfAnotherServer);
     CPPUNIT_TEST(ignoresTheDepartureOfAnEarlierServerWithTheSameId);
     CPPUNIT_TEST(acceptsNoNewFlowsForAnUnresponsiveServer);
+    CPPUNIT_TEST(observesOnlyServersThatStartAfterTheAgent);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -94,6 +95,23 @@
         CPPUNIT_ASSERT(!m_announcements.acceptsNewFlows(m_now + seconds(3)));
         CPPUNIT_ASSERT(m_announcements.current().has_value());
     }
+
+    /// A flow that the earlier run of the agent has opened must not count as unknown to the server, however short the restart was.
+    void observesOnlyServersThatStartAfterTheAgent()
+    {
+        const std::chrono::system_clock::time_point agentStartedAt{seconds(50)};
+        const auto hasStartedAfter = [agentStartedAt](std::uint64_t startedAtMs, std::chrono::milliseconds warmupLeft) {
+            ServerAnnouncement announcement;
+            announcement.startedAtMs = startedAtMs;
+            announcement.warmupLeft = warmupLeft;
+            return hasStartedAfterAgent(announcement, agentStartedAt, agentStartedAt + seconds(1));
+        };
+        CPPUNIT_ASSERT(hasStartedAfter(50'001, seconds(3)));
+        CPPUNIT_ASSERT(!hasStartedAfter(49'999, seconds(3)));
+        CPPUNIT_ASSERT(!hasStartedAfter(49'500, seconds(3)));
+        CPPUNIT_ASSERT(!hasStartedAfter(50'500, seconds(0)));
+        CPPUNIT_ASSERT(!hasStartedAfter(52'000, seconds(3)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerAnnouncementsTest);
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -1,6 +1,7 @@
 #include <jujubequay/steering_program/steering_agent_process.h>
 
 #include <csignal>
+#include <utility>
 
 namespace Jujubequay {
 
@@ -16,8 +17,6 @@
 constexpr auto stopDelay = std::chrono::milliseconds(300);
 /// Time between checks whether a departing server has ended. Short, so that its callers are reset without a noticeable delay.
 constexpr auto endCheckInterval = std::chrono::milliseconds(100);
-/// A server that started at most this long before its agent has no flows from an earlier run of the agent, since both were down.
-constexpr auto freshServerAge = std::chrono::seconds(1);
 constexpr std::uint32_t defaultWeight = 100;
 
 pb::FlowRecords flowRecordsOf(const FlowRecordChanges &changes)
@@ -124,6 +123,7 @@
     m_watcher->start();
     m_settingsWatcher.start();
     m_startedAtMonotonic = m_services.clock().now();
+    m_startedAtWallClock = std::chrono::system_clock::now();
     checkServer();
     m_serverCheckTimer.start();
     m_services.logger().info("started", {{"relay_address", toString(m_settings.relayAddress)}, {"server", toString(m_settings.serverInput)}});
@@ -156,14 +156,15 @@
 void SteeringAgentProcess::handleServerAnnouncement(const ServerAnnouncement &announcement)
 {
     const bool isFirstServer = !m_announcements.current();
-    m_isServerRunning = false;
+    const bool wasServerRunning = std::exchange(m_isServerRunning, false);
     const AnnouncementOutcome outcome = m_announcements.handleAnnouncement(m_services.clock().now(), announcement);
     if (outcome == AnnouncementOutcome::Late) {
         m_services.logger().info("announcement-late", {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
         return;
     }
+    const auto wallClockNow = std::chrono::system_clock::now();
     if (outcome == AnnouncementOutcome::NewServer) {
-        const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(wallClockNow.time_since_epoch());
         const std::chrono::milliseconds startedAt(announcement.startedAtMs);
         m_serverStartedAt = startedAt <= wallTime ? std::optional(m_services.clock().now() - (wallTime - startedAt)) : std::nullopt;
     }
@@ -178,14 +179,9 @@
                                   {"warmup_ms", announcement.warmupLeft.count()},
                                   {"new", outcome == AnnouncementOutcome::NewServer}});
     }
-    applyServer(outcome == AnnouncementOutcome::NewServer && (!isFirstServer || hasStartedTogetherWithAgent(announcement)));
-}
-
-// All packets of a server pass through its agent. If the server was down while the agent was, the agent has observed all flows of the server.
-bool SteeringAgentProcess::hasStartedTogetherWithAgent(const ServerAnnouncement &announcement) const
-{
-    const std::chrono::system_clock::time_point startedAt{std::chrono::milliseconds(announcement.startedAtMs)};
-    return announcement.warmupLeft.count() > 0 && startedAt > m_startedAtWallClock - freshServerAge;
+    // A server that ran when the agent started may have flows of the agent's earlier run.
+    const bool isObserved = !isFirstServer || (!wasServerRunning && hasStartedAfterAgent(announcement, m_startedAtWallClock, wallClockNow));
+    applyServer(outcome == AnnouncementOutcome::NewServer && isObserved);
 }
 
 void SteeringAgentProcess::handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
