Probe the server after a late SYN at a restarted agent

What callers saw: a flow whose server ran on was reset (`unknown-flow`). A copy of the SYN of the open flow reached the agent after its restart. The server does not answer it, so the agent took the flow for one that another server had opened, and passed all later packets to an owner lookup instead of to its own server, which owned the flow.

While the flow table is incomplete, a packet of such a flow is delivered as a probe, unless a notice has named another server.

Evidence: probesTheServerAfterALateSynAtARestartedAgent fails before.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -212,6 +212,10 @@
     bool mayBeRemoteFlowOfSyn(TimePoint now, const Flow &flow) const;
     /// Resets the caller for a first SYN, and drops a retransmission.
     AgentDecision rejectSyn(const Segment &segment, SteerCause cause) const;
+    /// True if the local server may own flows that are not in the flow table.
+    bool mayOwnUnknownFlow(TimePoint now) const;
+    /// Delivers a packet to find out whether the local server owns its flow.
+    AgentDecision probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple);
     /// Forwards a packet whose owner is unknown to the next agent of the owner lookup, or ends the lookup.
     AgentDecision continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const;
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -6,6 +6,18 @@
 
 namespace Jujubequay {
 
+bool AgentSteering::mayOwnUnknownFlow(TimePoint now) const
+{
+    return m_server && !isFlowTableComplete(now);
+}
+
+AgentDecision AgentSteering::probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple)
+{
+    Flow &flow = insert(tuple, FlowState::Probed, now);
+    flow.header = header;
+    return DeliverToServer{};
+}
+
 AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
@@ -69,8 +81,7 @@
     restarted.lookupPhase = LookupPhase::FirstRegistrar;
     restarted.lookupRetries = static_cast<std::uint8_t>(std::min<unsigned>(header.lookupRetries + 1U, maxLookupRetries));
     const auto registrar = m_directory.firstRegistrar(flowTupleFromCaller(segment));
-    const bool mayOwnFlow = m_server && !isFlowTableComplete(now);
-    if (!mayOwnFlow && registrar && *registrar != m_options.agent) {
+    if (!mayOwnUnknownFlow(now) && registrar && *registrar != m_options.agent) {
         restarted.wantsOwnerNotice = true;
         return RelayToAgent{*registrar, restarted, SteerCause::OwnerLookup};
     }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -197,16 +197,15 @@
         if (!m_isServerKnown) {
             return HoldLookup{header};
         }
-        if (m_server && !isFlowTableComplete(now)) {
-            Flow &flow = insert(tuple, FlowState::Probed, now);
-            flow.header = header;
-            return DeliverToServer{};
-        }
-        return continueLookup(now, header, segment);
+        return mayOwnUnknownFlow(now) ? probe(now, header, tuple) : continueLookup(now, header, segment);
     }
     Flow &flow = found->second;
     switch (flow.state) {
     case FlowState::SynDelivered:
+        // The server does not answer a copy of the SYN if it owns the flow already.
+        if (flow.remoteAgent == HostAddress() && mayOwnUnknownFlow(now)) {
+            return probe(now, header, tuple);
+        }
         // The caller has established the flow with another server, whose SYN-ACK arrived first.
         return passToOtherServer(now, header, segment, flow);
     case FlowState::SynAckSent:
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(neverEndsAnOpenFlow);
     CPPUNIT_TEST(recordsItsOpenFlows);
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
+    CPPUNIT_TEST(probesTheServerAfterALateSynAtARestartedAgent);
     CPPUNIT_TEST(holdsLookupsUntilTheLocalServerIsKnown);
     CPPUNIT_TEST(doesNotProbeAServerWhoseStartItObserved);
     CPPUNIT_TEST(triesTheRegistrarsFirst);
@@ -550,6 +551,24 @@
         CPPUNIT_ASSERT(m_notices.back().notice.owner == agentAddress(1));
     }
 
+    /// The server does not answer a copy of the SYN of a flow that it holds, which must not look like a flow that another server has opened.
+    void probesTheServerAfterALateSynAtARestartedAgent()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<SendToCaller>(agent.handleServerPacket(m_now, fromServer(tuple), m_notices)));
+        CPPUNIT_ASSERT(m_notices.back().destination == balancerAddress(1));
+        CPPUNIT_ASSERT(m_notices.back().notice.owner == agentAddress(1));
+
+        AgentSteering other = this->agent(1, Snapshots().server(1).server(2), false);
+        other.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
+        other.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
+        const AgentDecision decision = other.handleServerPacket(m_now, rejected(data(tuple, 5)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
+
     /// Probes cost the server work, so they are sent only if the server may own the flow.
     void doesNotProbeAServerWhoseStartItObserved()
     {
