Let a later start of the control hosts restart their wait

A fault of the model. When the control hosts of the random schedule were restarted while they still waited for announcements, the timer of the first start ended the wait of the second one: the registry counted as complete before the servers had announced themselves, which a control host that has restarted never claims. An agent that had restarted at the same time then ended a lookup with a list that lacked the owner.

--- a/src/jujubequay/steering/steering_random_events.cpp
+++ b/src/jujubequay/steering/steering_random_events.cpp
@@ -314,15 +314,18 @@
     m_registry.clear();
     m_deregistered.clear();
     m_isRegistryComplete = false;
+    const std::uint64_t start = ++m_controlHostStarts;
     publish();
     for (std::size_t index = 0; index < m_agents.size(); ++index) {
         after(Milliseconds(50 + random(1500)), [this, index] {
             announceToRegistry(index);
         });
     }
-    after(Milliseconds(2000 + random(1000)), [this] {
-        m_isRegistryComplete = true;
-        publish();
+    after(Milliseconds(2000 + random(1000)), [this, start] {
+        if (m_controlHostStarts == start) {
+            m_isRegistryComplete = true;
+            publish();
+        }
     });
 }
 
--- a/src/jujubequay/steering/steering_random_run.h
+++ b/src/jujubequay/steering/steering_random_run.h
@@ -254,6 +254,7 @@
     std::map<HostAddress, ServerSnapshot> m_registry;
     std::vector<DeregisteredServer> m_deregistered;
     bool m_isRegistryComplete = true;
+    std::uint64_t m_controlHostStarts = 0; ///< a start of the control hosts ends the wait for announcements of the one before
     std::map<HostAddress, TimePoint> m_lastPublishedTo; ///< keeps the lists of one host in order
 };
 
