Do not probe a flow again that the server has rejected

Callers saw: packets of an open flow went to other back ends for more than two seconds and none to their own, after several agents had restarted.

Cause: an agent whose flow table is incomplete after a restart delivers a packet of an unknown flow to its server as a probe. When the server rejected it, the agent forgot the flow, so that each retransmission, and each pass of the lookup, was probed again. The lookup reached the owner late, or not at all while packets waited for the servers on its way.

The agent now remembers a rejected probe for closedFlowRetention and continues the lookup at once. It forgets it on a SYN, on a packet of the server and when the server is replaced. A packet whose sequence number is far from the rejected one belongs to another flow with the same ports and is probed.

Evidence: the two new tests failed before.

Ruled out: a longer life of the probed entry, since packets are delivered while it exists.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -201,6 +201,11 @@
         bool hasServerFin = false;
         bool isConfirmedByServer = false; ///< the server has sent more than a SYN-ACK, which proves that it owns the flow
     };
+    /// A packet of a caller that was delivered as a probe and that the server has rejected.
+    struct RejectedProbe {
+        std::uint32_t sequence = 0;
+        TimePoint at{};
+    };
 
     AgentDecision handleSyn(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
     /// Handles a caller's packet that is not a SYN.
@@ -217,6 +222,8 @@
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
     /// were tried.
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
+    /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
+    bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
     /// Passes a packet to the owner of a remote flow, or to the other server of a flow that the caller has not opened at the local one. Continues the
@@ -282,6 +289,7 @@
     TimePoint m_highestRouteTableSeenAt{};
     HostAddress m_highestRouteTableBalancer; ///< the balancer that has sent this packet
     std::unordered_map<FlowTuple, Flow> m_flows;
+    std::unordered_map<FlowTuple, RejectedProbe> m_rejectedProbes;
     std::vector<AnsweredRequest> m_answeredRequests;
     Duration m_serviceTime{};
     FlowRecorder m_flowRecorder;
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -6,6 +6,13 @@
 
 namespace Jujubequay {
 
+namespace {
+
+/// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
+constexpr std::uint32_t maxProbeDistance = 64U << 10U;
+
+}
+
 AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
@@ -59,6 +66,16 @@
     return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
 }
 
+bool AgentSteering::mayOwnUnknownFlow(TimePoint now, const Segment &segment) const
+{
+    if (!m_server || isFlowTableComplete(now)) {
+        return false;
+    }
+    const auto found = m_rejectedProbes.find(flowTupleFromCaller(segment));
+    return found == m_rejectedProbes.end() || now - found->second.at > m_options.closedFlowRetention
+        || segment.sequence - found->second.sequence + maxProbeDistance > 2 * maxProbeDistance;
+}
+
 // Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
 // before that.
 AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
@@ -69,8 +86,7 @@
     restarted.lookupPhase = LookupPhase::FirstRegistrar;
     restarted.lookupRetries = static_cast<std::uint8_t>(std::min<unsigned>(header.lookupRetries + 1U, maxLookupRetries));
     const auto registrar = m_directory.firstRegistrar(flowTupleFromCaller(segment));
-    const bool mayOwnFlow = m_server && !isFlowTableComplete(now);
-    if (!mayOwnFlow && registrar && *registrar != m_options.agent) {
+    if (!mayOwnUnknownFlow(now, segment) && registrar && *registrar != m_options.agent) {
         restarted.wantsOwnerNotice = true;
         return RelayToAgent{*registrar, restarted, SteerCause::OwnerLookup};
     }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -61,6 +61,7 @@
         const bool isFirstServer = !m_server;
         m_unobservedBefore = isFresh || !isFirstServer ? std::nullopt : std::optional(now);
         m_outlierDetector = OutlierDetector({});
+        m_rejectedProbes.clear();
         for (auto &[tuple, flow] : m_flows) {
             // A server accepts flows from its start on, before its first announcement reaches this agent.
             if (!isFirstServer && server && isAcceptedBy(*server, flow)) {
@@ -105,6 +106,7 @@
 AgentDecision AgentSteering::handleSyn(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
+    m_rejectedProbes.erase(tuple);
     const auto found = m_flows.find(tuple);
     if (found != m_flows.end()) {
         Flow &flow = found->second;
@@ -197,7 +199,7 @@
         if (!m_isServerKnown) {
             return HoldLookup{header};
         }
-        if (m_server && !isFlowTableComplete(now)) {
+        if (mayOwnUnknownFlow(now, segment)) {
             Flow &flow = insert(tuple, FlowState::Probed, now);
             flow.header = header;
             return DeliverToServer{};
@@ -357,6 +359,7 @@
         return handleRejectedPacket(now, segment);
     }
     const FlowTuple tuple = flowTupleFromServer(segment);
+    m_rejectedProbes.erase(tuple);
     const auto found = m_flows.find(tuple);
     const bool isSynAck = segment.isSyn && segment.isAck;
     Flow &flow = found == m_flows.end() ? insert(tuple, isSynAck ? FlowState::SynDelivered : FlowState::Probed, now) : found->second;
@@ -419,6 +422,9 @@
             flow.state = FlowState::Remote;
             return DropPacket{SteerCause::NotAccepted};
         }
+        if (flow.state == FlowState::Probed && !segment.isSyn) {
+            m_rejectedProbes[tuple] = {segment.sequence, now};
+        }
         m_flows.erase(found);
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
     }
@@ -788,6 +794,9 @@
         }
         entry = isExpired ? m_flows.erase(entry) : std::next(entry);
     }
+    std::erase_if(m_rejectedProbes, [&](const auto &entry) {
+        return now - entry.second.at > m_options.closedFlowRetention;
+    });
     std::erase_if(m_balancerLastSeen, [&](const auto &entry) {
         return now - entry.second > balancerRetention;
     });
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(neverEndsAnOpenFlow);
     CPPUNIT_TEST(recordsItsOpenFlows);
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
+    CPPUNIT_TEST(doesNotProbeAFlowAgainThatTheServerRejected);
+    CPPUNIT_TEST(probesAgainWhenTheServerMayOwnTheFlow);
     CPPUNIT_TEST(holdsLookupsUntilTheLocalServerIsKnown);
     CPPUNIT_TEST(doesNotProbeAServerWhoseStartItObserved);
     CPPUNIT_TEST(triesTheRegistrarsFirst);
@@ -113,6 +115,13 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(tuple, sequence + 1), m_notices)));
     }
 
+    /// The server rejects a packet of a flow that the restarted agent does not know.
+    void rejectProbe(AgentSteering &agent, const FlowTuple &tuple)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+        agent.handleServerPacket(m_now, rejected(data(tuple, 5)), m_notices);
+    }
+
     /// Opens flows with one request each, from port 1 on, until the server with its three slots has no room for more.
     void fillServer(AgentSteering &agent)
     {
@@ -550,6 +559,56 @@
         CPPUNIT_ASSERT(m_notices.back().notice.owner == agentAddress(1));
     }
 
+    /// Guards against flows whose packets keep going to other servers, because each restarted agent probes its server with each of them.
+    void doesNotProbeAFlowAgainThatTheServerRejected()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        rejectProbe(agent, tuple);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+        const FlowTuple other = flowWithFirstRegistrar(agent.directory(), agentAddress(2));
+        rejectProbe(agent, other);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.retryLookup(m_now, lookupHeader(), data(other, 5), m_notices)));
+    }
+
+    /// Guards against flows of the local server that are taken for flows of another one, because an earlier flow was rejected.
+    void probesAgainWhenTheServerMayOwnTheFlow()
+    {
+        const Snapshots snapshots = Snapshots().server(1).server(2);
+        const FlowTuple tuple = flow(1);
+        const auto isProbed = [&](AgentSteering &agent, Duration elapsed = {}, std::uint32_t sequence = 0) {
+            Segment segment = data(tuple, 5);
+            segment.sequence = sequence;
+            return std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now + elapsed, lookupHeader(), segment, m_notices));
+        };
+
+        AgentSteering later = agent(1, snapshots, false);
+        rejectProbe(later, tuple);
+        CPPUNIT_ASSERT(!isProbed(later));
+        CPPUNIT_ASSERT(isProbed(later, later.options().closedFlowRetention + seconds(1)));
+
+        AgentSteering otherFlow = agent(1, snapshots, false);
+        rejectProbe(otherFlow, tuple);
+        CPPUNIT_ASSERT(isProbed(otherFlow, {}, 1U << 30U));
+
+        AgentSteering reopened = agent(1, snapshots, false);
+        rejectProbe(reopened, tuple);
+        reopened.handleCallerPacket(m_now, header("vault"), syn(tuple), m_notices);
+        CPPUNIT_ASSERT(isProbed(reopened));
+
+        AgentSteering answered = agent(1, snapshots, false);
+        rejectProbe(answered, tuple);
+        answered.handleServerPacket(m_now, fromServer(tuple), m_notices);
+        CPPUNIT_ASSERT(isProbed(answered));
+
+        AgentSteering replaced = agent(1, snapshots, false);
+        rejectProbe(replaced, tuple);
+        replaced.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, false);
+        replaced.setServer(m_now, std::nullopt, false);
+        replaced.setServer(m_now, LocalServer{serviceKey("feed"), {1003}, true, 3}, false);
+        CPPUNIT_ASSERT(isProbed(replaced));
+    }
+
     /// Probes cost the server work, so they are sent only if the server may own the flow.
     void doesNotProbeAServerWhoseStartItObserved()
     {
