Look for the owner if the server rejects a packet of a closed flow

Callers saw: the packets of an open flow with the addresses and ports of an earlier one went to the server of the earlier one only, until the caller gave up.

Cause: a balancer that still has an entry for the earlier flow sends the packets to its agent. The agent has the flow as closed, delivers them, and dropped each one that the server rejected. The packets kept the closed entry alive. The agent now removes the entry, remembers the rejection and continues the lookup with the header of the packet.

Evidence: the new test failed before.

Ruled out: a drop without the entry, since the caller would have to retransmit before the lookup starts.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -181,7 +181,7 @@
         TimePoint synReceivedAt{};
         TimePoint openedAt{};
         std::optional<TimePoint> synAckSentAt; ///< when the server last answered a SYN of the flow before it was open
-        SteerHeader header; ///< header of the last SYN or probe
+        SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
@@ -201,7 +201,7 @@
         bool hasServerFin = false;
         bool isConfirmedByServer = false; ///< the server has sent more than a SYN-ACK, which proves that it owns the flow
     };
-    /// A packet of a caller that was delivered as a probe and that the server has rejected.
+    /// A packet of a flow that the server does not hold.
     struct RejectedProbe {
         std::uint32_t sequence = 0;
         TimePoint at{};
@@ -224,6 +224,7 @@
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
     /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
     bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
+    void rememberRejection(TimePoint now, const Segment &segment);
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
     /// Passes a packet to the owner of a remote flow, or to the other server of a flow that the caller has not opened at the local one. Continues the
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -76,6 +76,11 @@
         || segment.sequence - found->second.sequence + maxProbeDistance > 2 * maxProbeDistance;
 }
 
+void AgentSteering::rememberRejection(TimePoint now, const Segment &segment)
+{
+    m_rejectedProbes[flowTupleFromCaller(segment)] = {segment.sequence, now};
+}
+
 // Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
 // before that.
 AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -218,9 +218,11 @@
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         return deliver(now, flow, header, segment, notices);
+    case FlowState::Closed:
+        flow.header = header;
+        return deliver(now, flow, header, segment, notices);
     case FlowState::Open:
     case FlowState::Probed:
-    case FlowState::Closed:
         return deliver(now, flow, header, segment, notices);
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
@@ -423,7 +425,7 @@
             return DropPacket{SteerCause::NotAccepted};
         }
         if (flow.state == FlowState::Probed && !segment.isSyn) {
-            m_rejectedProbes[tuple] = {segment.sequence, now};
+            rememberRejection(now, segment);
         }
         m_flows.erase(found);
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
@@ -444,6 +446,14 @@
         close(now, flow);
         orphan(now, flow);
         return resetOrphanedFlow(segment, flow);
+    case FlowState::Closed:
+        if (segment.isSyn) {
+            return DropPacket{SteerCause::UnknownFlow};
+        }
+        // The server has forgotten the flow, or the caller has opened another one with the same ports at another server.
+        rememberRejection(now, segment);
+        m_flows.erase(found);
+        return continueLookup(now, header, segment);
     default:
         return DropPacket{SteerCause::UnknownFlow};
     }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
     CPPUNIT_TEST(doesNotProbeAFlowAgainThatTheServerRejected);
     CPPUNIT_TEST(probesAgainWhenTheServerMayOwnTheFlow);
+    CPPUNIT_TEST(looksForTheOwnerIfTheServerRejectsAPacketOfAClosedFlow);
     CPPUNIT_TEST(holdsLookupsUntilTheLocalServerIsKnown);
     CPPUNIT_TEST(doesNotProbeAServerWhoseStartItObserved);
     CPPUNIT_TEST(triesTheRegistrarsFirst);
@@ -609,6 +610,24 @@
         CPPUNIT_ASSERT(isProbed(replaced));
     }
 
+    /// Guards against a flow that never reaches its owner, because it has the ports of a closed flow of the local server.
+    void looksForTheOwnerIfTheServerRejectsAPacketOfAClosedFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        openFlow(agent, tuple);
+        Segment end = fromServer(tuple);
+        end.isRst = true;
+        agent.handleServerPacket(m_now, end, m_notices);
+        SteerHeader second = lookupHeader();
+        second.balancer = balancerAddress(2);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, second, data(tuple, 5), m_notices)));
+        const AgentDecision decision = agent.handleServerPacket(m_now, rejected(data(tuple, 5)), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.balancer == balancerAddress(2));
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, second, data(tuple, 5), m_notices)));
+    }
+
     /// Probes cost the server work, so they are sent only if the server may own the flow.
     void doesNotProbeAServerWhoseStartItObserved()
     {
