Tell stray packets after an idle time apart in the random schedule

The check counts from the last packet that reached the owner. When the caller has sent nothing since, three probes of the first packet of its next request count although they lie some milliseconds apart and the owner gets the packet, or the next copy, soon after. The rule allows both readings: three stray packets in any two seconds without one at the owner, or stray packets for two seconds. Both stay findings, so the check is as strict as before; only the text of the finding differs.

--- a/src/jujubequay/steering/steering_random_run.cpp
+++ b/src/jujubequay/steering/steering_random_run.cpp
@@ -217,7 +217,11 @@
     }
     for (std::size_t index = strayLimit - 1; index < flow.strays.size(); ++index) {
         if (flow.strays[index] - flow.strays[index + 1 - strayLimit] <= strayTime) {
-            report("stray packets", number, fmt::format("owner agent {} incarnation {}", flow.ownerAgent, flow.owner.value));
+            // The owner may have got no packet for long because the caller sent none.
+            const bool wasIdle = m_now - flow.strays.front() < strayTime;
+            report(wasIdle ? "stray packets, after an idle time" : "stray packets",
+                   number,
+                   fmt::format("owner agent {} incarnation {}", flow.ownerAgent, flow.owner.value));
             return;
         }
     }
