Keep an open flow when its server rejects a packet of an earlier one

Callers saw: an open flow with the addresses and ports of an earlier one was reset by the agent of its server (server-replaced), or its packets went to other back ends.

Cause: when the server rejected a late packet of the earlier flow, the agent took this for a rejection of the open flow. It forgot the flow if the server had only sent its SYN-ACK, and took it for ended otherwise. A rejected packet now counts only if it acknowledges what the server has sent lately, within 64 KiB; others are dropped, and the flow is kept.

Evidence: the new test failed before.

Ruled out: a lookup with the kept entry, by reading: the registrars name this agent, so that the packet would come back and be rejected again.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -183,6 +183,7 @@
         std::optional<TimePoint> synAckSentAt; ///< when the server last answered a SYN of the flow before it was open
         SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
+        std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
@@ -224,6 +225,8 @@
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
     /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
     bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
+    /// True if the packet acknowledges what the server has sent lately in this flow.
+    static bool acknowledgesServer(const Flow &flow, const Segment &segment);
     void rememberRejection(TimePoint now, const Segment &segment);
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -9,7 +9,12 @@
 namespace {
 
 /// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
-constexpr std::uint32_t maxProbeDistance = 64U << 10U;
+constexpr std::uint32_t maxSequenceDistance = 64U << 10U;
+
+bool isNear(std::uint32_t sequence, std::uint32_t reference)
+{
+    return sequence - reference + maxSequenceDistance <= 2 * maxSequenceDistance;
+}
 
 }
 
@@ -72,8 +77,12 @@
         return false;
     }
     const auto found = m_rejectedProbes.find(flowTupleFromCaller(segment));
-    return found == m_rejectedProbes.end() || now - found->second.at > m_options.closedFlowRetention
-        || segment.sequence - found->second.sequence + maxProbeDistance > 2 * maxProbeDistance;
+    return found == m_rejectedProbes.end() || now - found->second.at > m_options.closedFlowRetention || !isNear(segment.sequence, found->second.sequence);
+}
+
+bool AgentSteering::acknowledgesServer(const Flow &flow, const Segment &segment)
+{
+    return isNear(segment.acknowledgement, flow.serverSequence);
 }
 
 void AgentSteering::rememberRejection(TimePoint now, const Segment &segment)
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -366,6 +366,7 @@
     const bool isSynAck = segment.isSyn && segment.isAck;
     Flow &flow = found == m_flows.end() ? insert(tuple, isSynAck ? FlowState::SynDelivered : FlowState::Probed, now) : found->second;
     flow.lastUsed = now;
+    flow.serverSequence = segment.sequence + segment.length;
     if (isSynAck) {
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
@@ -436,6 +437,10 @@
             return now - flow.openedAt < maxSynDelay ? AgentDecision(DropPacket{SteerCause::NotAccepted})
                                                      : redirectSyn(header, segment, SteerCause::NotAccepted);
         }
+        if (!acknowledgesServer(flow, segment)) {
+            // An earlier flow had the same addresses and ports.
+            return DropPacket{SteerCause::UnknownFlow};
+        }
         if (!flow.isConfirmedByServer) {
             // The packet has acknowledged the SYN-ACK of another server, which owns the flow.
             removeFromCounts(flow);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(doesNotProbeAFlowAgainThatTheServerRejected);
     CPPUNIT_TEST(probesAgainWhenTheServerMayOwnTheFlow);
     CPPUNIT_TEST(looksForTheOwnerIfTheServerRejectsAPacketOfAClosedFlow);
+    CPPUNIT_TEST(keepsAnOpenFlowWhenItsServerRejectsAPacketOfAnEarlierOne);
     CPPUNIT_TEST(holdsLookupsUntilTheLocalServerIsKnown);
     CPPUNIT_TEST(doesNotProbeAServerWhoseStartItObserved);
     CPPUNIT_TEST(triesTheRegistrarsFirst);
@@ -628,6 +629,28 @@
         CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, second, data(tuple, 5), m_notices)));
     }
 
+    /// Guards against an open flow that is forgotten or reset because the server rejects a late packet of an earlier flow with the same ports.
+    void keepsAnOpenFlowWhenItsServerRejectsAPacketOfAnEarlierOne()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        const Segment late = data(tuple, 1U << 30U);
+        openFlow(agent, tuple);
+        agent.handleCallerPacket(m_now, header(), late, m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(late), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 1001), m_notices)));
+
+        Segment response = fromServer(tuple);
+        response.sequence = 1001;
+        response.length = 200;
+        agent.handleServerPacket(m_now, response, m_notices);
+        agent.handleCallerPacket(m_now, header(), late, m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(late), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 1201), m_notices)));
+        // A packet of the flow itself shows that the server has lost it.
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleServerPacket(m_now, rejected(data(tuple, 1201)), m_notices)));
+    }
+
     /// Probes cost the server work, so they are sent only if the server may own the flow.
     void doesNotProbeAServerWhoseStartItObserved()
     {
