--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -181,8 +181,9 @@
         TimePoint synReceivedAt{};
         TimePoint openedAt{};
         std::optional<TimePoint> synAckSentAt; ///< when the server last answered a SYN of the flow before it was open
-        SteerHeader header; ///< header of the last SYN or probe
+        SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
+        std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
@@ -201,6 +202,11 @@
         bool hasServerFin = false;
         bool isConfirmedByServer = false; ///< the server has sent more than a SYN-ACK, which proves that it owns the flow
     };
+    /// A packet of a flow that the server does not hold.
+    struct RejectedProbe {
+        std::uint32_t sequence = 0;
+        TimePoint at{};
+    };
 
     AgentDecision handleSyn(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
     /// Handles a caller's packet that is not a SYN.
@@ -212,8 +218,6 @@
     bool mayBeRemoteFlowOfSyn(TimePoint now, const Flow &flow) const;
     /// Resets the caller for a first SYN, and drops a retransmission.
     AgentDecision rejectSyn(const Segment &segment, SteerCause cause) const;
-    /// True if the local server may own flows that are not in the flow table.
-    bool mayOwnUnknownFlow(TimePoint now) const;
     /// Delivers a packet to find out whether the local server owns its flow.
     AgentDecision probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple);
     /// Forwards a packet whose owner is unknown to the next agent of the owner lookup, or ends the lookup.
@@ -221,6 +225,11 @@
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
     /// were tried.
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
+    /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
+    bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
+    /// True if the packet acknowledges what the server has sent lately in this flow.
+    static bool acknowledgesServer(const Flow &flow, const Segment &segment);
+    void rememberRejection(TimePoint now, const Segment &segment);
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
     /// Passes a packet to the owner of a remote flow, or to the other server of a flow that the caller has not opened at the local one. Continues the
@@ -286,6 +295,7 @@
     TimePoint m_highestRouteTableSeenAt{};
     HostAddress m_highestRouteTableBalancer; ///< the balancer that has sent this packet
     std::unordered_map<FlowTuple, Flow> m_flows;
+    std::unordered_map<FlowTuple, RejectedProbe> m_rejectedProbes;
     std::vector<AnsweredRequest> m_answeredRequests;
     Duration m_serviceTime{};
     FlowRecorder m_flowRecorder;
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -6,9 +6,16 @@
 
 namespace Jujubequay {
 
-bool AgentSteering::mayOwnUnknownFlow(TimePoint now) const
+namespace {
+
+/// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
+constexpr std::uint32_t maxSequenceDistance = 64U << 10U;
+
+bool isNear(std::uint32_t sequence, std::uint32_t reference)
 {
-    return m_server && !isFlowTableComplete(now);
+    return sequence - reference + maxSequenceDistance <= 2 * maxSequenceDistance;
+}
+
 }
 
 AgentDecision AgentSteering::probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple)
@@ -71,6 +78,25 @@
     return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
 }
 
+bool AgentSteering::mayOwnUnknownFlow(TimePoint now, const Segment &segment) const
+{
+    if (!m_server || isFlowTableComplete(now)) {
+        return false;
+    }
+    const auto found = m_rejectedProbes.find(flowTupleFromCaller(segment));
+    return found == m_rejectedProbes.end() || now - found->second.at > m_options.closedFlowRetention || !isNear(segment.sequence, found->second.sequence);
+}
+
+bool AgentSteering::acknowledgesServer(const Flow &flow, const Segment &segment)
+{
+    return isNear(segment.acknowledgement, flow.serverSequence);
+}
+
+void AgentSteering::rememberRejection(TimePoint now, const Segment &segment)
+{
+    m_rejectedProbes[flowTupleFromCaller(segment)] = {segment.sequence, now};
+}
+
 // Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
 // before that.
 AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
@@ -81,7 +107,7 @@
     restarted.lookupPhase = LookupPhase::FirstRegistrar;
     restarted.lookupRetries = static_cast<std::uint8_t>(std::min<unsigned>(header.lookupRetries + 1U, maxLookupRetries));
     const auto registrar = m_directory.firstRegistrar(flowTupleFromCaller(segment));
-    if (!mayOwnUnknownFlow(now) && registrar && *registrar != m_options.agent) {
+    if (!mayOwnUnknownFlow(now, segment) && registrar && *registrar != m_options.agent) {
         restarted.wantsOwnerNotice = true;
         return RelayToAgent{*registrar, restarted, SteerCause::OwnerLookup};
     }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -61,6 +61,7 @@
         const bool isFirstServer = !m_server;
         m_unobservedBefore = isFresh || !isFirstServer ? std::nullopt : std::optional(now);
         m_outlierDetector = OutlierDetector({});
+        m_rejectedProbes.clear();
         for (auto &[tuple, flow] : m_flows) {
             // A server accepts flows from its start on, before its first announcement reaches this agent.
             if (!isFirstServer && server && isAcceptedBy(*server, flow)) {
@@ -105,6 +106,7 @@
 AgentDecision AgentSteering::handleSyn(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
+    m_rejectedProbes.erase(tuple);
     const auto found = m_flows.find(tuple);
     if (found != m_flows.end()) {
         Flow &flow = found->second;
@@ -197,13 +199,13 @@
         if (!m_isServerKnown) {
             return HoldLookup{header};
         }
-        return mayOwnUnknownFlow(now) ? probe(now, header, tuple) : continueLookup(now, header, segment);
+        return mayOwnUnknownFlow(now, segment) ? probe(now, header, tuple) : continueLookup(now, header, segment);
     }
     Flow &flow = found->second;
     switch (flow.state) {
     case FlowState::SynDelivered:
         // The server does not answer a copy of the SYN if it owns the flow already.
-        if (flow.remoteAgent == HostAddress() && mayOwnUnknownFlow(now)) {
+        if (flow.remoteAgent == HostAddress() && mayOwnUnknownFlow(now, segment)) {
             return probe(now, header, tuple);
         }
         // The caller has established the flow with another server, whose SYN-ACK arrived first.
@@ -215,9 +217,11 @@
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         return deliver(now, flow, header, segment, notices);
+    case FlowState::Closed:
+        flow.header = header;
+        return deliver(now, flow, header, segment, notices);
     case FlowState::Open:
     case FlowState::Probed:
-    case FlowState::Closed:
         return deliver(now, flow, header, segment, notices);
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
@@ -356,10 +360,12 @@
         return handleRejectedPacket(now, segment);
     }
     const FlowTuple tuple = flowTupleFromServer(segment);
+    m_rejectedProbes.erase(tuple);
     const auto found = m_flows.find(tuple);
     const bool isSynAck = segment.isSyn && segment.isAck;
     Flow &flow = found == m_flows.end() ? insert(tuple, isSynAck ? FlowState::SynDelivered : FlowState::Probed, now) : found->second;
     flow.lastUsed = now;
+    flow.serverSequence = segment.sequence + segment.length;
     if (isSynAck) {
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
@@ -418,6 +424,9 @@
             flow.state = FlowState::Remote;
             return DropPacket{SteerCause::NotAccepted};
         }
+        if (flow.state == FlowState::Probed && !segment.isSyn) {
+            rememberRejection(now, segment);
+        }
         m_flows.erase(found);
         return segment.isSyn ? redirectSyn(header, segment, SteerCause::NotAccepted) : continueLookup(now, header, segment);
     }
@@ -427,6 +436,10 @@
             return now - flow.openedAt < maxSynDelay ? AgentDecision(DropPacket{SteerCause::NotAccepted})
                                                      : redirectSyn(header, segment, SteerCause::NotAccepted);
         }
+        if (!acknowledgesServer(flow, segment)) {
+            // An earlier flow had the same addresses and ports.
+            return DropPacket{SteerCause::UnknownFlow};
+        }
         if (!flow.isConfirmedByServer) {
             // The packet has acknowledged the SYN-ACK of another server, which owns the flow.
             removeFromCounts(flow);
@@ -437,6 +450,14 @@
         close(now, flow);
         orphan(now, flow);
         return resetOrphanedFlow(segment, flow);
+    case FlowState::Closed:
+        if (segment.isSyn) {
+            return DropPacket{SteerCause::UnknownFlow};
+        }
+        // The server has forgotten the flow, or the caller has opened another one with the same ports at another server.
+        rememberRejection(now, segment);
+        m_flows.erase(found);
+        return continueLookup(now, header, segment);
     default:
         return DropPacket{SteerCause::UnknownFlow};
     }
@@ -787,6 +808,9 @@
         }
         entry = isExpired ? m_flows.erase(entry) : std::next(entry);
     }
+    std::erase_if(m_rejectedProbes, [&](const auto &entry) {
+        return now - entry.second.at > m_options.closedFlowRetention;
+    });
     std::erase_if(m_balancerLastSeen, [&](const auto &entry) {
         return now - entry.second > balancerRetention;
     });
