Claim no half-open flow when a new server is announced

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves. A server that has just started answered a redirected SYN before its announcement, the caller opened the flow at another server, and the new server ended.

Cause: when the announcement arrives, the agent corrects the notices that may have named the incarnation before. It did this also for flows whose handshake has not ended there, and with an incarnation, which a balancer takes as the claim of an owner.

Change: only open flows are corrected.

Evidence: claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded failed before ('addressed.notice.incarnation == Incarnation()').

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -623,9 +623,8 @@
             continue;
         }
         Flow &flow = found->second;
-        if (flow.state == FlowState::SynAckSent && flow.header.hops > 0) {
-            notices.push_back(noticeToBalancer(flow.header, tuple));
-        } else if (flow.state == FlowState::Open) {
+        // A half-open flow has not been claimed yet.
+        if (flow.state == FlowState::Open) {
             for (const HostAddress &balancer : recentBalancers()) {
                 notices.push_back({balancer, {tuple, m_options.agent, confirmedIncarnation()}});
             }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(servesABurstWithoutRefusals);
     CPPUNIT_TEST(redirectsSynsWhileTheServerResetsRequests);
     CPPUNIT_TEST(keepsFlowsThatANewServerOpenedBeforeItsAnnouncement);
+    CPPUNIT_TEST(claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -1174,6 +1175,23 @@
         CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
     }
+
+    /// The new server has answered a redirected SYN before its announcement, but the caller may open the flow at another server. Guards against a balancer
+    /// that resets the flow when the new server ends.
+    void claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        SteerHeader redirected = header();
+        redirected.hops = 1;
+        redirected.acceptsIncarnations = true;
+        agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices);
+        agent.handleServerPacket(m_now, synAck(flow(1), 1000), m_notices);
+        agent.setServer(m_now + seconds(1), LocalServer{serviceKey("feed"), {777}, true, 3, m_now - seconds(1)}, true);
+        agent.resendNotices(m_now + seconds(1), m_notices);
+        for (const AddressedNotice &addressed : m_notices) {
+            CPPUNIT_ASSERT(addressed.notice.incarnation == Incarnation());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
