Keep in mind at a balancer that notices contradict each other

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves. Its owner's notice was followed by two late ones of an earlier flow with the same addresses and ports, whose server ended before the next packet.

Cause: the first contradictory notice made the entry unconfirmed, but a second copy of it named the same owner and confirmed it. An owner sends a notice for each packet that has come through a lookup, so that several in a row are usual, and a datagram may be duplicated.

Change: the mark stays until a SYN is placed anew, as at the registrars.

Evidence: asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow failed before ('relay != nullptr').

--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -103,6 +103,7 @@
         TimePoint lastUsed{};
         OwnershipSource source = OwnershipSource::Placement;
         TimePoint learnedAt{}; ///< when the source was received
+        bool isContested = false; ///< notices have named different owners
     };
     struct Load {
         LoadNotice notice;
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -221,14 +221,20 @@
         return;
     }
     Flow &flow = m_flows[notice.tuple];
-    const bool isFirstNotice = flow.source != OwnershipSource::OwnerNotice;
     const bool areIncarnationsKnown = flow.incarnation != Incarnation() && notice.incarnation != Incarnation();
     const bool isSameOwner = flow.agent == notice.owner && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
-    // Notices that name different owners belong to different flows, and may arrive in any order.
-    const bool isConfirmed = notice.incarnation != Incarnation() && (isFirstNotice || isSameOwner);
+    // Notices that name different owners belong to different flows, and may arrive in any order, also more than once.
+    const bool isContested = flow.isContested || (flow.source == OwnershipSource::OwnerNotice && !isSameOwner);
+    const bool isConfirmed = notice.incarnation != Incarnation() && !isContested;
     const SteerServer *listed = m_directory.find(notice.owner);
     const Incarnation listedIncarnation = listed == nullptr ? Incarnation() : listed->incarnation;
-    flow = {notice.owner, notice.incarnation == Incarnation() ? listedIncarnation : notice.incarnation, isConfirmed, now, OwnershipSource::OwnerNotice, now};
+    flow = {notice.owner,
+            notice.incarnation == Incarnation() ? listedIncarnation : notice.incarnation,
+            isConfirmed,
+            now,
+            OwnershipSource::OwnerNotice,
+            now,
+            isContested};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfTheFlowWasIdle);
+    CPPUNIT_TEST(asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
@@ -373,6 +374,20 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
     }
 
+    /// Several packets of the earlier flow have made its owner send several notices, which arrive late. Guards against a reset of the open flow when
+    /// that owner ends.
+    void asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2).server(3));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.update(m_now, snapshots.incarnation(1, 777).build());
+        const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
+        CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+    }
+
     /// The SYN may have opened another flow at another server. Guards against a reset of it when the server of the earlier flow ends.
     void asksARegistrarIfASynFollowedTheNotice()
     {
