Do not trust a notice alone that contradicts the placement of a flow

What callers would see: an open flow is reset by a balancer (server-replaced) while its server serves. A late notice about an earlier flow with the same addresses and ports replaced the entry of the SYN, and the server in the notice ended before the next packet.

Cause: the owner of a flow that was opened where it was placed sends the balancer no notice, so that the late one is the first. It counted as confirmed.

Change: a notice is confirmed only if it names the agent to which the SYN was sent, or repeats an earlier notice. After a redirect the notice with the SYN-ACK is the earlier one; if it is lost, a reset takes one more hop.

Evidence: asksARegistrarIfANoticeContradictsThePlacement failed before ('relay != nullptr').

--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -101,7 +101,7 @@
         /// Otherwise another server may own the flow, and the registrars decide whether it has ended.
         bool isConfirmed = false;
         TimePoint lastUsed{};
-        OwnershipSource source = OwnershipSource::Placement;
+        OwnershipSource source = OwnershipSource::None;
         TimePoint learnedAt{}; ///< when the source was received
         bool isContested = false; ///< notices have named different owners
     };
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -221,11 +221,14 @@
         return;
     }
     Flow &flow = m_flows[notice.tuple];
+    const bool isSameAgent = flow.agent == notice.owner;
     const bool areIncarnationsKnown = flow.incarnation != Incarnation() && notice.incarnation != Incarnation();
-    const bool isSameOwner = flow.agent == notice.owner && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
+    const bool isSameOwner = isSameAgent && (!areIncarnationsKnown || flow.incarnation == notice.incarnation);
     // Notices that name different owners belong to different flows, and may arrive in any order, also more than once.
     const bool isContested = flow.isContested || (flow.source == OwnershipSource::OwnerNotice && !isSameOwner);
-    const bool isConfirmed = notice.incarnation != Incarnation() && !isContested;
+    // The owner of a flow that was opened where it was placed sends no notice, so that a notice of another agent may be about an earlier flow.
+    const bool isPlacedElsewhere = flow.source == OwnershipSource::Placement && !isSameAgent;
+    const bool isConfirmed = notice.incarnation != Incarnation() && !isContested && !isPlacedElsewhere;
     const SteerServer *listed = m_directory.find(notice.owner);
     const Incarnation listedIncarnation = listed == nullptr ? Incarnation() : listed->incarnation;
     flow = {notice.owner,
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfTheFlowWasIdle);
     CPPUNIT_TEST(asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow);
+    CPPUNIT_TEST(asksARegistrarIfANoticeContradictsThePlacement);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
@@ -388,6 +389,19 @@
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
     }
 
+    /// The notice may be a late one of an earlier flow with the same addresses and ports, since the owner of a flow that was opened where it was
+    /// placed sends none.
+    void asksARegistrarIfANoticeContradictsThePlacement()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(3, "vault"));
+        steering.decide(m_now, syn(flow(1)));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
+        steering.update(m_now, snapshots.incarnation(3, 777).build());
+        const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
+        CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+    }
+
     /// The SYN may have opened another flow at another server. Guards against a reset of it when the server of the earlier flow ends.
     void asksARegistrarIfASynFollowedTheNotice()
     {
