Keep a flow that replaces an abandoned one with the same ports

What callers would see: an open flow is reset (server-replaced) by an agent that is one of its registrars, while its server serves. The caller had abandoned a flow at this agent's server without a FIN or a reset, and opened another one with the same addresses and ports elsewhere.

Cause: an agent keeps an open flow for up to 75 s after its last packet, and ignored the notice about the new one, although it acknowledged it. It delivered packets of the new flow to its server. When the server rejected them, or was replaced, the agent reset the caller, since the server had once confirmed the flow.

Change: the agent remembers the other server beside its own flow. If the local server rejects a packet or ends, the entry becomes a remote flow, and a lookup decides. A notice that came before the handshake ended here belongs to an earlier flow and is forgotten.

Evidence: passesAFlowOnThatReplacesAnAbandonedOne and keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced failed before with a reset.

Not covered: the local server still holds the abandoned flow or answers for it; the agent is not a registrar of the new flow.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -185,7 +185,7 @@
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
         std::uint32_t lastCallerAcknowledgement = 0;
-        HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server while the flow is half open
+        HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server that may own a local one
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
         /// Notices have named different owners, or the local server was replaced before it was known to own the flow. An owner lookup then decides
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -68,7 +68,7 @@
                 m_misattributedFlows.insert(tuple);
                 continue;
             }
-            const bool wasOpen = flow.state == FlowState::Open;
+            const bool wasOpen = flow.state == FlowState::Open && !flow.isContested;
             if (!isFirstServer && isLocalFlow(flow)) {
                 removeFromCounts(flow);
                 orphan(now, flow);
@@ -214,6 +214,8 @@
         if (!segment.isRst && segment.acknowledgement - flow.serverInitialSequence - 1 >= maxInitialWindowBytes) {
             return passToOtherServer(now, header, segment, flow);
         }
+        // Any other server that was named before owned an earlier flow.
+        flow.remoteAgent = {};
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         return deliver(now, flow, header, segment, notices);
@@ -291,7 +293,7 @@
 
 void AgentSteering::orphan(TimePoint now, Flow &flow)
 {
-    if (isHalfOpen(flow) && flow.remoteAgent != HostAddress()) {
+    if (isLocalFlow(flow) && flow.remoteAgent != HostAddress()) {
         flow.state = FlowState::Remote;
         return;
     }
@@ -437,8 +439,13 @@
                                                      : redirectSyn(header, segment, SteerCause::NotAccepted);
         }
         if (!acknowledgesServer(flow, segment)) {
-            // An earlier flow had the same addresses and ports.
-            return DropPacket{SteerCause::UnknownFlow};
+            // It belongs to another flow with the same addresses and ports.
+            return flow.remoteAgent == HostAddress() ? AgentDecision(DropPacket{SteerCause::UnknownFlow}) : passToOtherServer(now, header, segment, flow);
+        }
+        if (flow.remoteAgent != HostAddress()) {
+            removeFromCounts(flow);
+            flow.state = FlowState::Remote;
+            return passToOtherServer(now, header, segment, flow);
         }
         if (!flow.isConfirmedByServer) {
             // The packet has acknowledged the SYN-ACK of another server, which owns the flow.
@@ -473,6 +480,12 @@
     }
     const auto found = m_flows.find(notice.tuple);
     if (found != m_flows.end() && found->second.state == FlowState::Open) {
+        // The caller may have abandoned the flow of the local server and opened another one. If the local server rejects a packet or ends, the other
+        // server is asked.
+        found->second.remoteAgent = notice.owner;
+        found->second.remoteIncarnation = notice.incarnation;
+        found->second.remoteLearnedAt = now;
+        found->second.isContested = true;
         return;
     }
     const bool isContested = found != m_flows.end() && contradicts(notice, found->second);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_TEST(redirectsSynsWhileTheServerResetsRequests);
     CPPUNIT_TEST(keepsFlowsThatANewServerOpenedBeforeItsAnnouncement);
     CPPUNIT_TEST(claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded);
+    CPPUNIT_TEST(passesAFlowOnThatReplacesAnAbandonedOne);
+    CPPUNIT_TEST(keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -1192,6 +1194,37 @@
             CPPUNIT_ASSERT(addressed.notice.incarnation == Incarnation());
         }
     }
+
+    /// The caller has abandoned a flow of the local server without a word and opened another one with the same addresses and ports at another server.
+    /// Guards against a reset by a registrar that takes a packet of the new flow for one of the abandoned flow, which its server has forgotten.
+    void passesAFlowOnThatReplacesAnAbandonedOne()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        openFlow(agent, tuple);
+        agent.handleServerPacket(m_now, fromServer(tuple), m_notices);
+        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}});
+        const Segment request = data(tuple, 90'000);
+        AgentDecision decision = agent.handleCallerPacket(m_now + seconds(21), header(), request, m_notices);
+        if (std::holds_alternative<DeliverToServer>(decision)) {
+            decision = agent.handleServerPacket(m_now + seconds(21), rejected(request), m_notices);
+        }
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+    }
+
+    /// As above, but the server of the abandoned flow is replaced.
+    void keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        openFlow(agent, tuple);
+        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}});
+        CPPUNIT_ASSERT(agent.setServer(m_now + seconds(21), LocalServer{serviceKey("feed"), {777}, true, 3}, true).empty());
+        const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(21), header(), data(tuple, 90'000), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
