Leave out no server in an owner lookup after a late notice

What callers would see: an open flow is reset (unknown-flow) by an agent while its server serves. A registrar knew only the owner of an earlier flow with the same addresses and ports, whose server still ran, and the notices of the open flow were lost or late. Besides, a late packet of a closed flow could pass between two agents until it had 250 hops.

Cause: in its last phase a lookup asks all agents by rank, but an agent with a remote entry sent the packet to the agent in that entry. That one, if it did not know the flow, went on with the agents that rank after itself. All agents between the two were left out, and the end of the lookup counted as proof. If the other agent ranked first, the packet came back.

Change: after such a jump the lookup counts as partial, so that it ends with a retry and not with a reset. A partial lookup does not jump back.

Evidence: asksEachServerDespiteALateNotice failed before with a reset, passesALatePacketOnAFewTimes with 'm_lastHops <= 12'.

Price: a caller whose flow no server has gets no reset if a registrar still names a running server that has forgotten the flow.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -230,6 +230,8 @@
     /// True if the packet acknowledges what the server has sent lately in this flow.
     static bool acknowledgesServer(const Flow &flow, const Segment &segment);
     void rememberRejection(TimePoint now, const Segment &segment);
+    /// True if an owner lookup asks `agent` after this one.
+    bool ranksAfterThisAgent(const HostAddress &agent, const FlowTuple &tuple) const;
     /// Handles a packet that the server has rejected.
     AgentDecision handleRejectedPacket(TimePoint now, const Segment &segment);
     /// Passes a packet to the owner of a remote flow, or to the other server of a flow that the caller has not opened at the local one. Continues the
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -97,6 +97,12 @@
     m_rejectedProbes[flowTupleFromCaller(segment)] = {segment.sequence, now};
 }
 
+bool AgentSteering::ranksAfterThisAgent(const HostAddress &agent, const FlowTuple &tuple) const
+{
+    const std::vector<HostAddress> ranked = m_directory.rankedAgents(tuple);
+    return std::find(std::find(ranked.begin(), ranked.end(), m_options.agent), ranked.end(), agent) != ranked.end();
+}
+
 // Restarts the lookup at the first registrar, since servers may have been left out. If the local server may own the flow, it is probed
 // before that.
 AgentDecision AgentSteering::retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -247,6 +247,14 @@
         return continueLookup(now, header, segment);
     }
     SteerHeader next = header;
+    if (header.lookupPhase == LookupPhase::AllServers) {
+        if (header.isLookupPartial && !ranksAfterThisAgent(flow.remoteAgent, flowTupleFromCaller(segment))) {
+            // That agent may have been asked already, and would send the packet here again.
+            return continueLookup(now, header, segment);
+        }
+        // If that agent does not know the flow, it continues with the agents that rank after it and leaves others out.
+        next.isLookupPartial = true;
+    }
     next.wantsOwnerNotice = true;
     ++next.hops;
     return next.hops > m_options.maxHops ? AgentDecision(DropPacket{SteerCause::TooManyHops})
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -80,6 +80,8 @@
     CPPUNIT_TEST(claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded);
     CPPUNIT_TEST(passesAFlowOnThatReplacesAnAbandonedOne);
     CPPUNIT_TEST(keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced);
+    CPPUNIT_TEST(asksEachServerDespiteALateNotice);
+    CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -1225,6 +1227,64 @@
         const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(21), header(), data(tuple, 90'000), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
     }
+
+    /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
+    AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
+    {
+        HostAddress current = agents.begin()->second.directory().firstRegistrar(tuple).value();
+        AgentDecision decision = RelayToAgent{current, header(), SteerCause::OwnerLookup};
+        std::get<RelayToAgent>(decision).header.wantsOwnerNotice = true;
+        while (const auto *relayed = std::get_if<RelayToAgent>(&decision)) {
+            current = relayed->agent;
+            m_lastHops = relayed->header.hops;
+            decision = agents.at(current).handleCallerPacket(m_now, relayed->header, data(tuple, 1001), m_notices);
+        }
+        return decision;
+    }
+
+    /// A registrar knows only the owner of an earlier flow with the same addresses and ports, which serves, and the notices of the open flow are lost.
+    /// Guards against a lookup that leaves out the servers that rank between the two, and resets the flow.
+    void asksEachServerDespiteALateNotice()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            snapshots.server(number);
+        }
+        for (std::uint16_t port = 1; port <= 20; ++port) {
+            std::map<HostAddress, AgentSteering> agents;
+            for (std::uint32_t number = 1; number <= 8; ++number) {
+                agents.emplace(agentAddress(number), agent(number, snapshots));
+            }
+            const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(port));
+            openFlow(agents.at(ranked[2]), flow(port));
+            agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(port), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}});
+            CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(lookUp(agents, flow(port))));
+        }
+    }
+
+    /// The owner has forgotten the flow, but a registrar that ranks after it has not. Guards against a packet that goes round between the two.
+    void passesALatePacketOnAFewTimes()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            snapshots.server(number);
+        }
+        for (std::uint16_t port = 1; port <= 20; ++port) {
+            std::map<HostAddress, AgentSteering> agents;
+            for (std::uint32_t number = 1; number <= 8; ++number) {
+                agents.emplace(agentAddress(number), agent(number, snapshots));
+            }
+            const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(port));
+            for (const FlowRegistrar &registrar : agents.begin()->second.directory().registrars(flow(port))) {
+                agents.at(registrar.agent).handleOwnerNotice(m_now, {flow(port), ranked[1], {100 + ranked[1].ip - agentAddress(0).ip}});
+            }
+            lookUp(agents, flow(port));
+            CPPUNIT_ASSERT(m_lastHops <= 12);
+        }
+    }
+
+private:
+    unsigned m_lastHops = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
