Guard four decisions that no test covered

Each of these guards could be removed without a failed test: a SYN that goes to a silent agent because no other server accepts flows makes its entry unconfirmed; notices of two incarnations of one agent contradict each other; a probe is no proof that the replaced server owned the flow; a half-open flow of a replaced server becomes a remote flow (the test passed because the lookup led to the same agent).

--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(remembersTheOwnerOfAFlowWhoseSynTheLocalServerNeverAnswered);
     CPPUNIT_TEST(remembersTheOwnerWhenTheLocalServerEndsOrRejectsTheSyn);
     CPPUNIT_TEST(looksForTheOwnerOfAFlowThatAReplacedServerNeverOpened);
+    CPPUNIT_TEST(looksForTheOwnerOfAFlowForWhichAReplacedServerWasProbed);
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
@@ -380,16 +381,19 @@
     /// server of the other one ends.
     void registrarLooksForTheOwnerAfterContradictoryNotices()
     {
-        Snapshots snapshots;
-        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
-        agent.handleOwnerNotice(m_now, {tuple, agentAddress(2), {102}});
-        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
-        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
-        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
-        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
-        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
-        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+        const FlowTuple tuple = flowWithFirstRegistrar(agent(1, Snapshots().server(1).server(2).server(3)).directory(), agentAddress(1));
+        for (const AddressedNotice &contradictory :
+             {AddressedNotice{{}, {tuple, agentAddress(2), {102}}}, AddressedNotice{{}, {tuple, agentAddress(3), {99}}}}) {
+            Snapshots snapshots;
+            AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+            agent.handleOwnerNotice(m_now, contradictory.notice);
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+            const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
+            CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+        }
     }
 
     /// A late notice of an earlier flow with the same addresses and ports arrives during the handshake at the local server. Guards against packets of the
@@ -450,6 +454,7 @@
             const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
             CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
             CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::KnownOwner);
         }
     }
 
@@ -475,6 +480,18 @@
         }
     }
 
+    /// The agent has only probed its server for the flow, and the server is replaced before it answers. Guards against a reset of the flow of another one.
+    void looksForTheOwnerOfAFlowForWhichAReplacedServerWasProbed()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3), false);
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+        CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).empty());
+        const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+    }
+
     /// An agent that has just restarted does not know the incarnation of its server. Guards against a lookup that ends at an agent without one.
     void looksForTheOwnerIfItsIncarnationIsUnknown()
     {
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow);
     CPPUNIT_TEST(asksARegistrarIfANoticeContradictsThePlacement);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
+    CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNoticeOfASilentAgent);
     CPPUNIT_TEST(asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsNewerThanTheList);
     CPPUNIT_TEST(keepsFlowsOfAServerThatIsConfirmedLater);
@@ -414,6 +415,18 @@
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
     }
 
+    /// As above, but the SYN goes to the agent of the earlier flow only because no other server accepts flows.
+    void asksARegistrarIfASynFollowedTheNoticeOfASilentAgent()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1, "feed", ServerAvailability::Draining).server(2, "vault"));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(2), syn(flow(1)))) == agentAddress(1));
+        steering.update(m_now + seconds(3), snapshots.incarnation(1, 777).build());
+        const BalancerDecision decision = steering.decide(m_now + seconds(3), data(flow(1), 55));
+        CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+    }
+
     /// The server has answered the SYN, and its notice states no incarnation. Guards against packets that are sent to its agent after the server
     /// has ended, where nobody answers.
     void asksARegistrarWhenTheServerOfAnUnconfirmedNoticeHasEnded()
