Guard open flows against late notices in both directions

The return for open flows in handleOwnerNotice, and the reset of the other server when the handshake ends, could be removed without a failed test.

--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(claimsNoFlowOfANewServerBeforeItsHandshakeHasEnded);
     CPPUNIT_TEST(passesAFlowOnThatReplacesAnAbandonedOne);
     CPPUNIT_TEST(keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced);
+    CPPUNIT_TEST(deliversPacketsOfAnOpenFlowAfterALateNotice);
+    CPPUNIT_TEST(resetsAFlowThatWasOpenedAfterALateNotice);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -1251,6 +1253,28 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
     }
 
+    /// Guards against a late notice of an earlier flow that takes an open flow away from its server.
+    void deliversPacketsOfAnOpenFlowAfterALateNotice()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        openFlow(agent, flow(1));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+    }
+
+    /// The end of the handshake proves that the notice was about an earlier flow. Guards against a caller that waits for the end of a lookup.
+    void resetsAFlowThatWasOpenedAfterALateNotice()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        agent.handleOwnerNotice(m_now - seconds(5), {flow(1), agentAddress(3), {103}});
+        agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleServerPacket(m_now, synAck(flow(1), 1000), m_notices);
+        agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).size());
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+    }
+
     /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
     AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
     {
