--- a/include/jujubequay/steering/flow_ownership.h
+++ b/include/jujubequay/steering/flow_ownership.h
@@ -49,7 +49,7 @@
     HostAddress owner; ///< agent of the owner; empty if unknown
     Incarnation incarnation; ///< of the owner; 0 if unknown
     OwnershipSource source = OwnershipSource::None;
-    TimePoint learnedAt{}; ///< when the source was received
+    TimePoint learnedAt{}; ///< when the source was received; not set if unknown
     std::optional<ServerEnd> end; ///< why the owner counts as ended, if it does
 };
 
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -291,7 +291,8 @@
                 flow.remoteLearnedAt,
                 m_directory.serverEnd(flow.remoteAgent, flow.remoteIncarnation)};
     }
-    return {m_options.agent, confirmedIncarnation(), OwnershipSource::LocalServer, flow.openedAt, std::nullopt};
+    const TimePoint learnedAt = flow.openedAt == TimePoint() ? flow.synReceivedAt : flow.openedAt;
+    return {m_options.agent, confirmedIncarnation(), OwnershipSource::LocalServer, learnedAt, std::nullopt};
 }
 
 bool AgentSteering::isAcceptedBy(const LocalServer &server, const Flow &flow)
--- a/src/jujubequay/steering_program/packet_report.cpp
+++ b/src/jujubequay/steering_program/packet_report.cpp
@@ -53,7 +53,7 @@
 void logReset(Logger &logger, TimePoint now, const ResetCaller &decision, const ServerDirectory &directory)
 {
     const ResetEvidence &evidence = decision.evidence;
-    const bool isOwnerKnown = evidence.source != OwnershipSource::None;
+    const bool isAgeKnown = evidence.learnedAt != TimePoint();
     logger.info({"flow-reset", steerCauseName(decision.cause)},
                 {{"caller", toString(decision.tuple.caller)},
                  {"address", toString(decision.tuple.service)},
@@ -64,7 +64,7 @@
                  {"owner_source", ownershipSourceName(evidence.source)},
                  {"owner", toString(evidence.owner)},
                  {"incarnation", evidence.incarnation.value},
-                 {"owner_age_ms", isOwnerKnown ? milliseconds(now - evidence.learnedAt) : 0},
+                 {"owner_age_ms", isAgeKnown ? milliseconds(now - evidence.learnedAt) : 0},
                  {"end", evidence.end ? serverEndCauseName(evidence.end->cause) : "none"},
                  {"successor", evidence.end ? evidence.end->successor.value : 0},
                  {"end_age_ms", evidence.end ? milliseconds(now - evidence.end->learnedAt) : 0}});
