Part the steering of agents by what it decides

agent_steering.cpp decided on the acceptance of flows, registrars, flow records, requests and load in one file of 885 lines. Acceptance, registrars, records, and requests with load are files of their own now; functions moved, none changed.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -175,7 +175,11 @@
 
 jujubequay_module(steering
     SOURCES
+        agent_flow_acceptance.cpp
+        agent_flow_records.cpp
+        agent_load.cpp
         agent_owner_lookup.cpp
+        agent_registrars.cpp
         agent_steering.cpp
         balancer_steering.cpp
         flow_ownership.cpp
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -1,9 +1,5 @@
 #include <jujubequay/steering/agent_steering.h>
 
-#include <algorithm>
-#include <limits>
-#include <utility>
-
 namespace Jujubequay {
 
 namespace {
@@ -12,18 +8,13 @@
 /// before it receives an acknowledgement. The random sequence number of another server lies in this range with a probability of 1 in
 /// 65,536.
 constexpr std::uint32_t maxInitialWindowBytes = 64U << 10U;
-/// A SYN is redirected at most this many times; the caller retransmits it after 200 ms.
-constexpr std::uint8_t maxSynHops = 2;
+
 /// Load notices are sent to balancers from which a packet was received within this time.
 constexpr auto balancerRetention = std::chrono::seconds(3);
+
 /// One part in this number of the moving average of service times is the newest one.
 constexpr int serviceTimeWeight = 8;
 
-std::uint16_t clampToUint16(std::size_t value)
-{
-    return static_cast<std::uint16_t>(std::min<std::size_t>(value, std::numeric_limits<std::uint16_t>::max()));
-}
-
 }
 
 AgentSteering::AgentSteering(AgentSteeringOptions options)
@@ -103,94 +94,6 @@
     return segment.isSyn ? handleSyn(now, header, segment, notices) : handleFlowPacket(now, header, segment, notices);
 }
 
-AgentDecision AgentSteering::handleSyn(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
-{
-    const FlowTuple tuple = flowTupleFromCaller(segment);
-    m_rejectedProbes.erase(tuple);
-    const auto found = m_flows.find(tuple);
-    if (found != m_flows.end()) {
-        Flow &flow = found->second;
-        if (isLocalFlow(flow)) {
-            return deliver(now, flow, header, segment, notices);
-        }
-        if (mayBeRemoteFlowOfSyn(now, flow)) {
-            SteerHeader next = header;
-            ++next.hops;
-            return header.hops < maxSynHops ? AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner})
-                                            : AgentDecision(DropPacket{SteerCause::TooManyHops});
-        }
-    }
-    const std::uint64_t localTableVersion = m_directory.routes().version();
-    if (std::max(header.routeTableVersion, localTableVersion) < m_highestRouteTableVersion
-        && now - m_highestRouteTableSeenAt > m_options.routeTableGracePeriod) {
-        // The caller retransmits the SYN soon. By then the sender or this agent has the newer route table.
-        return DropPacket{SteerCause::StaleRouteTable};
-    }
-    if (localTableVersion >= header.routeTableVersion && m_directory.routes().find(tuple.service) == nullptr) {
-        return rejectSyn(segment, SteerCause::NoRoute);
-    }
-    if (!m_server || header.service != m_server->service || !isRoutedToLocalServer(header, tuple)) {
-        return redirectSyn(header, segment, SteerCause::NotAccepted);
-    }
-    if (!m_server->acceptsNewFlows) {
-        return redirectSyn(header, segment, SteerCause::Draining);
-    }
-    // A suspected server is better than none once the SYN cannot be redirected any more.
-    if (!m_outlierDetector.tryAdmitFlow(now) && header.hops < maxSynHops) {
-        const AgentDecision decision = redirectSyn(header, segment, SteerCause::Ejected);
-        if (std::holds_alternative<RelayToAgent>(decision)) {
-            return decision;
-        }
-    }
-    Flow &flow = insert(tuple, FlowState::SynDelivered, now);
-    flow.header = header;
-    flow.synReceivedAt = now;
-    return DeliverToServer{};
-}
-
-bool AgentSteering::isRoutedToLocalServer(const SteerHeader &header, const FlowTuple &tuple) const
-{
-    const RouteTable &routes = m_directory.routes();
-    if (header.routeTableVersion > routes.version()) {
-        return true;
-    }
-    const Route *route = routes.find(tuple.service);
-    return route != nullptr && route->hasService(m_server->service);
-}
-
-AgentDecision AgentSteering::redirectSyn(const SteerHeader &header, const Segment &segment, SteerCause cause) const
-{
-    const FlowTuple tuple = flowTupleFromCaller(segment);
-    const RouteTable &routes = m_directory.routes();
-    const Route *route = routes.find(tuple.service);
-    SteerHeader next = header;
-    ++next.hops;
-    if (routes.version() >= header.routeTableVersion && route != nullptr) {
-        next.service = route->serviceFor(hashOf(tuple)).key;
-        next.routeTableVersion = routes.version();
-    }
-    if (next.hops <= maxSynHops) {
-        for (const HostAddress &agent : m_directory.rankedAgents(tuple)) {
-            const SteerServer *server = m_directory.find(agent);
-            if (agent != m_options.agent && server->acceptsNewFlows && server->service == next.service) {
-                return RelayToAgent{agent, next, cause};
-            }
-        }
-    }
-    return rejectSyn(segment, SteerCause::NotAccepted);
-}
-
-bool AgentSteering::mayBeRemoteFlowOfSyn(TimePoint now, const Flow &flow) const
-{
-    return flow.state == FlowState::Remote && now - flow.remoteLearnedAt < maxSynDelay && !m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation);
-}
-
-// An earlier copy of the SYN may have opened the flow at another server. Its registrars may not know it yet, so that only silence is safe.
-AgentDecision AgentSteering::rejectSyn(const Segment &segment, SteerCause cause) const
-{
-    return segment.retransmissionCount > 0 ? AgentDecision(DropPacket{cause}) : AgentDecision(reset(segment, cause));
-}
-
 AgentDecision AgentSteering::handleFlowPacket(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
@@ -479,50 +382,6 @@
     }
 }
 
-// Flow table
-
-void AgentSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
-{
-    // A notice about an ended server may belong to an earlier flow with the same addresses and ports.
-    if (notice.owner == m_options.agent || m_directory.hasEnded(notice.owner, notice.incarnation)) {
-        return;
-    }
-    const auto found = m_flows.find(notice.tuple);
-    if (found != m_flows.end() && found->second.state == FlowState::Open) {
-        // The caller may have abandoned the flow of the local server and opened another one. If the local server rejects a packet or ends, the other
-        // server is asked.
-        found->second.remoteAgent = notice.owner;
-        found->second.remoteIncarnation = notice.incarnation;
-        found->second.remoteLearnedAt = now;
-        found->second.isContested = true;
-        return;
-    }
-    const bool isContested = found != m_flows.end() && contradicts(notice, found->second);
-    // The caller's acknowledgement will show whether it has opened a flow at the local server or at the one in the notice.
-    const bool keepsState = found != m_flows.end() && isHalfOpen(found->second);
-    if (found != m_flows.end() && !keepsState) {
-        removeFromCounts(found->second);
-    }
-    Flow &flow = m_flows[notice.tuple];
-    if (!keepsState) {
-        flow = {};
-        flow.state = FlowState::Remote;
-    }
-    flow.remoteAgent = notice.owner;
-    flow.remoteIncarnation = notice.incarnation;
-    flow.remoteLearnedAt = now;
-    flow.isContested = isContested;
-    flow.lastUsed = now;
-}
-
-// Notices that name different owners belong to different flows, and may arrive in any order.
-bool AgentSteering::contradicts(const OwnerNotice &notice, const Flow &flow)
-{
-    const bool areIncarnationsKnown = flow.remoteIncarnation != Incarnation() && notice.incarnation != Incarnation();
-    const bool isOtherIncarnation = areIncarnationsKnown && flow.remoteIncarnation != notice.incarnation;
-    return flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
-}
-
 // Flows that are idle for longer than the idle timeout need not be kept, so after that time this agent has observed all other flows.
 bool AgentSteering::isFlowTableComplete(TimePoint now) const
 {
@@ -535,152 +394,12 @@
     return m_server && isConfirmed(m_server->incarnation) ? m_server->incarnation : Incarnation();
 }
 
-AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const
-{
-    return {header.balancer, {tuple, m_options.agent, header.acceptsIncarnations ? confirmedIncarnation() : Incarnation()}};
-}
-
 void AgentSteering::setOpen(TimePoint now, Flow &flow)
 {
     flow.state = FlowState::Open;
     flow.openedAt = now;
 }
 
-// Records of open flows
-
-FlowRecordChanges AgentSteering::takeFlowRecordChanges(TimePoint now)
-{
-    FlowRecordChanges result;
-    result.incarnation = confirmedIncarnation();
-    if (result.incarnation == Incarnation()) {
-        return result;
-    }
-    if (result.incarnation != m_recordedIncarnation) {
-        m_flowRecorder.clear();
-        m_recordedIncarnation = result.incarnation;
-        result.isFull = true;
-    }
-    for (const auto &[tuple, flow] : m_flows) {
-        // Without data of the caller its acknowledgement number is unknown.
-        if (flow.state == FlowState::Open && flow.callerSequenceEnd) {
-            m_flowRecorder.observe(now, tuple, flow.openedAt, flow.lastCallerAcknowledgement);
-        }
-    }
-    result.changes = m_flowRecorder.takeChanges();
-    return result;
-}
-
-std::vector<ResetCaller> AgentSteering::endFlows(TimePoint now, const EndedFlowsNotice &notice)
-{
-    std::vector<ResetCaller> resets;
-    const Incarnation current = confirmedIncarnation();
-    if (current == Incarnation() || !isConfirmed(notice.incarnation) || notice.incarnation == current) {
-        return resets;
-    }
-    for (const RecordedFlow &recorded : notice.flows) {
-        // A caller may have opened another flow with the same addresses and ports.
-        if (m_flows.contains(recorded.tuple)) {
-            continue;
-        }
-        Flow &flow = m_flows[recorded.tuple];
-        flow.state = FlowState::Orphaned;
-        flow.lastUsed = now;
-        flow.evidence = {m_options.agent, notice.incarnation, OwnershipSource::FlowRecord, now, ServerEnd{ServerEndCause::Replaced, current, now}};
-        resets.push_back({recorded.tuple, recorded.acknowledgement, SteerCause::ServerReplaced, false, flow.evidence});
-    }
-    return resets;
-}
-
-// Registrars
-
-void AgentSteering::registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices)
-{
-    updateRegistrars(tuple, flow);
-    notifyRegistrars(now, tuple, flow, notices);
-    if (hasPendingNotification(flow, m_options.maxNotices)) {
-        m_pendingNotifications.insert(tuple);
-    }
-}
-
-bool AgentSteering::updateRegistrars(const FlowTuple &tuple, Flow &flow) const
-{
-    std::vector<RegistrarState> registrars;
-    for (const FlowRegistrar &registrar : m_directory.registrars(tuple)) {
-        const auto found = std::find_if(flow.registrars.begin(), flow.registrars.end(), [&registrar](const RegistrarState &state) {
-            return state.registrar == registrar;
-        });
-        RegistrarState &state = registrars.emplace_back(found == flow.registrars.end() ? RegistrarState{registrar} : *found);
-        state.isAcknowledged = state.isAcknowledged || registrar.agent == m_options.agent;
-    }
-    flow.registrars = std::move(registrars);
-    return hasPendingNotification(flow, m_options.maxNotices);
-}
-
-bool AgentSteering::hasPendingNotification(const Flow &flow, std::uint8_t maxNotices)
-{
-    return std::any_of(flow.registrars.begin(), flow.registrars.end(), [maxNotices](const RegistrarState &state) {
-        return !state.isAcknowledged && state.noticeCount < maxNotices;
-    });
-}
-
-void AgentSteering::notifyRegistrars(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices) const
-{
-    for (RegistrarState &state : flow.registrars) {
-        const bool isDue = state.noticeCount == 0 || now - state.lastNoticeAt >= m_options.noticeInterval;
-        if (!state.isAcknowledged && state.noticeCount < m_options.maxNotices && isDue) {
-            ++state.noticeCount;
-            state.lastNoticeAt = now;
-            // A registrar of a version without incarnations acknowledges only notices without one.
-            const bool hasIncarnation = state.noticeCount % 2 != 0;
-            notices.push_back({state.registrar.agent, {tuple, m_options.agent, hasIncarnation ? confirmedIncarnation() : Incarnation()}});
-        }
-    }
-}
-
-void AgentSteering::correctOwnerNotices(std::vector<AddressedNotice> &notices)
-{
-    for (const FlowTuple &tuple : std::exchange(m_misattributedFlows, {})) {
-        const auto found = m_flows.find(tuple);
-        if (found == m_flows.end()) {
-            continue;
-        }
-        Flow &flow = found->second;
-        // A half-open flow has not been claimed yet.
-        if (flow.state == FlowState::Open) {
-            for (const HostAddress &balancer : recentBalancers()) {
-                notices.push_back({balancer, {tuple, m_options.agent, confirmedIncarnation()}});
-            }
-            flow.registrars.clear();
-            updateRegistrars(tuple, flow);
-            m_pendingNotifications.insert(tuple);
-        }
-    }
-}
-
-void AgentSteering::resendNotices(TimePoint now, std::vector<AddressedNotice> &notices)
-{
-    correctOwnerNotices(notices);
-    std::erase_if(m_pendingNotifications, [&](const FlowTuple &tuple) {
-        const auto found = m_flows.find(tuple);
-        if (found == m_flows.end() || found->second.state != FlowState::Open) {
-            return true;
-        }
-        notifyRegistrars(now, tuple, found->second, notices);
-        return !hasPendingNotification(found->second, m_options.maxNotices);
-    });
-}
-
-void AgentSteering::handleAcknowledgement(const OwnerAcknowledgement &acknowledgement)
-{
-    const auto found = m_flows.find(acknowledgement.tuple);
-    if (found == m_flows.end()) {
-        return;
-    }
-    for (RegistrarState &state : found->second.registrars) {
-        state.isAcknowledged = state.isAcknowledged || state.registrar.agent == acknowledgement.registrar;
-    }
-}
-
 // Local flows, requests and load
 
 AgentSteering::Flow &AgentSteering::insert(const FlowTuple &tuple, FlowState state, TimePoint now)
@@ -707,96 +426,6 @@
     return flow.state == FlowState::SynDelivered || flow.state == FlowState::SynAckSent;
 }
 
-void AgentSteering::startRequest(TimePoint now, Flow &flow)
-{
-    flow.requestSentAt = now;
-    if (!flow.hasPendingRequest) {
-        flow.holdTime = {};
-        flow.hasPendingRequest = true;
-        ++m_pendingRequestCount;
-    }
-}
-
-void AgentSteering::finishRequest(Flow &flow)
-{
-    if (flow.hasPendingRequest) {
-        flow.hasPendingRequest = false;
-        --m_pendingRequestCount;
-    }
-}
-
-Duration AgentSteering::requestTimeout(const HostAddress &service) const
-{
-    const Route *route = m_directory.routes().find(service);
-    return route == nullptr ? m_options.defaultRequestTimeout : route->timeout;
-}
-
-TimePoint AgentSteering::latencyGoalAt(TimePoint now, const HostAddress &service, const Flow &flow, bool isFirstRequest) const
-{
-    const Route *route = m_directory.routes().find(service);
-    Duration goal = m_options.defaultRequestTimeout;
-    if (route != nullptr) {
-        goal = route->latencyGoal.count() > 0 ? route->latencyGoal : route->timeout;
-    }
-    const bool isSynKnown = flow.synReceivedAt != TimePoint();
-    return (isFirstRequest && isSynKnown ? flow.synReceivedAt : now) + goal;
-}
-
-Duration AgentSteering::serviceTime() const
-{
-    return m_serviceTime;
-}
-
-// A retransmission must not count as another request.
-bool AgentSteering::recordCallerData(Flow &flow, const Segment &segment)
-{
-    const std::uint32_t end = segment.sequence + segment.length;
-    const bool isNew = segment.length > 0 && (!flow.callerSequenceEnd || static_cast<std::int32_t>(end - *flow.callerSequenceEnd) > 0);
-    if (isNew) {
-        flow.callerSequenceEnd = end;
-    }
-    return isNew;
-}
-
-bool AgentSteering::canStartRequest() const
-{
-    // A server that announces no slots runs at least one request at a time.
-    return !m_server || m_pendingRequestCount < std::size_t{m_options.requestsPerSlot} * std::max<std::size_t>(m_server->slots, 1);
-}
-
-bool AgentSteering::holdIfServerBusy(TimePoint now, Flow &flow)
-{
-    if (canStartRequest() || m_heldRequestCount >= m_options.maxHeldRequests) {
-        return false;
-    }
-    flow.heldSince = now;
-    ++m_heldRequestCount;
-    return true;
-}
-
-void AgentSteering::endHold(Flow &flow)
-{
-    if (flow.heldSince) {
-        flow.heldSince.reset();
-        --m_heldRequestCount;
-    }
-}
-
-AgentDecision AgentSteering::startHeldRequest(TimePoint now, const Segment &segment)
-{
-    const auto found = m_flows.find(flowTupleFromCaller(segment));
-    if (found == m_flows.end() || found->second.state != FlowState::Open || !found->second.heldSince) {
-        return DropPacket{SteerCause::UnknownFlow};
-    }
-    Flow &flow = found->second;
-    const Duration holdTime = now - *flow.heldSince;
-    endHold(flow);
-    flow.lastUsed = now;
-    startRequest(now, flow);
-    flow.holdTime = holdTime;
-    return DeliverToServer{};
-}
-
 void AgentSteering::removeFromCounts(Flow &flow)
 {
     endHold(flow);
@@ -842,36 +471,6 @@
     return m_options;
 }
 
-std::vector<AnsweredRequest> AgentSteering::takeAnsweredRequests()
-{
-    return std::exchange(m_answeredRequests, {});
-}
-
-LoadNotice AgentSteering::load() const
-{
-    LoadNotice notice;
-    notice.agent = m_options.agent;
-    notice.pendingRequests = clampToUint16(m_pendingRequestCount + m_heldRequestCount);
-    notice.openFlows = clampToUint16(m_localFlowCount);
-    notice.slots = m_server ? m_server->slots : 0;
-    notice.acceptsNewFlows = m_server && m_server->acceptsNewFlows && isServerHealthy();
-    return notice;
-}
-
-bool AgentSteering::isServerHealthy() const
-{
-    return m_outlierDetector.isHealthy();
-}
-
-std::vector<HostAddress> AgentSteering::recentBalancers() const
-{
-    std::vector<HostAddress> balancers;
-    for (const auto &entry : m_balancerLastSeen) {
-        balancers.push_back(entry.first);
-    }
-    return balancers;
-}
-
 const ServerDirectory &AgentSteering::directory() const
 {
     return m_directory;
