Check the end of a server on its own timer, and only of the server that left

The response to the departure, the server's last packets and the announcement of its end were lost, so its callers waited until they timed out. The other way round, an agent that was paused while its server was replaced could announce the end of the running successor, and all hosts reset its flows.

Cause: the check of a departing server used the timer of the stop delay, and its cancellation counted as the end of the delay. A stopping agent checked once only. The result of a check belonged to whichever server was departing when it came. A check had no time limit, so a server with a full accept queue was next looked at when the kernel repeated the SYN, a second later.

Evidence, on the code before: announcesTheEndOfAServerThatLeavesWhileItStops, announcesTheEndOfAServerThatEndsWhileItStops, announcesTheEndOfAServerThatAcceptedNoConnection and doesNotEndAServerByACheckOfItsPredecessor fail (4 of 20 tests of steering_program_test, each with the wrong announcement).

Ruled out: that the check of the start and the one of the end share a socket. They have had sockets of their own since; what could overlap were their results.

Change: ServerProbe runs one check at a time, with a limit of 100 ms, and reports no result of a cancelled one. A check that a new server's announcement overtakes is cancelled. A departure that is repeated does not postpone the check. The check at the agent's start is repeated if it had no result.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -293,6 +293,7 @@
         packet_report.cpp
         route_control_process.cpp
         server_announcements.cpp
+        server_probe.cpp
         settings_watcher.cpp
         steering_agent_process.cpp
         steering_balancer_process.cpp
@@ -302,6 +303,7 @@
         packet_report_test.cpp
         server_announcements_test.cpp
         server_end_random_test.cpp
+        server_probe_test.cpp
         steering_agent_process_test.cpp
     DEPENDS jujubequay_daemon jujubequay_datapath jujubequay_service jujubequay_steering)
 
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -4,6 +4,7 @@
 #include <jujubequay/steering_program/agent_traffic.h>
 #include <jujubequay/steering_program/discovery.h>
 #include <jujubequay/steering_program/server_announcements.h>
+#include <jujubequay/steering_program/server_probe.h>
 #include <jujubequay/steering_program/settings_watcher.h>
 #include <jujubequay/steering_program/traffic_loop.h>
 
@@ -46,8 +47,6 @@
     /// Checks whether the process of a departing server has ended, and again later if it has not.
     void checkServerEnd();
     void handleServerEnd();
-    /// Tries to connect to the server.
-    void probeServer(std::function<void(const asio::error_code &)> handler);
     /// Checks whether the server runs, so that a restarted agent need not wait for the next announcement.
     void checkServer();
     /// Reports to the announce client that a control host is reachable.
@@ -64,7 +63,9 @@
     SettingsWatcher m_settingsWatcher;
     asio::signal_set m_stopSignals;
     PeriodicTimer m_serverCheckTimer;
-    asio::steady_timer m_endTimer; ///< expires at the next check of a departing server, or after the stop delay
+    ServerProbe m_probe;
+    asio::steady_timer m_endTimer; ///< expires at the next check of a departing server
+    asio::steady_timer m_stopTimer;
     TrafficLoop m_loop;
     std::unique_ptr<AgentTraffic> m_traffic;
     std::shared_ptr<ConfigWatcher> m_watcher;
@@ -75,6 +76,7 @@
     const std::uint32_t m_epoch; ///< identifies this run of the agent; never 0
     const std::uint32_t m_absentIncarnation; ///< announced if no server runs; greater than unconfirmedIncarnation
     std::optional<TimePoint> m_serverStartedAt; ///< when the server started, by the clock of the process; empty if its clock is ahead
+    bool m_isServerChecked = false; ///< the check at the start of this agent has a result, or a server has announced itself
     bool m_isServerAbsent = false; ///< the server refused the connection when this agent started
     bool m_isServerRunning = false; ///< the server accepts connections but has not announced itself yet
     std::optional<LocalServer> m_localServer;
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -51,10 +51,15 @@
     , m_serverCheckTimer(m_context,
                          serverCheckInterval,
                          [this] {
+                             if (!m_isServerChecked) {
+                                 checkServer();
+                             }
                              applyServer(false);
                              publishMetrics();
                          })
+    , m_probe(m_context, m_settings.serverInput)
     , m_endTimer(m_context)
+    , m_stopTimer(m_context)
     , m_announcements(maxMissedAnnouncements * m_settings.announceInterval)
     , m_epoch(static_cast<std::uint32_t>(m_services.random()()) | 1U)
     , m_absentIncarnation(static_cast<std::uint32_t>(m_services.random()()) | 2U)
@@ -164,6 +169,10 @@
     }
     const auto wallClockNow = std::chrono::system_clock::now();
     if (outcome == AnnouncementOutcome::NewServer) {
+        // A check that has been started is about the server before.
+        m_isServerChecked = true;
+        m_probe.cancel();
+        m_endTimer.cancel();
         const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(wallClockNow.time_since_epoch());
         const std::chrono::milliseconds startedAt(announcement.startedAtMs);
         m_serverStartedAt = startedAt <= wallTime ? std::optional(m_services.clock().now() - (wallTime - startedAt)) : std::nullopt;
@@ -186,13 +195,16 @@
 
 void SteeringAgentProcess::handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
+    const bool isRepeated = m_announcements.hasAnnouncedDeparture();
     if (!m_announcements.handleDeparture(id, startedAtMs)) {
         m_services.logger().info("leave-ignored", {{"id", id}, {"started_ms", startedAtMs.value_or(0)}});
         return;
     }
     m_services.logger().info("server-leaves", {{"id", id}});
     applyServer(false);
-    scheduleEndCheck();
+    if (!isRepeated) {
+        scheduleEndCheck();
+    }
 }
 
 // A server that has announced its departure may continue to run, for example if it did not receive the response. Its flows exist until it ends.
@@ -200,22 +212,18 @@
 {
     m_endTimer.expires_after(endCheckInterval);
     m_endTimer.async_wait([this](const asio::error_code &error) {
-        if (error || m_isStopping || !m_announcements.hasAnnouncedDeparture()) {
-            return;
+        if (!error && m_announcements.hasAnnouncedDeparture()) {
+            checkServerEnd();
         }
-        checkServerEnd();
     });
 }
 
 void SteeringAgentProcess::checkServerEnd()
 {
-    probeServer([this](const asio::error_code &error) {
-        if (!m_announcements.hasAnnouncedDeparture()) {
-            return;
-        }
-        if (error == asio::error::connection_refused) {
+    m_probe.start([this](ServerProcess process) {
+        if (process == ServerProcess::Ended) {
             handleServerEnd();
-        } else if (!m_isStopping) {
+        } else {
             scheduleEndCheck();
         }
     });
@@ -227,30 +235,20 @@
     applyServer(false);
 }
 
-void SteeringAgentProcess::probeServer(std::function<void(const asio::error_code &)> handler)
-{
-    const asio::ip::tcp::endpoint server(asio::ip::address_v4(m_settings.serverInput.ip), m_settings.serverInput.port);
-    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
-    socket->async_connect(server, [socket, handler = std::move(handler)](const asio::error_code &error) {
-        asio::error_code ignored;
-        socket->close(ignored);
-        handler(error);
-    });
-}
-
 void SteeringAgentProcess::checkServer()
 {
     if (m_settings.service.empty()) {
         return;
     }
-    probeServer([this](const asio::error_code &error) {
-        m_services.logger().info("server-checked", {{"runs", !error}, {"announced", m_announcements.current().has_value()}});
-        if (m_announcements.current()) {
+    m_probe.start([this](ServerProcess process) {
+        if (process == ServerProcess::Unknown) {
             return;
         }
-        m_isServerRunning = !error;
+        m_isServerChecked = true;
+        m_services.logger().info("server-checked", {{"runs", process == ServerProcess::Running}});
+        m_isServerRunning = process == ServerProcess::Running;
         // The absence is announced, so that control hosts that have restarted do not wait for this server.
-        m_isServerAbsent = error == asio::error::connection_refused;
+        m_isServerAbsent = process == ServerProcess::Ended;
         applyServer(false);
     });
 }
@@ -364,12 +362,13 @@
         m_isStopping = true;
         m_services.logger().info("stopping", {{"signal", signal}, {"server_left", m_announcements.hasAnnouncedDeparture()}});
         if (m_announcements.hasAnnouncedDeparture()) {
+            m_endTimer.cancel();
             checkServerEnd();
         }
         // The server may continue to run, and its packets pass only through this agent. Therefore the agent does not drain: a quick restart
         // is the shortest interruption.
-        m_endTimer.expires_after(stopDelay);
-        m_endTimer.async_wait([this](const asio::error_code &) {
+        m_stopTimer.expires_after(stopDelay);
+        m_stopTimer.async_wait([this](const asio::error_code &) {
             m_context.stop();
         });
     });
--- a/src/jujubequay/steering_program/steering_agent_process_test.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process_test.cpp
@@ -8,6 +8,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <functional>
+#include <list>
 #include <thread>
 
 using namespace Jujubequay;
@@ -17,6 +19,8 @@
 namespace {
 
 constexpr std::uint32_t loopback = 0x7F000001;
+/// Time in which the agent connects to its control host.
+constexpr auto connectTime = milliseconds(400);
 
 /// No packets are exchanged in these tests.
 class NoPackets : public PacketCodec
@@ -58,13 +62,43 @@
     CPPUNIT_TEST_SUITE(SteeringAgentProcessTest);
     CPPUNIT_TEST(doesNotAnnounceTheEndOfAServerThatRunsWhenItStops);
     CPPUNIT_TEST(announcesTheEndOfAServerWhenItStops);
+    CPPUNIT_TEST(announcesTheEndOfAServerThatLeavesWhileItStops);
+    CPPUNIT_TEST(announcesTheEndOfAServerThatEndsWhileItStops);
+    CPPUNIT_TEST(announcesTheEndOfAServerThatAcceptedNoConnection);
+    CPPUNIT_TEST(doesNotEndAServerByACheckOfItsPredecessor);
     CPPUNIT_TEST_SUITE_END();
 
-    /// Stops an agent just after its server has announced its departure. Returns true if the agent has announced the server's end.
-    static bool announcesEndWhenStopped(bool doesServerRun)
+    using Acceptor = asio::ip::tcp::acceptor;
+
+    /// What happens on the agent's thread some time after the server's first announcement.
+    struct Step {
+        milliseconds time;
+        std::function<void(SteeringAgentProcess &, Acceptor &server)> action;
+    };
+
+    static void announce(SteeringAgentProcess &agent, const std::string &id, std::uint64_t startedAtMs)
+    {
+        ServerAnnouncement announcement;
+        announcement.id = id;
+        announcement.startedAtMs = startedAtMs;
+        announcement.sequence = 1;
+        announcement.service = "feed";
+        agent.handleServerAnnouncement(announcement);
+    }
+
+    static void listen(Acceptor &server, const asio::ip::tcp::endpoint &address)
+    {
+        server.open(address.protocol());
+        server.set_option(Acceptor::reuse_address(true));
+        server.bind(address);
+        server.listen();
+    }
+
+    /// Runs an agent whose server is `i-1` until it is stopped. Returns true if the agent has announced that the server has ended.
+    static bool announcesEnd(const std::vector<Step> &steps)
     {
         asio::io_context serverContext;
-        asio::ip::tcp::acceptor server(serverContext, {asio::ip::address_v4::loopback(), 0});
+        Acceptor server(serverContext, {asio::ip::address_v4::loopback(), 0});
         asio::io_context controlContext;
         const SteadyClock clock;
         Logger logger(clock, {}, {.level = LogLevel::Error});
@@ -113,23 +147,20 @@
             BOOST_LEAF_CHECK(agent.start());
             return 0;
         });
-        asio::steady_timer timer(agent.context(), milliseconds(400));
-        timer.async_wait([&](const asio::error_code &) {
-            ServerAnnouncement announcement;
-            announcement.id = "i-1";
-            announcement.startedAtMs = 1000;
-            announcement.sequence = 1;
-            announcement.service = "feed";
-            agent.handleServerAnnouncement(announcement);
-            timer.expires_after(milliseconds(300));
-            timer.async_wait([&](const asio::error_code &) {
-                agent.handleServerDeparture("i-1", std::nullopt);
-                if (!doesServerRun) {
-                    server.close();
-                }
-                std::raise(SIGTERM);
+        std::list<asio::steady_timer> timers;
+        const auto schedule = [&](milliseconds time, std::function<void()> action) {
+            timers.emplace_back(agent.context(), connectTime + time).async_wait([action = std::move(action)](const asio::error_code &) {
+                action();
             });
+        };
+        schedule(milliseconds(0), [&] {
+            announce(agent, "i-1", 1000);
         });
+        for (const Step &step : steps) {
+            schedule(step.time, [&] {
+                step.action(agent, server);
+            });
+        }
         agent.run();
         asio::post(controlContext, [&] {
             control->stop();
@@ -139,17 +170,79 @@
         return hasAnnouncedEnd;
     }
 
+    static void leave(SteeringAgentProcess &agent, Acceptor & /*server*/)
+    {
+        agent.handleServerDeparture("i-1", std::nullopt);
+    }
+
+    static void end(SteeringAgentProcess & /*agent*/, Acceptor &server)
+    {
+        server.close();
+    }
+
+    static void stop(SteeringAgentProcess & /*agent*/, Acceptor & /*server*/)
+    {
+        std::raise(SIGTERM);
+    }
+
 public:
     /// All hosts reset the flows of a server whose end was announced. A server that has announced its departure may serve them for seconds.
     void doesNotAnnounceTheEndOfAServerThatRunsWhenItStops()
     {
-        CPPUNIT_ASSERT(!announcesEndWhenStopped(true));
+        CPPUNIT_ASSERT(!announcesEnd({{milliseconds(300), leave}, {milliseconds(300), stop}}));
     }
 
     /// After the agent has stopped, nobody announces the end of the server, and its callers wait until they time out.
     void announcesTheEndOfAServerWhenItStops()
     {
-        CPPUNIT_ASSERT(announcesEndWhenStopped(false));
+        CPPUNIT_ASSERT(announcesEnd({{milliseconds(300), leave}, {milliseconds(300), end}, {milliseconds(300), stop}}));
+    }
+
+    /// Guards against an agent that ends at once, without its last packets, when its server leaves after the stop signal.
+    void announcesTheEndOfAServerThatLeavesWhileItStops()
+    {
+        CPPUNIT_ASSERT(announcesEnd({{milliseconds(300), stop}, {milliseconds(340), end}, {milliseconds(350), leave}}));
+    }
+
+    /// Guards against a stopping agent that checks only once whether its departing server has ended.
+    void announcesTheEndOfAServerThatEndsWhileItStops()
+    {
+        CPPUNIT_ASSERT(announcesEnd({{milliseconds(300), leave}, {milliseconds(300), stop}, {milliseconds(350), end}}));
+    }
+
+    /// Guards against a check that waits for the next connection attempt of the kernel while the server has long ended.
+    void announcesTheEndOfAServerThatAcceptedNoConnection()
+    {
+        asio::io_context callers;
+        std::list<asio::ip::tcp::socket> backlog;
+        const auto fillBacklog = [&](SteeringAgentProcess &, Acceptor &server) {
+            server.listen(0);
+            for (int count = 0; count < 3; ++count) {
+                backlog.emplace_back(callers).async_connect(server.local_endpoint(), [](const asio::error_code &) {});
+            }
+        };
+        CPPUNIT_ASSERT(announcesEnd({{milliseconds(250), fillBacklog}, {milliseconds(300), leave}, {milliseconds(300), stop}, {milliseconds(350), end}}));
+    }
+
+    /// Guards against the reset of all flows of a running server after a pause in which it has replaced its predecessor.
+    void doesNotEndAServerByACheckOfItsPredecessor()
+    {
+        asio::ip::tcp::endpoint address;
+        const auto endAndLeave = [&](SteeringAgentProcess &agent, Acceptor &server) {
+            address = server.local_endpoint();
+            end(agent, server);
+            leave(agent, server);
+        };
+        const auto pause = [](SteeringAgentProcess &, Acceptor &) {
+            std::this_thread::sleep_for(milliseconds(200));
+        };
+        // Runs after the check was started and before its result is handled.
+        const auto replace = [&](SteeringAgentProcess &agent, Acceptor &server) {
+            listen(server, address);
+            announce(agent, "i-2", 2000);
+            agent.handleServerDeparture("i-2", std::nullopt);
+        };
+        CPPUNIT_ASSERT(!announcesEnd({{milliseconds(300), endAndLeave}, {milliseconds(350), pause}, {milliseconds(430), replace}, {milliseconds(800), stop}}));
     }
 };
 
