Bind the relay address of an agent when it starts

Operators saw: an agent whose relay address was taken logged `address-not-bound` once its configuration had arrived, and ended with exit status 0, as after a planned stop. Without a control host it waited, with no sign of the fault.

Cause: the socket was bound with the data path, on the traffic thread after the first configuration; the failure only stopped the event loop.

Change: AgentProcess binds the socket in start(), as the other processes do, and fails with AddressUnavailable and its exit status. AgentPath takes the bound socket, so it cannot fail any more; the setting of the address that it no longer needs is gone. Datagrams that arrive before the configuration wait in the socket's buffer instead of being refused.

Evidence: AgentProcessTest::failsIfItsRelayAddressIsTaken fails before (Actual: Ok, after SIGTERM) and passes now. The setup of AgentPathTest binds the socket itself; its tests are unchanged.

Seen beside this, before and after the change: service_test ends with SIGSEGV in AgentPathTest::flowSurvivesLossOfItsBalancers, in 6 of 20 runs of the code before. It is a fault of its own.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -335,5 +335,6 @@
         agent_process.cpp
         backend_adapter.cpp
     TESTS
+        agent_process_test.cpp
         backend_adapter_test.cpp
     DEPENDS jujubequay_daemon jujubequay_service)
--- a/include/jujubequay/service/agent_path.h
+++ b/include/jujubequay/service/agent_path.h
@@ -28,7 +28,6 @@
 struct AgentPathOptions {
     ServiceId service;
     std::string serviceName;
-    HostAddress relayAddress; ///< address that the relay socket binds and that flow identifiers contain
     Incarnation incarnation;
     std::uint32_t weight = 100; ///< placement weight
     RequestBrokerOptions broker;
@@ -58,15 +57,16 @@
     , public QuicServerSink
 {
 public:
-    /// Binds the relay socket and starts to receive. `backend` and `clock` must outlive the returned object. Fails with AddressUnavailable.
-    static Result<std::unique_ptr<AgentPath>> create(asio::io_context &context,
-                                                     const Clock &clock,
-                                                     AgentPathOptions options,
-                                                     std::shared_ptr<const TlsCredentials> credentials,
-                                                     ConfigSnapshotPointer config,
-                                                     BackendPort &backend,
-                                                     RequestBroker::Reporter reporter,
-                                                     std::uint64_t seed);
+    /// Starts to receive from `socket`, whose address becomes part of flow identifiers. `backend` and `clock` must outlive the returned object.
+    static std::unique_ptr<AgentPath> create(asio::io_context &context,
+                                             const Clock &clock,
+                                             AgentPathOptions options,
+                                             asio::ip::udp::socket socket,
+                                             std::shared_ptr<const TlsCredentials> credentials,
+                                             ConfigSnapshotPointer config,
+                                             BackendPort &backend,
+                                             RequestBroker::Reporter reporter,
+                                             std::uint64_t seed);
 
     /// Applies a newer configuration.
     void apply(ConfigSnapshotPointer config);
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -86,7 +86,6 @@
     void publishStatus(const PathStatus &status);
     template<class Handler>
     void queryPath(Handler handler);
-    void stopWithError(const std::string &event, const std::string &detail);
 
     const AgentSettings m_settings;
     const Incarnation m_incarnation{randomIncarnation()};
@@ -103,6 +102,7 @@
     std::shared_ptr<BackendClient> m_healthClient;
     std::shared_ptr<BackendCall> m_healthCall;
     std::unique_ptr<BackendAdapter> m_backendAdapter;
+    asio::ip::udp::socket m_relaySocket; ///< bound at the start; m_path receives from it later
     std::unique_ptr<AgentPath> m_path;
     asio::steady_timer m_healthTimer;
 
@@ -120,6 +120,7 @@
     : m_settings(settings)
     , m_trafficWork(asio::make_work_guard(m_trafficContext))
     , m_services(m_context, "jjq-agent", settings.common, {.maxMetricsCustomers = settings.metricsCustomers})
+    , m_relaySocket(m_trafficContext)
     , m_healthTimer(m_trafficContext)
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_statusTimer(m_context)
@@ -151,6 +152,7 @@
     BOOST_LEAF_AUTO(certificate, readPemFile(m_settings.quicCertificate));
     BOOST_LEAF_AUTO(key, readPemFile(m_settings.quicKey));
     BOOST_LEAF_ASSIGN(m_credentials, TlsCredentials::server(certificate, key));
+    BOOST_LEAF_ASSIGN(m_relaySocket, bindUdpSocket(m_trafficContext, m_settings.relayAddress));
     WatchSubscriberOptions watch;
     // Several agents may run on one host. The server name distinguishes their reports.
     const std::string processName = m_settings.common.location.hostName + "/" + m_settings.serverName;
@@ -223,12 +225,6 @@
     m_services.logger().info("stopped");
 }
 
-void AgentProcess::stopWithError(const std::string &event, const std::string &detail)
-{
-    m_services.logger().error(event, {{"detail", detail}});
-    m_context.stop();
-}
-
 // Configuration
 
 void AgentProcess::apply(const ConfigSnapshotPointer &config)
@@ -254,7 +250,6 @@
     AgentPathOptions options;
     options.service = service.id;
     options.serviceName = service.name;
-    options.relayAddress = m_settings.relayAddress;
     options.incarnation = m_incarnation;
     options.weight = m_settings.weight;
     options.broker.admission = admissionOptionsOf(service.admission);
@@ -273,10 +268,11 @@
     m_isPathRequested = true;
     const std::uint64_t seed = m_services.random()();
     asio::post(m_trafficContext, [this, config, seed, options = pathOptions(*config, service)] {
-        auto path = AgentPath::create(
+        m_path = AgentPath::create(
             m_trafficContext,
             m_services.clock(),
             options,
+            std::move(m_relaySocket),
             m_credentials,
             config,
             *m_backendAdapter,
@@ -284,13 +280,6 @@
                 reportRequest(report);
             },
             seed);
-        if (!path) {
-            asio::post(m_context, [this] {
-                stopWithError("address-not-bound", toString(m_settings.relayAddress));
-            });
-            return;
-        }
-        m_path = std::move(*path);
         m_backendAdapter->setEventHandler([this](const BackendEvent &event) {
             m_path->handleBackendEvent(event);
         });
@@ -421,10 +410,6 @@
 void AgentProcess::queryPath(Handler handler)
 {
     asio::post(m_trafficContext, [this, handler] {
-        // There is no path if its address could not be bound; the process is then stopping.
-        if (!m_path) {
-            return;
-        }
         PathStatus status;
         status.isIdle = m_path->isIdle();
         status.flows = m_path->flowCount();
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -57,16 +57,16 @@
     return options;
 }
 
-Result<std::unique_ptr<AgentPath>> AgentPath::create(asio::io_context &context,
-                                                     const Clock &clock,
-                                                     AgentPathOptions options,
-                                                     std::shared_ptr<const TlsCredentials> credentials,
-                                                     ConfigSnapshotPointer config,
-                                                     BackendPort &backend,
-                                                     RequestBroker::Reporter reporter,
-                                                     std::uint64_t seed)
-{
-    BOOST_LEAF_AUTO(socket, bindUdpSocket(context, options.relayAddress));
+std::unique_ptr<AgentPath> AgentPath::create(asio::io_context &context,
+                                             const Clock &clock,
+                                             AgentPathOptions options,
+                                             asio::ip::udp::socket socket,
+                                             std::shared_ptr<const TlsCredentials> credentials,
+                                             ConfigSnapshotPointer config,
+                                             BackendPort &backend,
+                                             RequestBroker::Reporter reporter,
+                                             std::uint64_t seed)
+{
     std::unique_ptr<AgentPath> path(
         new AgentPath(context, clock, std::move(options), std::move(credentials), config, backend, std::move(reporter), seed, std::move(socket)));
     path->apply(std::move(config));
--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -203,21 +203,21 @@
         AgentPathOptions options;
         options.service = service;
         options.serviceName = serviceName;
-        options.relayAddress = {loopback, 0};
+        auto relaySocket = bindUdpSocket(*m_context, {loopback, 0});
+        CPPUNIT_ASSERT(relaySocket);
         options.incarnation = incarnation;
         options.drainStallTimeout = std::chrono::milliseconds(200);
         options.broker.admission.slots = 1;
-        auto agent = AgentPath::create(
+        m_agent = AgentPath::create(
             *m_context,
             m_clock,
             options,
+            std::move(*relaySocket),
             *TlsCredentials::server(certificate->certificatePem, certificate->keyPem),
             configWith(keysUpTo(0), 5),
             *m_backend,
             [](const RequestReport &) {},
             11);
-        CPPUNIT_ASSERT(agent);
-        m_agent = std::move(*agent);
         m_balancers.clear();
         for (int number = 0; number < 2; ++number) {
             addBalancer(5);
