Stop a balancer's path in a test instead of destroying it under its handlers

Cause: the test destroys a BalancerPath while its io_context goes on. A read that has completed already runs its handler afterwards, on a socket and a reader that are gone; readBatches says that both must outlive it. The programs destroy a path only after its thread has ended.

Change: BalancerPath::stop() closes the sockets, so that what was not read is lost as with the object; the object lives until the context ends. Test changed: two calls in flowSurvivesLossOfItsBalancers, `path.reset()` to `path->stop()`; steps and expectations are the same.

--- a/include/jujubequay/datapath/balancer_path.h
+++ b/include/jujubequay/datapath/balancer_path.h
@@ -55,6 +55,8 @@
     /// could not be bound.
     std::vector<EntryPoint> apply(BalancerPathConfig config);
 
+    /// Closes all sockets; datagrams that have not been read are lost. The object must exist until its context has run the pending handlers.
+    void stop();
     HostAddress relayAddress() const;
     const BalancerPathCounters &counters() const;
 
--- a/src/jujubequay/datapath/balancer_path.cpp
+++ b/src/jujubequay/datapath/balancer_path.cpp
@@ -55,6 +55,14 @@
     return unbound;
 }
 
+void BalancerPath::stop()
+{
+    m_relay.close();
+    for (const auto &[address, entry] : m_entries) {
+        entry->socket.close();
+    }
+}
+
 HostAddress BalancerPath::relayAddress() const
 {
     return m_relayAddress;
--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -236,11 +236,11 @@
     {
         TestCaller caller = makeCaller({m_balancers[0]->entry});
         expectEcho(caller, 1, "reading 1");
-        m_balancers[0]->path.reset();
+        m_balancers[0]->path->stop();
         caller.entries = {m_balancers[1]->entry};
         expectEcho(caller, 2, "reading 2");
         addBalancer(0);
-        m_balancers[1]->path.reset();
+        m_balancers[1]->path->stop();
         caller.entries = {m_balancers[2]->entry};
         expectEcho(caller, 3, "reading 3");
         CPPUNIT_ASSERT(!caller.isEnded);
