Count the messages of a control host by kind

MessageAccount counts messages and bytes by kind where they are encoded and decoded: watch server, announcements, exchange of the registry, log, notices. It replaces the two byte sums of WatchServer, whose tests now read the same sums from the account (same bounds).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -133,6 +133,7 @@
         known_hosts_reconciler.cpp
         lease_registry.cpp
         membership_reconciler.cpp
+        message_account.cpp
         operation_log.cpp
         operator_request.cpp
         peer_links.cpp
@@ -150,6 +151,7 @@
         lease_registry_test.cpp
         known_hosts_reconciler_test.cpp
         membership_reconciler_test.cpp
+        message_account_test.cpp
         operator_request_test.cpp
         route_table_test.cpp
         watch_test.cpp
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -90,6 +90,10 @@
     const ReplicaDriver &driver() const;
     const LeaseRegistry &registry() const;
     const WatchServer &watchServer() const;
+    /// Messages since the start, those of the owner of this object included.
+    MessageAccount messages() const;
+    /// Counts a notice that the owner of this object has sent.
+    void countNotice(MessageKind kind, std::size_t bytes);
     /// True once every server in the replicated known hosts has announced itself, or once the fill timeout has passed.
     bool isRegistryComplete() const;
 
@@ -133,6 +137,7 @@
     JoinService m_joinService;
     KnownHostsReconciler m_knownHostsReconciler;
     bool m_isKnownHostsChangePending = false;
+    MessageAccount m_messages; ///< of the log and of notices
     std::string m_lastNotified; ///< address of the last start notice; known hosts are notified in turn
     std::vector<HostAddress> m_seeds;
     bool m_isMembershipChangePending = false;
--- a/include/jujubequay/control/control_services.h
+++ b/include/jujubequay/control/control_services.h
@@ -75,6 +75,7 @@
     AnnounceService(const Clock &clock, WallClock wallClock, const ControlState &state, LeaseRegistry &registry, Authorization authorization);
 
     MessageStreamHandlers accept(const std::shared_ptr<MessageStream> &stream);
+    const MessageAccount &messages() const;
 
 private:
     struct CheckedEntry {
@@ -93,6 +94,7 @@
     const Authorization m_authorization;
     AcceptedStreams m_streams;
     std::map<std::uint64_t, CheckedEntry> m_checkedEntries; // last authorized entry by stream number
+    MessageAccount m_messages;
 };
 
 /// Exchanges registry entries and reports with the other control hosts on "/registry".
@@ -115,6 +117,7 @@
     bool isReachable(const std::string &host) const;
     /// Availability zone of another control host; empty until it has sent its registry.
     std::string zoneOf(const std::string &host) const;
+    const MessageAccount &messages() const;
 
 private:
     struct Position {
@@ -137,6 +140,7 @@
     const TimePoint m_startedAt;
     TimePoint m_lastExchange{};
     bool m_isFilled = false;
+    MessageAccount m_messages;
 };
 
 /// Accepts streams on "/operator" and executes commands and status requests.
--- a/include/jujubequay/control/watch_server.h
+++ b/include/jujubequay/control/watch_server.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/control/control_state.h>
 #include <jujubequay/control/lease_registry.h>
+#include <jujubequay/control/message_account.h>
 #include <jujubequay/control/report_store.h>
 #include <jujubequay/core/clock.h>
 
@@ -91,9 +92,7 @@
     /// Returns the messages to send and the streams to close. Call it every 50 to 200 ms and after changes.
     WatchServerEffects pump(TimePoint now);
 
-    /// Bytes since the start, with frame headers.
-    std::uint64_t sentBytes() const;
-    std::uint64_t receivedBytes() const;
+    const MessageAccount &messages() const;
     std::size_t watcherCount() const;
     /// Identifiers of all watchers, for setQueuedBytes.
     std::vector<WatcherId> watchers() const;
@@ -149,8 +148,7 @@
     bool m_areRegistryMessagesComplete = false; ///< the messages are marked complete
     std::vector<ControlHostLocation> m_controlHosts;
     std::uint64_t m_controlHostsVersion = 0;
-    std::uint64_t m_sentBytes = 0;
-    std::uint64_t m_receivedBytes = 0;
+    MessageAccount m_messages;
 };
 
 }
--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -59,7 +59,7 @@
     void handleSessionFailure(const Failure &failure);
     void sendStartNotice(const HostAddress &host);
     void sendEndedFlows(const EndedFlows &ended);
-    void sendNotice(const HostAddress &host, std::span<const std::uint8_t> notice);
+    void sendNotice(MessageKind kind, const HostAddress &host, std::span<const std::uint8_t> notice);
     void loadFlowRecords();
     void scheduleFlowRecordSave();
     ControlHostOptions options();
@@ -67,6 +67,7 @@
     void waitForStop();
     void scheduleTick();
     void publishMetrics();
+    void publishMessages(const MessageAccount &messages);
 
     const RouteControlSettings m_settings;
     const SeedReader m_readSeeds;
@@ -85,6 +86,7 @@
     std::unique_ptr<Session> m_session;
     bool m_hasSessionFailed = false;
     bool m_areFlowRecordsLoaded = false;
+    TimePoint m_messagesPublishedAt{};
 };
 
 }
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -203,6 +203,20 @@
     return m_watchServer;
 }
 
+MessageAccount ControlHostService::messages() const
+{
+    MessageAccount total = m_messages;
+    total += m_watchServer.messages();
+    total += m_announceService.messages();
+    total += m_registryExchange.messages();
+    return total;
+}
+
+void ControlHostService::countNotice(MessageKind kind, std::size_t bytes)
+{
+    m_messages.addSent(kind, bytes);
+}
+
 // Replica messages
 
 MessageStreamHandlers ControlHostService::acceptRaft(const std::shared_ptr<MessageStream> &stream)
@@ -229,6 +243,7 @@
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return;
     }
+    m_messages.addReceived(kindOf(message), framedBytes(message));
     const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.from());
     if (member != nullptr && member->host() != host) {
         m_environment.logger.warning("replica-message-refused", {{"peer", host}, {"member", member->host()}});
@@ -243,6 +258,7 @@
 
 void ControlHostService::sendRaft(const pb::ReplicaMessage &message)
 {
+    m_messages.addSent(kindOf(message), framedBytes(message));
     const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.to());
     if (member != nullptr && m_raftLinks.send(member->host(), message) && m_raftLinks.isEstablished(member->host())) {
         return;
@@ -423,15 +439,16 @@
     pb::Command command;
     *command.mutable_change_known_hosts() = change;
     m_isKnownHostsChangePending = true;
-    m_driver.propose(localCommand("hosts", std::move(command)),
-                     [this, added = change.added_size(), removed = change.removed_size()](const pb::CommandAnswer &answer) {
-                         m_isKnownHostsChangePending = false;
-                         m_environment.logger.info("known-hosts-change",
-                                                   {{"added", added},
-                                                    {"removed", removed},
-                                                    {"known", m_driver.state().knownHosts().size()},
-                                                    {"result", resultName(static_cast<ResultCode>(answer.result()))}});
-                     });
+    const pb::LoggedCommand logged = localCommand("hosts", std::move(command));
+    m_messages.addSent(MessageKind::KnownHosts, logged.ByteSizeLong());
+    m_driver.propose(logged, [this, added = change.added_size(), removed = change.removed_size()](const pb::CommandAnswer &answer) {
+        m_isKnownHostsChangePending = false;
+        m_environment.logger.info("known-hosts-change",
+                                  {{"added", added},
+                                   {"removed", removed},
+                                   {"known", m_driver.state().knownHosts().size()},
+                                   {"result", resultName(static_cast<ResultCode>(answer.result()))}});
+    });
 }
 
 // Balancers and agents that have restarted too have only the configured control hosts, and wait between connection attempts.
--- a/src/jujubequay/control/control_services.cpp
+++ b/src/jujubequay/control/control_services.cpp
@@ -210,7 +210,12 @@
         stream->send(refused);
         return;
     }
-    stream->send(m_registry.announce(m_clock.now(), m_wallClock(), id, message->server()));
+    const std::uint64_t registryBefore = m_registry.sequence();
+    const pb::AnnounceDown answer = m_registry.announce(m_clock.now(), m_wallClock(), id, message->server());
+    const bool isHeartbeat = m_registry.sequence() == registryBefore;
+    m_messages.addReceived(isHeartbeat ? MessageKind::Heartbeat : MessageKind::Announcement, framedBytes(*message));
+    m_messages.addSent(MessageKind::AnnouncementReply, framedBytes(answer));
+    stream->send(answer);
 }
 
 bool AnnounceService::isAllowed(std::uint64_t id, const std::string &peer, const pb::ServerEntry &entry)
@@ -224,6 +229,11 @@
     return isNameOnHost(entry.host(), peer);
 }
 
+const MessageAccount &AnnounceService::messages() const
+{
+    return m_messages;
+}
+
 // Registry exchange
 
 RegistryExchange::RegistryExchange(
@@ -274,6 +284,7 @@
     if (!delta) {
         return;
     }
+    m_messages.addReceived(*delta);
     const TimePoint now = m_clock.now();
     for (const pb::ServerEntry &entry : delta->servers()) {
         m_registry.merge(now, entry);
@@ -333,6 +344,9 @@
     bool isSent = true;
     for (const pb::RegistryDelta &delta : deltas) {
         isSent = isSent && m_links.send(host, delta);
+        if (isSent) {
+            m_messages.addSent(delta);
+        }
     }
     if (isSent) {
         position = {m_registry.sequence(), m_reports.sequence()};
@@ -344,6 +358,11 @@
     return m_isFilled;
 }
 
+const MessageAccount &RegistryExchange::messages() const
+{
+    return m_messages;
+}
+
 std::string RegistryExchange::zoneOf(const std::string &host) const
 {
     const auto found = m_zones.find(host);
--- a/src/jujubequay/control/watch_server.cpp
+++ b/src/jujubequay/control/watch_server.cpp
@@ -10,16 +10,9 @@
 
 namespace {
 
-constexpr std::size_t frameHeaderLength = 4;
 /// Watchers that connect or fall behind one after the other have different positions. Bounds the memory for their messages.
 constexpr std::size_t maxSharedDeltas = 32;
 
-template<class Message>
-std::uint64_t framedBytes(const Message &message)
-{
-    return frameHeaderLength + message.ByteSizeLong();
-}
-
 }
 
 WatchServer::WatchServer(const ControlState &state, const LeaseRegistry &registry, ReportStore &reports, WatchServerOptions options)
@@ -41,7 +34,7 @@
     if (found == m_watchers.end()) {
         return;
     }
-    m_receivedBytes += framedBytes(message);
+    m_messages.addReceived(kindOf(message), framedBytes(message));
     Watcher &watcher = found->second;
     if (message.has_request() && !watcher.request) {
         const pb::WatchRequest &request = message.request();
@@ -300,18 +293,13 @@
 
 void WatchServer::send(WatcherId id, Message message, WatchServerEffects &effects)
 {
-    m_sentBytes += framedBytes(*message);
+    m_messages.addSent(kindOf(*message), framedBytes(*message));
     effects.emplace_back(SendToWatcher{id, std::move(message)});
 }
 
-std::uint64_t WatchServer::sentBytes() const
-{
-    return m_sentBytes;
-}
-
-std::uint64_t WatchServer::receivedBytes() const
+const MessageAccount &WatchServer::messages() const
 {
-    return m_receivedBytes;
+    return m_messages;
 }
 
 std::size_t WatchServer::watcherCount() const
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -1,3 +1,4 @@
+#include <jujubequay/control/message_account.h>
 #include <jujubequay/control/watch_subscriber.h>
 #include <jujubequay/control/watched_servers.h>
 #include <jujubequay/core/invariant.h>
@@ -13,19 +14,12 @@
 
 namespace {
 
-constexpr std::size_t frameHeaderLength = 4;
 constexpr std::uint32_t maxDoublings = 16;
 /// Time, several round trips, in which an attempt that follows a start notice is not abandoned for another start notice.
 constexpr auto startNoticeAttemptTime = std::chrono::milliseconds(200);
 /// A deregistration is used until the callers of the server's flows were notified; this many servers may deregister within that time.
 constexpr std::size_t maxDeregisteredServers = 256;
 
-template<class Message>
-std::uint64_t framedBytes(const Message &message)
-{
-    return frameHeaderLength + message.ByteSizeLong();
-}
-
 // Rendezvous hashing: distributes the watchers, and a control host that is added or removed moves only its own watchers.
 std::vector<HostAddress> rankedControlHosts(std::vector<HostAddress> ranked, const std::string &host)
 {
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -182,8 +182,8 @@
         CPPUNIT_ASSERT_EQUAL(0, m_connection->messages[0].config().flow_keys_size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_subscriber->snapshot()->revision);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_connection->reports.reports(m_now).at(0).revision());
-        CPPUNIT_ASSERT_EQUAL(m_connection->server.sentBytes(), m_subscriber->receivedBytes());
-        CPPUNIT_ASSERT_EQUAL(m_connection->server.receivedBytes(), m_subscriber->sentBytes());
+        CPPUNIT_ASSERT_EQUAL(m_connection->server.messages().sentBytes(), m_subscriber->receivedBytes());
+        CPPUNIT_ASSERT_EQUAL(m_connection->server.messages().receivedBytes(), m_subscriber->sentBytes());
     }
 
     // Guards against a balancer that keeps using a draining server.
@@ -561,7 +561,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("dar-ubungo"), server.zone);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{100}, server.weight);
         CPPUNIT_ASSERT_EQUAL(server.name, toString(server.relayAddress));
-        CPPUNIT_ASSERT(m_connection->server.sentBytes() < serverCount * bytesPerServer);
+        CPPUNIT_ASSERT(m_connection->server.messages().sentBytes() < serverCount * bytesPerServer);
     }
 
     /// Load: all watchers restart at the same moment and need the full state. Guards against building it once for each of them.
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -22,6 +22,7 @@
 constexpr int heartbeatsPerLease = 3;
 /// Flow records that are lost with the power of this host are at most this much older than the loss, and the time that the disk takes.
 constexpr auto flowRecordSaveInterval = std::chrono::milliseconds(500);
+constexpr auto messagesInterval = std::chrono::seconds(5);
 /// Bounds the CPU time if the next deadline has passed and a tick finds nothing to do.
 constexpr auto minTickInterval = std::chrono::milliseconds(2);
 /// Hosts that restart after a common power failure start within this time of each other.
@@ -262,7 +263,7 @@
 
 void RouteControlProcess::sendStartNotice(const HostAddress &host)
 {
-    sendNotice(host, encode(StartNotice{m_settings.peerAddress}));
+    sendNotice(MessageKind::StartNotice, host, encode(StartNotice{m_settings.peerAddress}));
 }
 
 void RouteControlProcess::sendEndedFlows(const EndedFlows &ended)
@@ -273,22 +274,24 @@
         const HostAddress service{record.service_ip(), static_cast<std::uint16_t>(record.service_port())};
         notice.flows.push_back({{caller, service}, record.acknowledgement()});
         if (notice.flows.size() == maxEndedFlows) {
-            sendNotice(ended.agent, encode(notice));
+            sendNotice(MessageKind::EndedFlows, ended.agent, encode(notice));
             notice.flows.clear();
         }
     }
     if (!notice.flows.empty()) {
-        sendNotice(ended.agent, encode(notice));
+        sendNotice(MessageKind::EndedFlows, ended.agent, encode(notice));
     }
 }
 
-void RouteControlProcess::sendNotice(const HostAddress &host, std::span<const std::uint8_t> notice)
+void RouteControlProcess::sendNotice(MessageKind kind, const HostAddress &host, std::span<const std::uint8_t> notice)
 {
     asio::error_code error;
     m_noticeSocket.send_to(asio::buffer(notice.data(), notice.size()), asio::ip::udp::endpoint(asio::ip::address_v4(host.ip), host.port), 0, error);
     if (error) {
         m_services.logger().warning("notice-not-sent", {{"host", toString(host)}, {"cause", error.message()}});
+        return;
     }
+    m_session->service->countNotice(kind, notice.size());
 }
 
 // Flow records
@@ -405,6 +408,24 @@
     m_services.metrics().setGauge("applied_index", static_cast<double>(service.driver().replica().appliedIndex()));
     m_services.metrics().setGauge("is_leader", service.driver().replica().role() == Consensus::Role::Leader ? 1 : 0);
     m_services.metrics().setGauge("watchers", static_cast<double>(service.watchServer().watcherCount()));
+    const TimePoint now = m_services.clock().now();
+    if (now - m_messagesPublishedAt >= messagesInterval) {
+        m_messagesPublishedAt = now;
+        publishMessages(service.messages());
+    }
+}
+
+void RouteControlProcess::publishMessages(const MessageAccount &messages)
+{
+    for (std::size_t index = 0; index < messageKindCount; ++index) {
+        const auto kind = static_cast<MessageKind>(index);
+        const std::string_view name = messageKindName(kind);
+        m_services.setCounter("messages_sent", name, messages.sent(kind).messages);
+        m_services.setCounter("message_bytes_sent", name, messages.sent(kind).bytes);
+        m_services.setCounter("messages_received", name, messages.received(kind).messages);
+        m_services.setCounter("message_bytes_received", name, messages.received(kind).bytes);
+    }
+    m_services.logger().info("messages", {{"sent", describeSent(messages)}, {"received", describeReceived(messages)}});
 }
 
 }
