Let agents choose the order of their servers

Seen: a running server counts as replaced by its predecessor until its next announcement, so balancers and agents reset its open flows.

Cause: the order of an incarnation came from the clock of the control host that took its announcement. If a server lives shorter than two clocks differ, and its successor is announced to another control host before the first one's entry has spread, the predecessor gets the higher order, and each watcher that has seen the successor takes it for replaced.

Change: the agent states the order (agent_order, a new field). It is the start time of the server, raised so that each server of a run of the agent has a higher one; the wall clock of the machine if nothing listens; the lowest one while a running server has not announced itself. Control hosts take it as it is or refuse it. If it is too low they offer a higher one for the listed server, for a later one of the same run, or if the listed one has left. They offer none for another server: an announcement that is late by seconds may reach an agent that has just restarted.

Two versions: a control host of an earlier version ignores the field and orders by its clock as before; the agent then continues above the order that it is told. An agent of an earlier version gets its order from the control host as before. Not run with processes of two versions.

Tried first: the wall clock of the agent in place of the start time.

Schedule: clocks of control hosts are up to 3 s off (20 ms before) and are set to another time now and then. The constant minute between control hosts and the rest is gone, since orders of both are compared now.

Tests: orderOfAnAgentHoldsWhateverTheClocks, restartedAgentChoosesAHigherOrder, lateAnnouncementAtARestartedAgentReplacesNothing and givesEachServerAHigherOrder failed with the logic of before (and the field present); implausibleOrderOfAnAgentIsIgnored only without its guard.

--- a/include/jujubequay/control/lease_registry.h
+++ b/include/jujubequay/control/lease_registry.h
@@ -95,7 +95,8 @@
         std::size_t unresponsive = 0;
     };
 
-    Answer refuse(SessionId session, std::uint64_t wallMs, const Record &record);
+    Answer refuse(SessionId session, std::uint64_t wallMs, const Record &record, const Entry &announced);
+    std::uint64_t orderOf(std::uint64_t wallMs, const Record &record, const Entry &announced) const;
     bool mayDisplace(SessionId session, const Record &record, const Entry &announced) const;
     Answer renew(TimePoint now, SessionId session, const Record &record, Entry entry);
     bool isAddressTaken(const Entry &announced) const;
--- a/include/jujubequay/service/announcer.h
+++ b/include/jujubequay/service/announcer.h
@@ -42,7 +42,8 @@
 class Announcer
 {
 public:
-    /// `server` has name, service, zone, host, relay address, incarnation and weight; the constructor sets state and sequence.
+    /// `server` has name, service, zone, host, relay address, incarnation and weight; the constructor sets state and sequence. An agent order
+    /// is raised if necessary, so that each further server has a higher one.
     Announcer(AnnouncerOptions options, jujubequay::pb::ServerEntry server, std::mt19937_64 &random);
 
     /// To be called at least every 100 ms, and at `nextAttempt`.
@@ -85,6 +86,7 @@
     std::uint64_t m_streamNumber = 0; ///< number of the latest stream
     bool m_isStreamOpen = false;
     std::uint64_t m_acceptedSequence = 0; ///< sequence of the server entry that the control host accepted last on this stream
+    std::uint64_t m_highestAgentOrder = 0; ///< of all announced servers
     Duration m_heartbeatInterval;
     TimePoint m_nextAttempt{};
     TimePoint m_nextHeartbeat{};
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -42,6 +42,16 @@
     return announced.agent_epoch() != 0 && current.agent_epoch() != 0 && announced.agent_epoch() != current.agent_epoch();
 }
 
+bool hasAgentOrder(const pb::ServerEntry &entry)
+{
+    return entry.agent_order() != 0;
+}
+
+std::uint64_t announcedOrder(const pb::ServerEntry &entry)
+{
+    return hasAgentOrder(entry) ? entry.agent_order() : entry.order();
+}
+
 bool isAnnouncement(const pb::ServerEntry &entry)
 {
     const auto state = entry.state();
@@ -135,34 +145,52 @@
 
 pb::AnnounceDown LeaseRegistry::announce(TimePoint now, std::uint64_t wallMs, SessionId session, const pb::ServerEntry &announced)
 {
-    const bool isOrderPlausible = announced.order() <= std::max(m_highestOrder, wallMs) + maxOrderAheadMs;
-    if (!isAnnouncement(announced) || !isOrderPlausible) {
+    const std::uint64_t highestPlausibleOrder = std::max(m_highestOrder, wallMs) + maxOrderAheadMs;
+    if (!isAnnouncement(announced) || announced.order() > highestPlausibleOrder) {
         return answerOf(ResultCode::BadRequest);
     }
     Entry entry = announced;
     entry.set_owner(m_self);
     entry.set_observation(0);
     entry.set_weight(std::clamp(announced.weight(), 1U, maxWeight));
+    if (announced.agent_order() > highestPlausibleOrder) {
+        entry.clear_agent_order();
+    }
 
-    const auto found = m_records.find(announced.name());
-    const bool isKnown = found != m_records.end();
-    const bool isSameIncarnation = isKnown && found->second.entry.incarnation() == announced.incarnation();
-    if (isKnown && !isSameIncarnation && !mayDisplace(session, found->second, announced)) {
-        return refuse(session, wallMs, found->second);
-    }
-    const bool isOtherAgentEpoch = isSameIncarnation && isOfAnotherAgentEpoch(found->second.entry, announced);
-    const bool isLaterAnnouncement = isKnown && !isSameIncarnation && isLaterOfSameAgentEpoch(found->second.entry, announced);
-    if (isOtherAgentEpoch || isLaterAnnouncement) {
-        entry.set_order(std::max(announced.order(), nextOrder(wallMs)));
-    } else if (isSameIncarnation) {
-        entry.set_order(std::max(found->second.entry.order(), announced.order()));
-    } else {
-        entry.set_order(announced.order() != 0 ? announced.order() : nextOrder(wallMs));
+    const auto found = m_records.find(entry.name());
+    if (found == m_records.end()) {
+        entry.set_order(announcedOrder(entry) != 0 ? announcedOrder(entry) : nextOrder(wallMs));
+        return isAddressTaken(entry) ? answerOf(ResultCode::StaleIncarnation) : accept(now, session, std::move(entry));
     }
+    const Record &record = found->second;
+    const bool isSameIncarnation = record.entry.incarnation() == entry.incarnation();
+    const bool isSameRun = isSameIncarnation && !isOfAnotherAgentEpoch(record.entry, entry);
+    if (!isSameRun && !mayDisplace(session, record, entry)) {
+        return refuse(session, wallMs, record, entry);
+    }
+    entry.set_order(orderOf(wallMs, record, entry));
     if (isAddressTaken(entry)) {
-        return isKnown ? refuse(session, wallMs, found->second) : answerOf(ResultCode::StaleIncarnation);
+        return refuse(session, wallMs, record, entry);
+    }
+    return isSameRun ? renew(now, session, record, std::move(entry)) : accept(now, session, std::move(entry));
+}
+
+// A control host does not raise the order that an agent has chosen. Clocks of control hosts differ, and a late announcement of an earlier server
+// would get a higher order than that of its successor at another control host.
+std::uint64_t LeaseRegistry::orderOf(std::uint64_t wallMs, const Record &record, const Entry &announced) const
+{
+    const bool isSameIncarnation = record.entry.incarnation() == announced.incarnation();
+    const bool isOtherAgentEpoch = isSameIncarnation && isOfAnotherAgentEpoch(record.entry, announced);
+    if (isSameIncarnation && !isOtherAgentEpoch) {
+        return std::max(record.entry.order(), announcedOrder(announced));
+    }
+    if (hasAgentOrder(announced)) {
+        return announced.agent_order();
     }
-    return isSameIncarnation && !isOtherAgentEpoch ? renew(now, session, found->second, std::move(entry)) : accept(now, session, std::move(entry));
+    if (isOtherAgentEpoch || isLaterOfSameAgentEpoch(record.entry, announced)) {
+        return std::max(announced.order(), nextOrder(wallMs));
+    }
+    return announced.order() != 0 ? announced.order() : nextOrder(wallMs);
 }
 
 // A late announcement is answered, but it neither changes the entry nor renews the lease.
@@ -179,29 +207,34 @@
     return accept(now, session, std::move(entry));
 }
 
-// Another incarnation may displace the current one if it is newer, or if it announces the order that was offered on its own stream,
-// which only a running process can do.
+// Another incarnation, or the same one at a restarted agent, may displace the current entry if it is newer, or if it announces the order that was
+// offered on its own stream, which only a running process can do.
 bool LeaseRegistry::mayDisplace(SessionId session, const Record &record, const Entry &announced) const
 {
-    if (isLaterOfSameAgentEpoch(record.entry, announced)) {
-        return true;
+    const bool isHigher = announcedOrder(announced) > record.entry.order();
+    const bool isSameIncarnation = record.entry.incarnation() == announced.incarnation();
+    if (isSameIncarnation || isLaterOfSameAgentEpoch(record.entry, announced)) {
+        return isHigher || !hasAgentOrder(announced);
     }
     const auto offer = m_offeredOrders.find(session);
-    if (offer != m_offeredOrders.end() && announced.order() == offer->second && announced.order() > record.entry.order()) {
+    if (offer != m_offeredOrders.end() && announced.order() == offer->second && isHigher) {
         return true;
     }
     const auto &past = record.pastIncarnations;
     if (std::find(past.begin(), past.end(), announced.incarnation()) != past.end()) {
         return false;
     }
-    return announced.order() == 0 || announced.order() > record.entry.order();
+    return isHigher || announcedOrder(announced) == 0;
 }
 
-pb::AnnounceDown LeaseRegistry::refuse(SessionId session, std::uint64_t wallMs, const Record &record)
+// An agent that has chosen an order may choose a higher one for the server of this entry, or for one that it has observed after it.
+pb::AnnounceDown LeaseRegistry::refuse(SessionId session, std::uint64_t wallMs, const Record &record, const Entry &announced)
 {
     Answer answer = answerOf(ResultCode::StaleIncarnation);
-    if (hasLeft(record.entry)) {
-        const std::uint64_t offer = nextOrder(wallMs);
+    const bool isSameIncarnation = record.entry.incarnation() == announced.incarnation();
+    const bool mayChooseHigher = hasAgentOrder(announced) && (isSameIncarnation || isLaterOfSameAgentEpoch(record.entry, announced));
+    if (hasLeft(record.entry) || mayChooseHigher) {
+        const std::uint64_t offer = hasAgentOrder(announced) ? record.entry.order() + 1 : nextOrder(wallMs);
         m_highestOrder = std::max(m_highestOrder, offer);
         m_offeredOrders[session] = offer;
         answer.set_order(offer);
--- a/src/jujubequay/control/lease_registry_test.cpp
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -31,6 +31,14 @@
     return entry;
 }
 
+pb::ServerEntry serverOfAgent(std::uint32_t incarnation, std::uint32_t agentEpoch, std::uint64_t agentOrder, std::uint64_t sequence = 1)
+{
+    pb::ServerEntry entry = server(0, incarnation, pb::SERVER_STATE_SERVING, sequence);
+    entry.set_agent_epoch(agentEpoch);
+    entry.set_agent_order(agentOrder);
+    return entry;
+}
+
 std::string contents(const LeaseRegistry &registry)
 {
     std::string text;
@@ -60,6 +68,10 @@
     CPPUNIT_TEST(lateAnnouncementOfOldIncarnationIsRefused);
     CPPUNIT_TEST(runningIncarnationReturnsAfterItsSuccessorLeft);
     CPPUNIT_TEST(laterServerOfAnAgentReplacesTheEarlierOne);
+    CPPUNIT_TEST(orderOfAnAgentHoldsWhateverTheClocks);
+    CPPUNIT_TEST(restartedAgentChoosesAHigherOrder);
+    CPPUNIT_TEST(lateAnnouncementAtARestartedAgentReplacesNothing);
+    CPPUNIT_TEST(implausibleOrderOfAnAgentIsIgnored);
     CPPUNIT_TEST(serverOfARestartedAgentStaysListed);
     CPPUNIT_TEST(wallClockStepDoesNotReorderIncarnations);
     CPPUNIT_TEST(reusedAddressRemovesTheOldServer);
@@ -185,6 +197,43 @@
         announceRefused(other);
     }
 
+    /// Guards against a running server that counts as replaced by its predecessor, because the control host of the latter has a clock that is ahead.
+    void orderOfAnAgentHoldsWhateverTheClocks()
+    {
+        LeaseRegistry other("control-b", 2, LeaseOptions());
+        announce(serverOfAgent(6, 4, wallStart));
+        exchange(*m_registry, other);
+        other.announce(m_now, wallStart + 5000, 1, serverOfAgent(7, 5, wallStart + 100));
+        announce(serverOfAgent(8, 5, wallStart + 900, 2));
+        exchange(*m_registry, other);
+        CPPUNIT_ASSERT_EQUAL(8U, m_registry->find("inspect-desk-0")->incarnation());
+        CPPUNIT_ASSERT_EQUAL(8U, other.find("inspect-desk-0")->incarnation());
+    }
+
+    /// Guards against an entry of the earlier run of an agent that other control hosts keep, or that its late announcement restores.
+    void restartedAgentChoosesAHigherOrder()
+    {
+        announce(serverOfAgent(7, 5, wallStart, 9));
+        const auto offer = announceRefused(serverOfAgent(7, 6, wallStart));
+        announce(serverOfAgent(7, 6, offer.order()));
+        announceRefused(serverOfAgent(7, 5, wallStart, 9));
+        CPPUNIT_ASSERT_EQUAL(6U, m_registry->find("inspect-desk-0")->agent_epoch());
+    }
+
+    /// Guards against an earlier server that is listed again, because its late announcement has reached an agent that has just restarted.
+    void lateAnnouncementAtARestartedAgentReplacesNothing()
+    {
+        announce(serverOfAgent(8, 5, wallStart + 900));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, announceRefused(serverOfAgent(7, 6, wallStart + 100)).order());
+        CPPUNIT_ASSERT_EQUAL(8U, m_registry->find("inspect-desk-0")->incarnation());
+    }
+
+    /// Guards against a server that is never listed because the clock of its machine is wrong.
+    void implausibleOrderOfAnAgentIsIgnored()
+    {
+        CPPUNIT_ASSERT_EQUAL(wallStart, announce(serverOfAgent(7, 5, 2 * wallStart)).order());
+    }
+
     /// A restarted agent announces the same server with a lower sequence number than before. Guards against an Ok answer that does not
     /// renew the lease, so that the server is removed when the lease ends.
     void serverOfARestartedAgentStaysListed()
--- a/src/jujubequay/service/announcer.cpp
+++ b/src/jujubequay/service/announcer.cpp
@@ -71,6 +71,11 @@
     if (message.order() != 0) {
         const bool isNewOrder = message.order() != m_server.order();
         m_server.set_order(message.order());
+        // The answer may be for the server before, which must not get the same order.
+        if (m_server.agent_order() != 0 && message.order() > m_server.agent_order()) {
+            m_highestAgentOrder = message.order() + 1;
+            m_server.set_agent_order(m_highestAgentOrder);
+        }
         // The control host has an entry of an earlier incarnation and returns the order with which this one can replace it.
         if (result == ResultCode::StaleIncarnation && isNewOrder) {
             m_lastAnswerTime = now;
@@ -120,6 +125,12 @@
     AnnouncerEffects effects;
     const bool isSameIncarnation = server.incarnation() == m_server.incarnation();
     server.set_order(isSameIncarnation ? m_server.order() : 0);
+    if (isSameIncarnation) {
+        server.set_agent_order(m_server.agent_order());
+    } else if (server.agent_order() != 0) {
+        server.set_agent_order(std::max(server.agent_order(), m_highestAgentOrder + 1));
+    }
+    m_highestAgentOrder = std::max(m_highestAgentOrder, server.agent_order());
     server.set_sequence(m_server.sequence() + 1);
     m_server = std::move(server);
     if (m_isStreamOpen) {
--- a/src/jujubequay/service/announcer_test.cpp
+++ b/src/jujubequay/service/announcer_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(replacesUnresponsiveControlHost);
     CPPUNIT_TEST(announcesDrainImmediately);
     CPPUNIT_TEST(replacesEntryOfEarlierIncarnation);
+    CPPUNIT_TEST(givesEachServerAHigherOrder);
     CPPUNIT_TEST(switchesToReachableControlHost);
     CPPUNIT_TEST(movesToAPreferredControlHost);
     CPPUNIT_TEST(keepsTheControlHostOfTheStreamWhenTheListChanges);
@@ -112,6 +113,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, effectsOf<CloseAnnounceStream>(afterSecondRefusal).size());
     }
 
+    // Guards against a server that gets the order of its predecessor, which a control host of an earlier version has chosen, and counts as replaced by it.
+    void givesEachServerAHigherOrder()
+    {
+        Announcer announcer = announcerOf("inspect-desk-1");
+        const std::uint64_t stream = effectsOf<OpenAnnounceStream>(announcer.tick(m_now)).at(0).stream;
+        const auto announce = [&](std::uint32_t incarnation, std::uint64_t order) {
+            pb::ServerEntry server = announcer.server();
+            server.set_incarnation(incarnation);
+            server.set_agent_order(order);
+            return effectsOf<SendAnnouncement>(announcer.setServer(m_now, server)).at(0).message.server().agent_order();
+        };
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, announce(8, 50));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{51}, announce(9, 20));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{51}, announce(9, 80));
+        announcer.receive(m_now, stream, answerWith(ResultCode::Ok, 90));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{91}, announcer.server().agent_order());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{92}, announce(10, 60));
+    }
+
     // Guards against a server that stays unannounced after a restart although a control host is already reachable.
     void switchesToReachableControlHost()
     {
--- a/src/jujubequay/steering_program/server_end_random_test.cpp
+++ b/src/jujubequay/steering_program/server_end_random_test.cpp
@@ -30,6 +30,8 @@
 constexpr auto stepTime = milliseconds(50);
 constexpr auto runTime = seconds(90);
 constexpr std::uint64_t startWallMs = 1'000'000'000;
+/// Control hosts are up to this far from the true time, and their clocks are set to another time now and then.
+constexpr std::uint64_t maxClockErrorMs = 3000;
 
 HostAddress controlAddress(std::size_t zone)
 {
@@ -68,7 +70,7 @@
     bool isFilled = false;
     TimePoint startedAt{};
     std::optional<TimePoint> minoritySince;
-    std::int64_t clockSkewMs = 0;
+    std::int64_t clockErrorMs = 0;
 };
 
 struct Server {
@@ -104,12 +106,12 @@
 class RandomRun
 {
 public:
-    RandomRun(std::uint64_t seed, std::uint64_t maxSkewMs)
+    explicit RandomRun(std::uint64_t seed)
         : m_random(seed)
     {
         for (std::size_t zone = 0; zone < zoneCount; ++zone) {
             m_hosts[zone].name = controlName(zone);
-            m_hosts[zone].clockSkewMs = static_cast<std::int64_t>(below(2 * maxSkewMs + 1)) - static_cast<std::int64_t>(maxSkewMs);
+            setClock(zone);
             startHost(zone);
         }
         for (std::size_t index = 0; index < agentCount; ++index) {
@@ -229,6 +231,12 @@
 
     // Control hosts
 
+    void setClock(std::size_t zone)
+    {
+        m_hosts[zone].clockErrorMs = static_cast<std::int64_t>(below(2 * maxClockErrorMs + 1)) - static_cast<std::int64_t>(maxClockErrorMs);
+        note(fmt::format("clock of {} is {} ms ahead", controlName(zone), m_hosts[zone].clockErrorMs));
+    }
+
     void startHost(std::size_t zone)
     {
         ControlHost &host = m_hosts[zone];
@@ -456,16 +464,19 @@
         const auto &current = agent.announcements->current();
         if (agent.isServerRunning) {
             entry.set_incarnation(unconfirmedIncarnation.value);
+            entry.set_agent_order(1);
             entry.set_state(pb::SERVER_STATE_SERVING);
         } else if (!current) {
             if (agent.isAnnouncing) {
                 entry = agent.announcer->server();
             } else {
                 entry.set_incarnation(agent.absentIncarnation);
+                entry.set_agent_order(wallMs());
             }
             entry.set_state(pb::SERVER_STATE_LEFT);
         } else {
             entry.set_incarnation(agent.announcements->incarnation());
+            entry.set_agent_order(agent.announcements->current()->startedAtMs);
             entry.set_state(agent.announcements->acceptsNewFlows(m_now) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
         }
         return entry;
@@ -569,7 +580,7 @@
         const auto [session, number] = m_announceStreams.at(stream.get());
         send(stream, 0, [this, index, stream, session = session, number = number, entry] {
             ControlHost &host = m_hosts[stream->zones[1]];
-            const pb::AnnounceDown answer = host.registry->announce(m_now, wallMs() + 60'000 + static_cast<std::uint64_t>(host.clockSkewMs), session, entry);
+            const pb::AnnounceDown answer = host.registry->announce(m_now, wallMs() + static_cast<std::uint64_t>(host.clockErrorMs), session, entry);
             send(stream, 1, [this, index, stream, number, answer] {
                 if (m_agents[index].stream == stream) {
                     execute(index, m_agents[index].announcer->receive(m_now, number, answer));
@@ -678,7 +689,7 @@
         const std::size_t zone = below(zoneCount);
         const std::size_t index = below(agentCount);
         Agent &agent = m_agents[index];
-        switch (below(12)) {
+        switch (below(13)) {
         case 0:
         case 1:
         case 2:
@@ -715,6 +726,9 @@
                 });
             }
             break;
+        case 10:
+            setClock(zone);
+            break;
         default:
             m_watchers[below(watcherCount)].pausedUntil = m_now + milliseconds(below(6000));
             break;
@@ -762,7 +776,7 @@
         std::size_t checks = 0;
         std::string failures;
         for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
-            RandomRun run(seed, 20);
+            RandomRun run(seed);
             const std::string failure = run.run();
             checks += run.checkCount();
             if (!failure.empty()) {
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -18,6 +18,14 @@
 /// Time between checks whether a departing server has ended. Short, so that its callers are reset without a noticeable delay.
 constexpr auto endCheckInterval = std::chrono::milliseconds(100);
 constexpr std::uint32_t defaultWeight = 100;
+/// A server that has not announced itself may be the listed one, so it has a lower order than any server with a start time.
+constexpr std::uint64_t unconfirmedOrder = 1;
+
+std::uint64_t wallClockMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
 
 pb::FlowRecords flowRecordsOf(const FlowRecordChanges &changes)
 {
@@ -306,6 +314,7 @@
     if (m_isServerRunning) {
         entry.set_service(m_settings.service);
         entry.set_incarnation(unconfirmedIncarnation.value);
+        entry.set_agent_order(unconfirmedOrder);
         entry.set_state(pb::SERVER_STATE_SERVING);
         return entry;
     }
@@ -315,12 +324,14 @@
         } else {
             entry.set_service(m_settings.service);
             entry.set_incarnation(m_absentIncarnation);
+            entry.set_agent_order(wallClockMs());
         }
         entry.set_state(pb::SERVER_STATE_LEFT);
         return entry;
     }
     entry.set_service(current->service);
     entry.set_incarnation(m_announcements.incarnation());
+    entry.set_agent_order(current->startedAtMs);
     entry.set_state(m_announcements.acceptsNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
     return entry;
 }
