Look for the owner of a flow that follows one of an ended server

Callers saw: an open flow with the addresses and ports of an earlier one was reset by an agent (server-replaced, owner by local-server, learned before the flow) that had heard nothing of the open flow.

Cause: the agent remembers the flows of its replaced server, and those that a control host has recorded, by addresses and ports, and reset each packet with them. A packet now has to acknowledge what that server has sent lately, within 64 KiB; the initial sequence number of a server is random. For a recorded flow the acknowledgement number in the record takes its place. Any other packet is one of an unknown flow: the local server is probed if the agent has restarted beside it, and the owner is looked up.

Evidence: both new tests failed before (a reset instead of a packet that is passed on or delivered).

Ruled out: acknowledgement numbers for flows that a notice names, since the agent does not know what their server has sent.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -220,6 +220,8 @@
     AgentDecision rejectSyn(const Segment &segment, SteerCause cause) const;
     /// Delivers a packet to find out whether the local server owns its flow.
     AgentDecision probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple);
+    /// Looks for the owner of an unknown flow, at the local server first if it may be that.
+    AgentDecision lookUp(TimePoint now, const SteerHeader &header, const Segment &segment);
     /// Forwards a packet whose owner is unknown to the next agent of the owner lookup, or ends the lookup.
     AgentDecision continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const;
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -25,6 +25,11 @@
     return DeliverToServer{};
 }
 
+AgentDecision AgentSteering::lookUp(TimePoint now, const SteerHeader &header, const Segment &segment)
+{
+    return mayOwnUnknownFlow(now, segment) ? probe(now, header, flowTupleFromCaller(segment)) : continueLookup(now, header, segment);
+}
+
 AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -102,7 +102,7 @@
         if (!m_isServerKnown) {
             return HoldLookup{header};
         }
-        return mayOwnUnknownFlow(now, segment) ? probe(now, header, tuple) : continueLookup(now, header, segment);
+        return lookUp(now, header, segment);
     }
     Flow &flow = found->second;
     switch (flow.state) {
@@ -131,7 +131,8 @@
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
-        return flow.isContested ? continueLookup(now, header, segment) : resetOrphanedFlow(segment, flow);
+        // The caller may have opened another flow with the same addresses and ports.
+        return flow.isContested || !acknowledgesServer(flow, segment) ? lookUp(now, header, segment) : resetOrphanedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -83,6 +83,8 @@
     CPPUNIT_TEST(keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced);
     CPPUNIT_TEST(deliversPacketsOfAnOpenFlowAfterALateNotice);
     CPPUNIT_TEST(resetsAFlowThatWasOpenedAfterALateNotice);
+    CPPUNIT_TEST(looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer);
+    CPPUNIT_TEST(probesTheServerForAFlowThatFollowsARecordedOne);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -1275,6 +1277,35 @@
         CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
     }
 
+    /// The caller has opened another flow with the same addresses and ports at another server, which this agent has not heard of. Guards against a reset of
+    /// it because the agent remembers the flow of its replaced server, or the record of one.
+    void looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer()
+    {
+        for (const bool isRecorded : {false, true}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+            const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+            if (isRecorded) {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.endFlows(m_now, {{777}, {{tuple, 5'000'001}}}).size());
+            } else {
+                openFlow(agent, tuple, 5'000'000);
+                agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true);
+            }
+            const AgentDecision decision = agent.handleCallerPacket(m_now, header(), data(tuple, 900'000'000), m_notices);
+            CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
+            CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(tuple, 5'001'001), m_notices)));
+        }
+    }
+
+    /// A restarted agent learns of an ended flow of its server's predecessor. Guards against a lookup that leaves its own server out.
+    void probesTheServerForAFlowThatFollowsARecordedOne()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        agent.endFlows(m_now, {{777}, {{flow(1), 1001}}});
+        const AgentDecision decision = agent.handleCallerPacket(m_now, header(), data(flow(1), 900'000'000), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(decision));
+    }
+
     /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
     AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
     {
