--- a/fuzz/platform_calls_fuzz.cpp
+++ b/fuzz/platform_calls_fuzz.cpp
@@ -27,6 +27,8 @@
         const auto *steered = std::get_if<SteeredPacket>(&*message);
         checkInvariant(steered == nullptr || steered->packet.size() + steerHeaderLength == packet.size(),
                        "a steered packet contains all bytes after the header");
+        const auto *owner = std::get_if<OwnerNotice>(&*message);
+        checkInvariant(owner == nullptr || owner->incarnation == Incarnation() || encode(*owner) == packet, "an owner notice is encoded as it was received");
     }
 }
 
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -184,10 +184,13 @@
         SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
+        std::optional<std::uint32_t> callerSequence; ///< acknowledgement number in the last packet of the server
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server that may own a local one
         Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
+        /// Sequence number of the caller in the owner notice or in the last packet of that flow since; empty if the notice does not state one.
+        std::optional<std::uint32_t> remoteSequence;
         /// Notices have named different owners, or the local server was replaced before it was known to own the flow. An owner lookup then decides
         /// whether the flow of a packet has ended.
         bool isContested = false;
@@ -241,7 +244,10 @@
     AgentDecision passToOtherServer(TimePoint now, const SteerHeader &header, const Segment &segment, Flow &flow);
     /// True if the owner in the notice is not the only one that was named for the addresses and ports of this flow.
     static bool contradicts(const OwnerNotice &notice, const Flow &flow);
-    static AgentDecision resetOrphanedFlow(const Segment &segment, const Flow &flow);
+    /// True if the packet belongs to the flow that the owner notice is about. Notes its sequence number then.
+    static bool isOfRemoteFlow(Flow &flow, const Segment &segment);
+    /// Resets the caller of a flow whose server has ended.
+    AgentDecision resetEndedFlow(const Segment &segment, const Flow &flow) const;
     /// Reset of the caller of `segment`, with what is known about the flow.
     ResetCaller reset(const Segment &segment, SteerCause cause) const;
     /// What is known about a flow of the local server or of a remote one.
@@ -255,7 +261,7 @@
     void setOpen(TimePoint now, Flow &flow);
     /// Incarnation of the local server; 0 while it is not confirmed.
     Incarnation confirmedIncarnation() const;
-    AddressedNotice noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const;
+    AddressedNotice noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple, const Flow &flow) const;
     /// Registers an open flow with its registrars.
     void registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices);
     /// Sets the registrars of a flow from the current server list. Returns true if notifications are pending.
--- a/include/jujubequay/steering/balancer_steering.h
+++ b/include/jujubequay/steering/balancer_steering.h
@@ -8,6 +8,7 @@
 #include <jujubequay/steering/steer_message.h>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -104,6 +105,8 @@
         OwnershipSource source = OwnershipSource::None;
         TimePoint learnedAt{}; ///< when the source was received
         bool isContested = false; ///< notices have named different owners
+        /// Sequence number of the caller in the notice or in the last packet of that flow since; empty if the notice does not state one.
+        std::optional<std::uint32_t> callerSequence{};
     };
     struct Load {
         LoadNotice notice;
--- a/include/jujubequay/steering/segment.h
+++ b/include/jujubequay/steering/segment.h
@@ -32,6 +32,10 @@
     std::uint32_t retransmissionCount = 0;
 };
 
+/// True if two sequence numbers may belong to packets of the same flow that were sent about the same time. Initial sequence numbers are random, so
+/// those of flows with the same addresses and ports are near each other with a probability of 1 in 32,768.
+bool isNear(std::uint32_t sequence, std::uint32_t reference);
+
 /// The flow of a packet that a caller has sent.
 FlowTuple flowTupleFromCaller(const Segment &segment);
 /// The flow of a packet that a server has sent.
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -35,6 +35,7 @@
     std::uint8_t lookupRetries = 0; ///< at most maxLookupRetries
     /// The balancer decodes owner notices with an incarnation. Agents of versions without such notices clear it when they forward a packet.
     bool acceptsIncarnations = false;
+    bool acceptsCallerSequences = false; ///< the same for owner notices with a sequence number of the caller
 };
 
 /// Reports the owner of a flow to a balancer or to a registrar.
@@ -43,6 +44,8 @@
     HostAddress owner; ///< agent of the server that owns the flow
     /// Incarnation of that server; 0 if it is unknown or the receiver may not decode it.
     Incarnation incarnation;
+    /// A recent sequence number of the caller, which tells the flow from others with the same addresses and ports; only with an incarnation.
+    std::optional<std::uint32_t> callerSequence{};
 };
 
 /// Confirms to the owner of a flow that a registrar has received its notice.
@@ -89,6 +92,7 @@
 constexpr std::size_t steerHeaderLength = 22;
 constexpr std::size_t ownerNoticeLength = 20; ///< without an incarnation
 constexpr std::size_t confirmedOwnerNoticeLength = ownerNoticeLength + sizeof(std::uint32_t);
+constexpr std::size_t identifiedOwnerNoticeLength = confirmedOwnerNoticeLength + sizeof(std::uint32_t);
 constexpr std::size_t ownerAcknowledgementLength = 20;
 constexpr std::size_t loadNoticeLength = 15;
 constexpr std::size_t startNoticeLength = 8;
@@ -104,7 +108,7 @@
 
 /// Writes the header into `out`.
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
-/// `ownerNoticeLength` bytes, or `confirmedOwnerNoticeLength` with an incarnation.
+/// `ownerNoticeLength` bytes, `confirmedOwnerNoticeLength` with an incarnation, or `identifiedOwnerNoticeLength` with a sequence number as well.
 std::vector<std::uint8_t> encode(const OwnerNotice &notice);
 std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
 std::array<std::uint8_t, ownerAcknowledgementLength> encode(const OwnerAcknowledgement &acknowledgement);
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -6,18 +6,6 @@
 
 namespace Jujubequay {
 
-namespace {
-
-/// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
-constexpr std::uint32_t maxSequenceDistance = 64U << 10U;
-
-bool isNear(std::uint32_t sequence, std::uint32_t reference)
-{
-    return sequence - reference + maxSequenceDistance <= 2 * maxSequenceDistance;
-}
-
-}
-
 AgentDecision AgentSteering::probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple)
 {
     Flow &flow = insert(tuple, FlowState::Probed, now);
--- a/src/jujubequay/steering/agent_registrars.cpp
+++ b/src/jujubequay/steering/agent_registrars.cpp
@@ -20,6 +20,7 @@
         found->second.remoteAgent = notice.owner;
         found->second.remoteIncarnation = notice.incarnation;
         found->second.remoteLearnedAt = now;
+        found->second.remoteSequence = notice.callerSequence;
         found->second.isContested = true;
         return;
     }
@@ -37,6 +38,7 @@
     flow.remoteAgent = notice.owner;
     flow.remoteIncarnation = notice.incarnation;
     flow.remoteLearnedAt = now;
+    flow.remoteSequence = notice.callerSequence;
     flow.isContested = isContested;
     flow.lastUsed = now;
 }
@@ -49,9 +51,13 @@
     return flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
 }
 
-AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const
+AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple, const Flow &flow) const
 {
-    return {header.balancer, {tuple, m_options.agent, header.acceptsIncarnations ? confirmedIncarnation() : Incarnation()}};
+    return {header.balancer,
+            {tuple,
+             m_options.agent,
+             header.acceptsIncarnations ? confirmedIncarnation() : Incarnation(),
+             header.acceptsCallerSequences ? flow.callerSequence : std::nullopt}};
 }
 
 void AgentSteering::registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices)
@@ -91,9 +97,9 @@
         if (!state.isAcknowledged && state.noticeCount < m_options.maxNotices && isDue) {
             ++state.noticeCount;
             state.lastNoticeAt = now;
-            // A registrar of a version without incarnations acknowledges only notices without one.
-            const bool hasIncarnation = state.noticeCount % 2 != 0;
-            notices.push_back({state.registrar.agent, {tuple, m_options.agent, hasIncarnation ? confirmedIncarnation() : Incarnation()}});
+            // A registrar of an older version acknowledges only the shortest form.
+            const bool isShort = state.noticeCount % 2 == 0;
+            notices.push_back({state.registrar.agent, {tuple, m_options.agent, isShort ? Incarnation() : confirmedIncarnation(), flow.callerSequence}});
         }
     }
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -132,7 +132,7 @@
         return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
         // The caller may have opened another flow with the same addresses and ports.
-        return flow.isContested || !acknowledgesServer(flow, segment) ? lookUp(now, header, segment) : resetOrphanedFlow(segment, flow);
+        return flow.isContested || !acknowledgesServer(flow, segment) ? lookUp(now, header, segment) : resetEndedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
@@ -143,9 +143,8 @@
         flow.lastUsed = now;
     }
     const bool hasEnded = m_directory.hasEnded(flow.remoteAgent, flow.remoteIncarnation);
-    if (hasEnded && flow.state == FlowState::Remote && !flow.isContested) {
-        orphan(now, flow);
-        return resetOrphanedFlow(segment, flow);
+    if (isOfRemoteFlow(flow, segment) && hasEnded && flow.state == FlowState::Remote && !flow.isContested) {
+        return resetEndedFlow(segment, flow);
     }
     if (hasEnded || (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr)) {
         return continueLookup(now, header, segment);
@@ -165,12 +164,21 @@
                                          : AgentDecision(RelayToAgent{flow.remoteAgent, next, SteerCause::KnownOwner});
 }
 
-AgentDecision AgentSteering::resetOrphanedFlow(const Segment &segment, const Flow &flow)
+bool AgentSteering::isOfRemoteFlow(Flow &flow, const Segment &segment)
+{
+    if (!flow.remoteSequence || !isNear(segment.sequence, *flow.remoteSequence)) {
+        return false;
+    }
+    flow.remoteSequence = segment.sequence;
+    return true;
+}
+
+AgentDecision AgentSteering::resetEndedFlow(const Segment &segment, const Flow &flow) const
 {
     if (segment.isRst) {
         return DropPacket{SteerCause::ServerReplaced};
     }
-    return ResetCaller{flowTupleFromCaller(segment), segment.acknowledgement, SteerCause::ServerReplaced, false, flow.evidence};
+    return ResetCaller{flowTupleFromCaller(segment), segment.acknowledgement, SteerCause::ServerReplaced, false, evidenceOf(flow)};
 }
 
 ResetCaller AgentSteering::reset(const Segment &segment, SteerCause cause) const
@@ -226,7 +234,7 @@
     flow.lastCallerAcknowledgement = segment.acknowledgement;
     const bool needsOwnerNotice = header.wantsOwnerNotice || header.hops > 0;
     if (flow.state == FlowState::Open && needsOwnerNotice) {
-        notices.push_back(noticeToBalancer(header, flowTupleFromCaller(segment)));
+        notices.push_back(noticeToBalancer(header, flowTupleFromCaller(segment), flow));
     }
     if (flow.heldSince && now - *flow.heldSince <= m_options.maxHoldTime) {
         // Packets with further data may overtake the held packet, for which the server then waits. A retransmission of the held packet is
@@ -281,6 +289,9 @@
     Flow &flow = found == m_flows.end() ? insert(tuple, isSynAck ? FlowState::SynDelivered : FlowState::Probed, now) : found->second;
     flow.lastUsed = now;
     flow.serverSequence = segment.sequence + segment.length;
+    if (segment.isAck) {
+        flow.callerSequence = segment.acknowledgement;
+    }
     if (isSynAck) {
         if (flow.state == FlowState::SynDelivered) {
             flow.state = FlowState::SynAckSent;
@@ -303,7 +314,7 @@
         setOpen(now, flow);
         registerFlow(now, tuple, flow, notices);
         if (flow.header.wantsOwnerNotice) {
-            notices.push_back(noticeToBalancer(flow.header, tuple));
+            notices.push_back(noticeToBalancer(flow.header, tuple, flow));
         }
     }
     // A FIN without data is not a response: it may have overtaken the packets of the response.
@@ -369,7 +380,7 @@
         // The server has owned the flow, since it has confirmed it before, and rejects its packets now.
         close(now, flow);
         orphan(now, flow);
-        return resetOrphanedFlow(segment, flow);
+        return resetEndedFlow(segment, flow);
     case FlowState::Closed:
         if (segment.isSyn) {
             return DropPacket{SteerCause::UnknownFlow};
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -83,6 +83,9 @@
     CPPUNIT_TEST(keepsAFlowThatReplacesAnAbandonedOneWhenTheServerIsReplaced);
     CPPUNIT_TEST(deliversPacketsOfAnOpenFlowAfterALateNotice);
     CPPUNIT_TEST(resetsAFlowThatWasOpenedAfterALateNotice);
+    CPPUNIT_TEST(statesWhichFlowItOwns);
+    CPPUNIT_TEST(registrarLooksForTheOwnerOfAnotherFlow);
+    CPPUNIT_TEST(registrarRecognizesAFlowThatHasSentMuchSinceTheNotice);
     CPPUNIT_TEST(looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer);
     CPPUNIT_TEST(probesTheServerForAFlowThatFollowsARecordedOne);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
@@ -348,8 +351,8 @@
     {
         Snapshots snapshots;
         AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
-        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {777}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {777}, 0});
         agent.update(m_now, snapshots.incarnation(3, 777).build());
         const AgentDecision ended = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<ResetCaller>(ended).cause == SteerCause::ServerReplaced);
@@ -362,7 +365,7 @@
     {
         Snapshots snapshots;
         AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {777}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {777}, 0});
         agent.update(m_now, snapshots.deregistered(3).build());
         const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
@@ -373,9 +376,9 @@
     {
         Snapshots snapshots;
         AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(2), {102}, 0});
         agent.update(m_now, snapshots.incarnation(3, 777).build());
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
         const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
@@ -387,12 +390,12 @@
     {
         const FlowTuple tuple = flowWithFirstRegistrar(agent(1, Snapshots().server(1).server(2).server(3)).directory(), agentAddress(1));
         for (const AddressedNotice &contradictory :
-             {AddressedNotice{{}, {tuple, agentAddress(2), {102}}}, AddressedNotice{{}, {tuple, agentAddress(3), {99}}}}) {
+             {AddressedNotice{{}, {tuple, agentAddress(2), {102}, 0}}, AddressedNotice{{}, {tuple, agentAddress(3), {99}, 0}}}) {
             Snapshots snapshots;
             AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
             agent.handleOwnerNotice(m_now, contradictory.notice);
-            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
-            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0});
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0});
             agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
             const AgentDecision decision = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices);
             CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
@@ -411,11 +414,11 @@
                 const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
                 agent.handleCallerPacket(m_now, header(), syn(tuple), m_notices);
                 if (isBeforeSynAck) {
-                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0});
                 }
                 agent.handleServerPacket(m_now, synAck(tuple, 1000), m_notices);
                 if (!isBeforeSynAck) {
-                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+                    agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0});
                 }
                 if (hasOtherEnded) {
                     agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
@@ -435,7 +438,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
         agent.expire(m_now + seconds(10));
         const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(10), lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(3));
@@ -448,7 +451,7 @@
         for (const bool isRejected : {false, true}) {
             AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
             agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
-            agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+            agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
             if (isRejected) {
                 CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleServerPacket(m_now, rejected(syn(flow(1))), m_notices)));
             } else {
@@ -478,7 +481,7 @@
             CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
             CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
             // The notice of the owner may arrive later.
-            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}});
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0});
             const AgentDecision known = agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 900'000'000), m_notices);
             CPPUNIT_ASSERT(std::get<RelayToAgent>(known).agent == agentAddress(3));
         }
@@ -531,7 +534,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         openFlow(agent, flow(1));
-        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}, 0});
         CPPUNIT_ASSERT(agent.endFlows(m_now, {{777}, {{flow(1), 1001}, {flow(2), 1}}}).empty());
         CPPUNIT_ASSERT(agent.endFlows(m_now, {{101}, {{flow(3), 1}}}).empty());
         CPPUNIT_ASSERT(agent.endFlows(m_now, {unconfirmedIncarnation, {{flow(3), 1}}}).empty());
@@ -547,7 +550,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         openFlow(agent, flow(1));
-        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(3), {103}, 0});
         FlowRecordChanges changes = agent.takeFlowRecordChanges(m_now + seconds(2));
         CPPUNIT_ASSERT(changes.isFull);
         CPPUNIT_ASSERT(changes.incarnation == Incarnation{101});
@@ -823,7 +826,7 @@
     {
         Snapshots snapshots;
         AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
         SteerHeader redirected = header();
         redirected.hops = 2;
         CPPUNIT_ASSERT(std::holds_alternative<DropPacket>(agent.handleCallerPacket(m_now, redirected, syn(flow(1)), m_notices)));
@@ -838,8 +841,8 @@
     {
         Snapshots snapshots;
         AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
-        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
+        agent.handleOwnerNotice(m_now, {flow(2), agentAddress(2), {102}, 0});
         agent.update(m_now, snapshots.incarnation(3, 777).build());
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices)));
         CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, header(), syn(flow(2)), m_notices)));
@@ -1226,7 +1229,7 @@
         const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
         openFlow(agent, tuple);
         agent.handleServerPacket(m_now, fromServer(tuple), m_notices);
-        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}, 0});
         const auto rejectedRequest = [&](std::uint32_t acknowledgement) {
             const Segment request = data(tuple, acknowledgement);
             AgentDecision decision = agent.handleCallerPacket(m_now + seconds(21), header(), request, m_notices);
@@ -1249,7 +1252,7 @@
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
         const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
         openFlow(agent, tuple);
-        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}});
+        agent.handleOwnerNotice(m_now + seconds(20), {tuple, agentAddress(2), {102}, 0});
         CPPUNIT_ASSERT(agent.setServer(m_now + seconds(21), LocalServer{serviceKey("feed"), {777}, true, 3}, true).empty());
         const AgentDecision decision = agent.handleCallerPacket(m_now + seconds(21), header(), data(tuple, 90'000), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
@@ -1260,7 +1263,7 @@
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
         openFlow(agent, flow(1));
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
     }
 
@@ -1268,15 +1271,82 @@
     void resetsAFlowThatWasOpenedAfterALateNotice()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
-        agent.handleOwnerNotice(m_now - seconds(5), {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now - seconds(5), {flow(1), agentAddress(3), {103}, 0});
         agent.handleCallerPacket(m_now, header(), syn(flow(1)), m_notices);
-        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 0});
         agent.handleServerPacket(m_now, synAck(flow(1), 1000), m_notices);
         agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true).size());
         CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
     }
 
+    /// Guards against a notice that names a sequence of another flow, that is of no use after much data, or that an older receiver discards.
+    void statesWhichFlowItOwns()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(2));
+        SteerHeader redirected = header();
+        redirected.hops = 1;
+        redirected.acceptsIncarnations = true;
+        Segment answer = synAck(tuple, 1000);
+        answer.acknowledgement = 5'000'001;
+        agent.handleCallerPacket(m_now, redirected, syn(tuple), m_notices);
+        agent.handleServerPacket(m_now, answer, m_notices);
+        m_notices.clear();
+        agent.handleCallerPacket(m_now, redirected, data(tuple, 1001, 5'000'001), m_notices);
+        // To the registrar, and to a balancer of the version before.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_notices.size());
+        CPPUNIT_ASSERT(m_notices[0].notice.callerSequence == 5'000'001U);
+        CPPUNIT_ASSERT_EQUAL(101U, m_notices[1].notice.incarnation.value);
+        CPPUNIT_ASSERT(!m_notices[1].notice.callerSequence);
+        CPPUNIT_ASSERT_EQUAL(ownerNoticeLength, encode(resentNotices(agent, milliseconds(250)).at(0).notice).size());
+
+        Segment response = fromServer(tuple);
+        response.acknowledgement = 6'000'000;
+        agent.handleServerPacket(m_now, response, m_notices);
+        Segment abort = fromServer(tuple);
+        abort.isAck = false;
+        agent.handleServerPacket(m_now, abort, m_notices);
+        redirected.acceptsCallerSequences = true;
+        agent.handleCallerPacket(m_now, redirected, data(tuple, 1001, 900'000'000), m_notices);
+        CPPUNIT_ASSERT(m_notices.back().notice.callerSequence == 6'000'000U);
+    }
+
+    /// A late notice about an earlier flow with the same addresses and ports reaches a registrar that has seen nothing of the open one, or a sender of an
+    /// older version does not say which flow it is about. Guards against a reset of the open flow when the owner in the notice ends.
+    void registrarLooksForTheOwnerOfAnotherFlow()
+    {
+        for (const std::optional<std::uint32_t> sequence : {std::optional(5'000'000U), std::optional<std::uint32_t>()}) {
+            Snapshots snapshots;
+            AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+            const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, sequence});
+            agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+            for (int copy = 0; copy < 2; ++copy) {
+                const AgentDecision decision = agent.handleCallerPacket(m_now, header(), data(tuple, 5, 900'000'000), m_notices);
+                CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
+                CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).cause == SteerCause::OwnerLookup);
+                const AgentDecision ended = agent.handleCallerPacket(m_now, header(), data(tuple, 5, 5'000'100), m_notices);
+                CPPUNIT_ASSERT_EQUAL(sequence.has_value(), std::holds_alternative<ResetCaller>(ended));
+            }
+        }
+    }
+
+    /// Guards against lookups for long flows, and against a packet of another flow that is taken for the sequence of this one.
+    void registrarRecognizesAFlowThatHasSentMuchSinceTheNotice()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3));
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+        agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, 0xFFFFF000U});
+        for (const std::uint32_t sequence : {50'000U, 900'000'000U, 100'000U}) {
+            CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, header(), data(tuple, 5, sequence), m_notices)));
+        }
+        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(agent.handleCallerPacket(m_now, header(), data(tuple, 5, 900'000'000), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(tuple, 5, 150'000), m_notices)));
+    }
+
     /// The caller has opened another flow with the same addresses and ports at another server, which this agent has not heard of. Guards against a reset of
     /// it because the agent remembers the flow of its replaced server, or the record of one.
     void looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer()
@@ -1335,7 +1405,7 @@
             }
             const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(port));
             openFlow(agents.at(ranked[2]), flow(port));
-            agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(port), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}});
+            agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(port), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}, 0});
             CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(lookUp(agents, flow(port))));
         }
     }
@@ -1354,7 +1424,7 @@
             }
             const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(port));
             for (const FlowRegistrar &registrar : agents.begin()->second.directory().registrars(flow(port))) {
-                agents.at(registrar.agent).handleOwnerNotice(m_now, {flow(port), ranked[1], {100 + ranked[1].ip - agentAddress(0).ip}});
+                agents.at(registrar.agent).handleOwnerNotice(m_now, {flow(port), ranked[1], {100 + ranked[1].ip - agentAddress(0).ip}, 0});
             }
             lookUp(agents, flow(port));
             CPPUNIT_ASSERT(m_lastHops <= 12);
--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -113,13 +113,15 @@
     const auto found = m_flows.find(tuple);
     if (found != m_flows.end()) {
         Flow &flow = found->second;
-        const bool isSameFlow = now - flow.lastUsed < minPortReuseTime;
+        const bool wasIdle = now - flow.lastUsed >= minPortReuseTime;
+        const bool isOfNotice = flow.callerSequence && isNear(segment.sequence, *flow.callerSequence);
+        flow.callerSequence = isOfNotice ? segment.sequence : flow.callerSequence;
         flow.lastUsed = now;
         const bool hasServerEnded = m_directory.hasEnded(flow.agent, flow.incarnation);
         if (!hasServerEnded) {
             return RelayToAgent{flow.agent, makeHeader({}, false), SteerCause::KnownOwner};
         }
-        if (flow.isConfirmed && isSameFlow) {
+        if (flow.isConfirmed && isOfNotice && !wasIdle) {
             if (segment.isRst) {
                 return DropPacket{SteerCause::ServerReplaced};
             }
@@ -211,6 +213,7 @@
             !m_directory.isRegistryComplete(),
             LookupPhase::FirstRegistrar,
             0,
+            true,
             true};
 }
 
@@ -237,7 +240,8 @@
             now,
             OwnershipSource::OwnerNotice,
             now,
-            isContested};
+            isContested,
+            notice.callerSequence};
 }
 
 void BalancerSteering::handleLoadNotice(TimePoint now, const LoadNotice &notice)
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfTheFlowWasIdle);
     CPPUNIT_TEST(asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow);
+    CPPUNIT_TEST(asksARegistrarIfTheNoticeMayBeAboutAnotherFlow);
+    CPPUNIT_TEST(recognizesAFlowThatHasSentMuchSinceTheNotice);
     CPPUNIT_TEST(asksARegistrarIfANoticeContradictsThePlacement);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNotice);
     CPPUNIT_TEST(asksARegistrarIfASynFollowedTheNoticeOfASilentAgent);
@@ -133,6 +135,7 @@
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(7)));
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.balancer == balancerAddress(1));
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.acceptsCallerSequences);
     }
 
     /// A registrar that is chosen from an incomplete server list may not be the one with which the flow is registered.
@@ -162,7 +165,7 @@
         snapshots.server(1);
         BalancerSteering steering = this->steering(snapshots);
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
         CPPUNIT_ASSERT(resetCause(decision) == SteerCause::ServerReplaced);
@@ -174,7 +177,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
         const auto replaced = std::get<ResetCaller>(steering.decide(m_now + seconds(3), data(flow(1), 55)));
         CPPUNIT_ASSERT(!replaced.isOpening);
@@ -215,7 +218,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.handleLoadNotice(m_now + seconds(5), LoadNotice{agentAddress(1), 0, 0, 3, true});
         steering.update(m_now + seconds(5), snapshots.incarnation(1, 777).build());
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(6), syn(flow(1)))) == agentAddress(1));
@@ -245,7 +248,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now + seconds(5), snapshots.server(1, "feed", ServerAvailability::Draining).server(2).build());
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(6), syn(flow(1)))) == agentAddress(2));
     }
@@ -256,7 +259,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).build());
         for (const std::uint32_t copy : {0U, 1U, 2U}) {
             CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(600), syn(flow(1), copy))) == agentAddress(1));
@@ -269,7 +272,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).server(2).build());
         for (const std::uint32_t copy : {0U, 1U, 2U}) {
             CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + milliseconds(600), syn(flow(1), copy))) == agentAddress(1));
@@ -319,7 +322,7 @@
     void placesTheLastCopyElsewhereWhenTheOwnerIsSilent()
     {
         BalancerSteering steering = this->steering(Snapshots().server(1).server(2));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(2), syn(flow(1), 2))) == agentAddress(2));
     }
 
@@ -328,7 +331,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.server(1, "feed", ServerAvailability::Draining).build());
         CPPUNIT_ASSERT(resetCause(steering.decide(m_now + seconds(6), syn(flow(1)))) == SteerCause::NoServer);
     }
@@ -341,7 +344,7 @@
             BalancerSteering steering = this->steering(snapshots.server(1).server(3, "vault"));
             steering.decide(m_now, syn(flow(1)));
             steering.update(m_now, (isDeregistered ? snapshots.deregistered(3) : snapshots.incarnation(3, 777)).build());
-            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}, 0});
             CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
         }
     }
@@ -353,8 +356,8 @@
         for (const HostAddress &contradictory : {agentAddress(1), agentAddress(3)}) {
             Snapshots snapshots;
             BalancerSteering steering = this->steering(snapshots.server(1).server(2).server(3));
-            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), contradictory, {contradictory == agentAddress(1) ? 99U : 103U}});
-            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), contradictory, {contradictory == agentAddress(1) ? 99U : 103U}, 0});
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
             steering.update(m_now, snapshots.incarnation(1, 777).build());
             const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
             CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
@@ -368,7 +371,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1).server(2));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.decide(m_now + seconds(1), data(flow(1), 55));
         steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now + seconds(6), data(flow(1), 900));
@@ -382,14 +385,44 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1).server(2).server(3));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}, 0});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
     }
 
+    /// A late notice about an earlier flow with the same addresses and ports reaches a balancer that has seen nothing of the open one, or a sender of an
+    /// older version does not say which flow it is about. Guards against a reset of the open flow when the owner in the notice ends.
+    void asksARegistrarIfTheNoticeMayBeAboutAnotherFlow()
+    {
+        for (const std::optional<std::uint32_t> sequence : {std::optional(5'000'000U), std::optional<std::uint32_t>()}) {
+            Snapshots snapshots;
+            BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+            steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, sequence});
+            steering.update(m_now, snapshots.incarnation(1, 777).build());
+            const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55, 900'000'000));
+            CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+            CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
+            CPPUNIT_ASSERT_EQUAL(sequence.has_value(), std::holds_alternative<ResetCaller>(steering.decide(m_now, data(flow(1), 55, 5'000'100))));
+        }
+    }
+
+    /// Guards against lookups for long flows, and against a packet of another flow that is taken for the sequence of this one.
+    void recognizesAFlowThatHasSentMuchSinceTheNotice()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0xFFFFF000U});
+        for (const std::uint32_t sequence : {50'000U, 900'000'000U, 100'000U}) {
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55, sequence))) == agentAddress(1));
+        }
+        steering.update(m_now, snapshots.incarnation(1, 777).build());
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(steering.decide(m_now, data(flow(1), 55, 900'000'000))));
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(steering.decide(m_now, data(flow(1), 55, 150'000))));
+    }
+
     /// The notice may be a late one of an earlier flow with the same addresses and ports, since the owner of a flow that was opened where it was
     /// placed sends none.
     void asksARegistrarIfANoticeContradictsThePlacement()
@@ -397,7 +430,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1).server(3, "vault"));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(3), {103}, 0});
         steering.update(m_now, snapshots.incarnation(3, 777).build());
         const BalancerDecision decision = steering.decide(m_now, data(flow(1), 55));
         CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
@@ -408,7 +441,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1).server(2));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(1), syn(flow(1)))) == agentAddress(1));
         steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now + seconds(2), data(flow(1), 55));
@@ -420,7 +453,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1, "feed", ServerAvailability::Draining).server(2, "vault"));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now + seconds(2), syn(flow(1)))) == agentAddress(1));
         steering.update(m_now + seconds(3), snapshots.incarnation(1, 777).build());
         const BalancerDecision decision = steering.decide(m_now + seconds(3), data(flow(1), 55));
@@ -444,7 +477,7 @@
     {
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1).server(2));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {777}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {777}, 0});
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
         steering.update(m_now, snapshots.incarnation(1, 777).build());
         CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, data(flow(1), 55))) == agentAddress(1));
@@ -535,7 +568,7 @@
         Snapshots snapshots;
         BalancerSteering steering = this->steering(snapshots.server(1));
         steering.decide(m_now, syn(flow(1)));
-        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}});
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
         steering.update(m_now, snapshots.server(2).deregistered(1).build());
         CPPUNIT_ASSERT(resetCause(steering.decide(m_now, data(flow(1), 55))) == SteerCause::ServerReplaced);
     }
--- a/src/jujubequay/steering/segment.cpp
+++ b/src/jujubequay/steering/segment.cpp
@@ -6,6 +6,12 @@
 
 namespace Jujubequay {
 
+namespace {
+
+constexpr std::uint32_t maxSequenceDistance = 64U << 10U; ///< bytes
+
+}
+
 std::uint64_t hashOf(const FlowTuple &tuple)
 {
     const std::array<std::uint64_t, 2> words{(std::uint64_t{tuple.caller.ip} << 16U) | tuple.caller.port,
@@ -13,6 +19,11 @@
     return XXH3_64bits(words.data(), sizeof(words));
 }
 
+bool isNear(std::uint32_t sequence, std::uint32_t reference)
+{
+    return sequence - reference + maxSequenceDistance <= 2 * maxSequenceDistance;
+}
+
 FlowTuple flowTupleFromCaller(const Segment &segment)
 {
     return {segment.source, segment.destination};
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned lookupRetriesShift = 4; // bits 4 and 5 of the flags
 constexpr unsigned lookupRetriesMask = 3;
 constexpr std::uint8_t acceptsIncarnationsFlag = 64;
+constexpr std::uint8_t acceptsCallerSequencesFlag = 128;
 static_assert(maxLookupRetries <= lookupRetriesMask);
 constexpr std::size_t prefixLength = 2; // version and message kind
 constexpr std::size_t endedFlowsHeadLength = prefixLength + sizeof(std::uint32_t);
@@ -56,6 +57,7 @@
     steered.header.lookupPhase = static_cast<LookupPhase>((flags >> lookupPhaseShift) & lookupPhaseMask);
     steered.header.lookupRetries = static_cast<std::uint8_t>((flags >> lookupRetriesShift) & lookupRetriesMask);
     steered.header.acceptsIncarnations = (flags & acceptsIncarnationsFlag) != 0;
+    steered.header.acceptsCallerSequences = (flags & acceptsCallerSequencesFlag) != 0;
     steered.header.routeTableVersion = readBigEndian<std::uint64_t>(in);
     steered.header.service = {readBigEndian<std::uint32_t>(in)};
     steered.header.balancer = takeAddress(in);
@@ -74,15 +76,31 @@
     return putAddress(putAddress(out, tuple.caller), tuple.service);
 }
 
+std::size_t lengthOf(const OwnerNotice &notice)
+{
+    if (notice.incarnation == Incarnation()) {
+        return ownerNoticeLength;
+    }
+    return notice.callerSequence ? identifiedOwnerNoticeLength : confirmedOwnerNoticeLength;
+}
+
+bool isOwnerNoticeLength(std::size_t length)
+{
+    return length == ownerNoticeLength || length == confirmedOwnerNoticeLength || length == identifiedOwnerNoticeLength;
+}
+
 OwnerNotice decodeOwnerNotice(std::span<const std::uint8_t> datagram)
 {
     const std::uint8_t *in = datagram.data() + prefixLength;
     OwnerNotice notice;
     notice.tuple = takeTuple(in);
     notice.owner = takeAddress(in);
-    if (datagram.size() == confirmedOwnerNoticeLength) {
+    if (datagram.size() >= confirmedOwnerNoticeLength) {
         notice.incarnation = {readBigEndian<std::uint32_t>(in)};
     }
+    if (datagram.size() == identifiedOwnerNoticeLength) {
+        notice.callerSequence = readBigEndian<std::uint32_t>(in);
+    }
     return notice;
 }
 
@@ -145,7 +163,7 @@
     position = writeBigEndian(position, header.hops);
     const int flags = (header.wantsOwnerNotice ? wantsOwnerNoticeFlag : 0) | (header.isLookupPartial ? lookupPartialFlag : 0)
         | (static_cast<int>(header.lookupPhase) << lookupPhaseShift) | (header.lookupRetries << lookupRetriesShift)
-        | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0);
+        | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0) | (header.acceptsCallerSequences ? acceptsCallerSequencesFlag : 0);
     position = writeBigEndian(position, static_cast<std::uint8_t>(flags));
     position = writeBigEndian(position, header.routeTableVersion);
     position = writeBigEndian(position, header.service.value);
@@ -154,11 +172,13 @@
 
 std::vector<std::uint8_t> encode(const OwnerNotice &notice)
 {
-    const bool hasIncarnation = notice.incarnation != Incarnation();
-    std::vector<std::uint8_t> out(hasIncarnation ? confirmedOwnerNoticeLength : ownerNoticeLength);
+    std::vector<std::uint8_t> out(lengthOf(notice));
     std::uint8_t *position = putAddress(putTuple(putPrefix(out.data(), MessageKind::OwnerNotice), notice.tuple), notice.owner);
-    if (hasIncarnation) {
-        writeBigEndian(position, notice.incarnation.value);
+    if (out.size() >= confirmedOwnerNoticeLength) {
+        position = writeBigEndian(position, notice.incarnation.value);
+    }
+    if (out.size() == identifiedOwnerNoticeLength) {
+        writeBigEndian(position, *notice.callerSequence);
     }
     return out;
 }
@@ -215,8 +235,7 @@
     case MessageKind::Packet:
         return datagram.size() >= steerHeaderLength ? std::optional<SteerMessage>(decodePacket(datagram)) : std::nullopt;
     case MessageKind::OwnerNotice:
-        return datagram.size() == ownerNoticeLength || datagram.size() == confirmedOwnerNoticeLength ? std::optional<SteerMessage>(decodeOwnerNotice(datagram))
-                                                                                                     : std::nullopt;
+        return isOwnerNoticeLength(datagram.size()) ? std::optional<SteerMessage>(decodeOwnerNotice(datagram)) : std::nullopt;
     case MessageKind::LoadNotice:
         return datagram.size() == loadNoticeLength ? std::optional<SteerMessage>(decodeLoadNotice(datagram)) : std::nullopt;
     case MessageKind::OwnerAcknowledgement:
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(SteerMessageTest);
     CPPUNIT_TEST(decodesTheHeaderOfAPacket);
     CPPUNIT_TEST(decodesNotices);
+    CPPUNIT_TEST(decodesWhichFlowANoticeIsAbout);
     CPPUNIT_TEST(decodesEndedFlows);
     CPPUNIT_TEST(rejectsIncompleteAndForeignMessages);
     CPPUNIT_TEST_SUITE_END();
@@ -20,7 +21,7 @@
     void decodesTheHeaderOfAPacket()
     {
         std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
-        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, LookupPhase::AllServers, 2, true};
+        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, LookupPhase::AllServers, 2, true, true};
         encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
         const auto message = decodeSteerMessage(datagram);
         const auto &packet = std::get<SteeredPacket>(message.value());
@@ -30,6 +31,7 @@
         CPPUNIT_ASSERT(packet.header.lookupPhase == LookupPhase::AllServers);
         CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, packet.header.lookupRetries);
         CPPUNIT_ASSERT(packet.header.acceptsIncarnations);
+        CPPUNIT_ASSERT(packet.header.acceptsCallerSequences);
         CPPUNIT_ASSERT_EQUAL(header.routeTableVersion, packet.header.routeTableVersion);
         CPPUNIT_ASSERT(packet.header.service == header.service);
         CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
@@ -47,6 +49,7 @@
         auto confirmed = encode(OwnerNotice{flow(7), agentAddress(3), {0xC1C2C3C4U}});
         CPPUNIT_ASSERT_EQUAL(confirmedOwnerNoticeLength, confirmed.size());
         CPPUNIT_ASSERT_EQUAL(0xC1C2C3C4U, std::get<OwnerNotice>(decodeSteerMessage(confirmed).value()).incarnation.value);
+        CPPUNIT_ASSERT(!std::get<OwnerNotice>(decodeSteerMessage(confirmed).value()).callerSequence);
         auto load = encode(LoadNotice{agentAddress(4), 5, 600, 3, true});
         const auto loadMessage = decodeSteerMessage(load);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{600}, std::get<LoadNotice>(loadMessage.value()).openFlows);
@@ -65,6 +68,23 @@
         CPPUNIT_ASSERT(std::get<StartNotice>(startMessage.value()).controlHost == agentAddress(5));
     }
 
+    /// Versions before the last two forms discard notices by their length. Guards against lengths that change, and against a form that they misread.
+    void decodesWhichFlowANoticeIsAbout()
+    {
+        auto bytes = encode(OwnerNotice{flow(7), agentAddress(3), {0xC1C2C3C4U}, 0});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{28}, bytes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{24}, encode(OwnerNotice{flow(7), agentAddress(3), {0xC1C2C3C4U}}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, encode(OwnerNotice{flow(7), agentAddress(3), {}, 5}).size());
+        bytes.back() = 9;
+        const auto notice = std::get<OwnerNotice>(decodeSteerMessage(bytes).value());
+        CPPUNIT_ASSERT(notice.tuple == flow(7) && notice.owner == agentAddress(3));
+        CPPUNIT_ASSERT_EQUAL(0xC1C2C3C4U, notice.incarnation.value);
+        CPPUNIT_ASSERT(notice.callerSequence == 9U);
+        for (const std::size_t length : {21, 23, 25, 27}) {
+            CPPUNIT_ASSERT(!decodeSteerMessage(std::span(bytes).first(length)));
+        }
+    }
+
     void decodesEndedFlows()
     {
         EndedFlowsNotice notice{{0xC1C2C3C4U}, {}};
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -47,10 +47,11 @@
     return segment;
 }
 
-inline Segment data(const FlowTuple &tuple, std::uint32_t acknowledgement)
+inline Segment data(const FlowTuple &tuple, std::uint32_t acknowledgement, std::uint32_t sequence = 0)
 {
     Segment segment = fromCaller(tuple);
     segment.isAck = true;
+    segment.sequence = sequence;
     segment.acknowledgement = acknowledgement;
     segment.length = 100;
     return segment;
