Keep the owner when the local server ends an earlier flow

Callers saw, from reading: packets of an open flow went to a server that had closed an earlier flow with the same addresses and ports, and this server's agent claimed the open flow.

Cause: a registrar replaced its entry for a remote flow by one for a local flow with any packet of its server, also with a repeated FIN of the earlier flow. The packet now has to acknowledge the caller's data within 64 KiB of what the notice says, if the agent has observed all flows of its server. An agent that has restarted beside its server still believes the server, since the notice may be the one about an earlier flow.

Evidence: the new test failed before (one open flow instead of none).

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -306,6 +306,11 @@
         flow.serverInitialSequence = segment.sequence;
         return SendToCaller{};
     }
+    const bool isOfOtherFlow = flow.remoteSequence && !isNear(segment.acknowledgement, *flow.remoteSequence);
+    if (flow.state == FlowState::Remote && isOfOtherFlow && isFlowTableComplete(now)) {
+        // It belongs to an earlier flow with the same addresses and ports, which was closed here.
+        return SendToCaller{};
+    }
     flow.isConfirmedByServer = true;
     if (flow.state == FlowState::Probed || flow.state == FlowState::Remote) {
         if (flow.state == FlowState::Remote) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(registrarRecognizesAFlowThatHasSentMuchSinceTheNotice);
     CPPUNIT_TEST(looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer);
     CPPUNIT_TEST(probesTheServerForAFlowThatFollowsARecordedOne);
+    CPPUNIT_TEST(keepsTheOwnerWhenTheLocalServerEndsAnEarlierFlow);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -1376,6 +1377,32 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(decision));
     }
 
+    /// The local server repeats its FIN of a flow after the caller has opened another one with the same addresses and ports at another server. Guards
+    /// against packets of the open flow that go to the local server, and against a notice that claims it.
+    void keepsTheOwnerWhenTheLocalServerEndsAnEarlierFlow()
+    {
+        struct Case {
+            bool isObserved; // An agent that has restarted beside its server may have missed the flow to which the packet belongs.
+            std::optional<std::uint32_t> sequence;
+            bool isRemote;
+        };
+        for (const auto &[isObserved, sequence, isRemote] :
+             {Case{true, 5'000'000, true}, Case{false, 5'000'000, false}, Case{true, 900'000'100, false}, Case{true, std::nullopt, false}}) {
+            AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3), isObserved);
+            const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(1));
+            agent.handleOwnerNotice(m_now, {tuple, agentAddress(3), {103}, sequence});
+            Segment fin = fromServer(tuple);
+            fin.isFin = true;
+            fin.acknowledgement = 900'000'000;
+            m_notices.clear();
+            CPPUNIT_ASSERT(std::holds_alternative<SendToCaller>(agent.handleServerPacket(m_now, fin, m_notices)));
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t(isRemote ? 0 : 1), agent.load().openFlows);
+            CPPUNIT_ASSERT_EQUAL(isRemote, m_notices.empty());
+            const AgentDecision decision = agent.handleCallerPacket(m_now, header(), data(tuple, 5, 5'000'000), m_notices);
+            CPPUNIT_ASSERT_EQUAL(isRemote, std::holds_alternative<RelayToAgent>(decision));
+        }
+    }
+
     /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
     AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
     {
