Return the flows of a restarted agent to it

The registrars still know the owner, but an agent that does not know a flow registers it with nobody, so the flow is forgotten for good as soon as the registrars restart, too. Then each restarted agent on the path of the lookup probes its server.

Change: a registrar that sees a new epoch of an owner's agent sends it the owner notice of each flow, until it answers. The restarted agent keeps such a flow as restored: it delivers its packets as probes, and registers it with the current registrars, without an incarnation, since this is second-hand and must not prove a reset. Restored flows of another incarnation, of a server that is replaced, or that the server has rejected are not kept. The message is the owner notice as it is; agents of earlier versions ignore a notice that names themselves.

Weighed: records of the control hosts (256 flows for each agent only, and another way through them), and a full table from each registrar (one more message, and no proof of completeness either).

returnsFlowsToARestartedOwner and restoresTheFlowsThatRegistrarsReturn failed before (0 notices instead of 1, no notice to the registrar). restoresNoFlowOfAnotherServer fails without the check of the incarnation and without removeInvalidRestoredFlows.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -177,6 +177,7 @@
     SOURCES
         agent_flow_acceptance.cpp
         agent_flow_records.cpp
+        agent_flow_restoration.cpp
         agent_load.cpp
         agent_owner_lookup.cpp
         agent_registrars.cpp
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -9,6 +9,7 @@
 #include <jujubequay/steering/steer_message.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -165,6 +166,7 @@
         Open, ///< established
         Probed, ///< a packet was delivered to find out whether the server owns the flow
         Closed,
+        Restored, ///< owned by the local server according to a registrar, after a restart of the agent
         Remote, ///< owned by another agent's server
         Orphaned, ///< the server that owned the flow has ended
     };
@@ -186,7 +188,7 @@
         std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
         std::uint32_t lastCallerAcknowledgement = 0;
         HostAddress remoteAgent; ///< agent of the owner of a remote flow, or of another server that may own a local one
-        Incarnation remoteIncarnation; ///< incarnation of the owner of a remote flow; 0 if unknown
+        Incarnation remoteIncarnation; ///< incarnation of the owner of a remote or restored flow; 0 if unknown
         TimePoint remoteLearnedAt{}; ///< when the owner notice was received
         /// Notices have named different owners, or the local server was replaced before it was known to own the flow. An owner lookup then decides
         /// whether the flow of a packet has ended.
@@ -197,7 +199,8 @@
         std::optional<std::uint32_t> callerSequenceEnd; ///< sequence number after the caller's last new data
         std::optional<TimePoint> heldSince; ///< set while the first packet of a request is held
         Duration holdTime{}; ///< how long the pending request was held
-        std::vector<RegistrarState> registrars; ///< set for open flows
+        /// The registrars of an open or restored flow. For a remote flow its owner, if the owner's agent has restarted.
+        std::vector<RegistrarState> registrars;
         bool hasCallerFin = false;
         bool hasServerFin = false;
         bool isConfirmedByServer = false; ///< the server has sent more than a SYN-ACK, which proves that it owns the flow
@@ -251,6 +254,7 @@
     /// True if the newer of the two route tables, the sender's and the local one, leads to the service of the local server.
     bool isRoutedToLocalServer(const SteerHeader &header, const FlowTuple &tuple) const;
     void setOpen(TimePoint now, Flow &flow);
+    static void setRemote(Flow &flow);
     /// Incarnation of the local server; 0 while it is not confirmed.
     Incarnation confirmedIncarnation() const;
     AddressedNotice noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const;
@@ -261,7 +265,17 @@
     void notifyRegistrars(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices) const;
     /// Corrects what registrars and balancers were told about flows of the server that were attributed to the one before.
     void correctOwnerNotices(std::vector<AddressedNotice> &notices);
+    /// True if the registrars, or the owner, are notified about flows in this state.
+    static bool isNotified(FlowState state);
     static bool hasPendingNotification(const Flow &flow, std::uint8_t maxNotices);
+    /// What a registrar is told about a flow of the local server, or the owner about a remote flow.
+    OwnerNotice noticeOf(const FlowTuple &tuple, const Flow &flow, bool acceptsIncarnations) const;
+    /// Starts to tell the agents that have restarted which flows their servers own.
+    void returnFlowsToRestartedAgents(const ConfigSnapshot &snapshot);
+    /// Handles the notice of a registrar that the local server owns a flow.
+    void restoreFlow(TimePoint now, const OwnerNotice &notice);
+    /// Removes the restored flows that the current server does not own.
+    void removeInvalidRestoredFlows();
     /// True if the flow table lists every flow of the local server.
     bool isFlowTableComplete(TimePoint now) const;
     void startRequest(TimePoint now, Flow &flow);
@@ -302,7 +316,8 @@
     Duration m_serviceTime{};
     FlowRecorder m_flowRecorder;
     Incarnation m_recordedIncarnation; ///< server to which the recorded flows belong
-    std::unordered_set<FlowTuple> m_pendingNotifications; ///< open flows with a registrar that may not have been notified
+    std::unordered_set<FlowTuple> m_pendingNotifications; ///< flows with a registrar, or an owner, that may not have been notified
+    std::map<HostAddress, std::uint32_t> m_agentEpochs; ///< of all agents in the server list
     std::unordered_set<FlowTuple> m_misattributedFlows; ///< flows of which notices may have named the incarnation before
     std::unordered_map<HostAddress, TimePoint> m_balancerLastSeen;
     std::size_t m_pendingRequestCount = 0;
--- a/src/jujubequay/steering/agent_registrars.cpp
+++ b/src/jujubequay/steering/agent_registrars.cpp
@@ -9,8 +9,12 @@
 
 void AgentSteering::handleOwnerNotice(TimePoint now, const OwnerNotice &notice)
 {
+    if (notice.owner == m_options.agent) {
+        restoreFlow(now, notice);
+        return;
+    }
     // A notice about an ended server may belong to an earlier flow with the same addresses and ports.
-    if (notice.owner == m_options.agent || m_directory.hasEnded(notice.owner, notice.incarnation)) {
+    if (m_directory.hasEnded(notice.owner, notice.incarnation)) {
         return;
     }
     const auto found = m_flows.find(notice.tuple);
@@ -46,7 +50,8 @@
 {
     const bool areIncarnationsKnown = flow.remoteIncarnation != Incarnation() && notice.incarnation != Incarnation();
     const bool isOtherIncarnation = areIncarnationsKnown && flow.remoteIncarnation != notice.incarnation;
-    return flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
+    const bool isOwnerContradicted = flow.state == FlowState::Remote && (flow.isContested || flow.remoteAgent != notice.owner || isOtherIncarnation);
+    return flow.state == FlowState::Restored || isOwnerContradicted;
 }
 
 AddressedNotice AgentSteering::noticeToBalancer(const SteerHeader &header, const FlowTuple &tuple) const
@@ -77,6 +82,11 @@
     return hasPendingNotification(flow, m_options.maxNotices);
 }
 
+bool AgentSteering::isNotified(FlowState state)
+{
+    return state == FlowState::Open || state == FlowState::Restored || state == FlowState::Remote;
+}
+
 bool AgentSteering::hasPendingNotification(const Flow &flow, std::uint8_t maxNotices)
 {
     return std::any_of(flow.registrars.begin(), flow.registrars.end(), [maxNotices](const RegistrarState &state) {
@@ -93,7 +103,7 @@
             state.lastNoticeAt = now;
             // A registrar of a version without incarnations acknowledges only notices without one.
             const bool hasIncarnation = state.noticeCount % 2 != 0;
-            notices.push_back({state.registrar.agent, {tuple, m_options.agent, hasIncarnation ? confirmedIncarnation() : Incarnation()}});
+            notices.push_back({state.registrar.agent, noticeOf(tuple, flow, hasIncarnation)});
         }
     }
 }
@@ -123,7 +133,7 @@
     correctOwnerNotices(notices);
     std::erase_if(m_pendingNotifications, [&](const FlowTuple &tuple) {
         const auto found = m_flows.find(tuple);
-        if (found == m_flows.end() || found->second.state != FlowState::Open) {
+        if (found == m_flows.end() || !isNotified(found->second.state)) {
             return true;
         }
         notifyRegistrars(now, tuple, found->second, notices);
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -31,10 +31,12 @@
     if (m_directory.update(now, snapshot)) {
         m_serverListChangedAt = now;
         for (auto &[tuple, flow] : m_flows) {
-            if (flow.state == FlowState::Open && updateRegistrars(tuple, flow)) {
+            const bool isRegistered = flow.state == FlowState::Open || flow.state == FlowState::Restored;
+            if (isRegistered && updateRegistrars(tuple, flow)) {
                 m_pendingNotifications.insert(tuple);
             }
         }
+        returnFlowsToRestartedAgents(snapshot);
     }
     if (!wasComplete && m_directory.isRegistryComplete()) {
         // No need to wait for the stabilization time: hosts whose server list is still incomplete mark the packets that they forward.
@@ -53,6 +55,11 @@
         m_unobservedBefore = isFresh || !isFirstServer ? std::nullopt : std::optional(now);
         m_outlierDetector = OutlierDetector({});
         m_rejectedProbes.clear();
+        if (!isFirstServer) {
+            std::erase_if(m_flows, [](const auto &entry) {
+                return entry.second.state == FlowState::Restored;
+            });
+        }
         for (auto &[tuple, flow] : m_flows) {
             // A server accepts flows from its start on, before its first announcement reaches this agent.
             if (!isFirstServer && server && isAcceptedBy(*server, flow)) {
@@ -75,6 +82,7 @@
     }
     m_server = server;
     m_isServerKnown = true;
+    removeInvalidRestoredFlows();
     return resets;
 }
 
@@ -128,6 +136,8 @@
     case FlowState::Open:
     case FlowState::Probed:
         return deliver(now, flow, header, segment, notices);
+    case FlowState::Restored:
+        return mayOwnUnknownFlow(now, segment) ? probe(now, header, tuple) : continueLookup(now, header, segment);
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
@@ -206,7 +216,7 @@
 void AgentSteering::orphan(TimePoint now, Flow &flow)
 {
     if (isLocalFlow(flow) && flow.remoteAgent != HostAddress()) {
-        flow.state = FlowState::Remote;
+        setRemote(flow);
         return;
     }
     // The server got the SYN, or a probe, of a flow that another server may own.
@@ -295,8 +305,8 @@
         return SendToCaller{};
     }
     flow.isConfirmedByServer = true;
-    if (flow.state == FlowState::Probed || flow.state == FlowState::Remote) {
-        if (flow.state == FlowState::Remote) {
+    if (flow.state == FlowState::Probed || flow.state == FlowState::Remote || flow.state == FlowState::Restored) {
+        if (!isLocalFlow(flow)) {
             ++m_localFlowCount;
         }
         setOpen(now, flow);
@@ -335,7 +345,7 @@
     case FlowState::Probed: {
         removeFromCounts(flow);
         if (flow.state == FlowState::SynDelivered && flow.remoteAgent != HostAddress()) {
-            flow.state = FlowState::Remote;
+            setRemote(flow);
             return DropPacket{SteerCause::NotAccepted};
         }
         if (flow.state == FlowState::Probed && !segment.isSyn) {
@@ -356,7 +366,7 @@
         }
         if (flow.remoteAgent != HostAddress()) {
             removeFromCounts(flow);
-            flow.state = FlowState::Remote;
+            setRemote(flow);
             return passToOtherServer(now, header, segment, flow);
         }
         if (!flow.isConfirmedByServer) {
@@ -394,6 +404,12 @@
     return m_server && isConfirmed(m_server->incarnation) ? m_server->incarnation : Incarnation();
 }
 
+void AgentSteering::setRemote(Flow &flow)
+{
+    flow.state = FlowState::Remote;
+    flow.registrars.clear();
+}
+
 void AgentSteering::setOpen(TimePoint now, Flow &flow)
 {
     flow.state = FlowState::Open;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(resendsANoticeUntilItIsAcknowledged);
     CPPUNIT_TEST(notifiesANewRegistrar);
     CPPUNIT_TEST(notifiesARestartedRegistrar);
+    CPPUNIT_TEST(returnsFlowsToARestartedOwner);
+    CPPUNIT_TEST(restoresTheFlowsThatRegistrarsReturn);
+    CPPUNIT_TEST(restoresNoFlowOfAnotherServer);
     CPPUNIT_TEST(stopsNotifyingARegistrarThatNeverAcknowledges);
     CPPUNIT_TEST(stopsProbingTheServerAfterTheIdleTimeout);
     CPPUNIT_TEST(forwardsPacketsOfAFlowThatAnotherServerHasEstablished);
@@ -224,6 +227,64 @@
         CPPUNIT_ASSERT(resentNotices(agent, milliseconds(250)).at(0).destination == agentAddress(2));
     }
 
+    /// A restarted agent has forgotten the flows of its server, and later nobody knows them if their registrars restart, too.
+    void returnsFlowsToARestartedOwner()
+    {
+        Snapshots snapshots;
+        AgentSteering registrar = agent(2, snapshots.server(1).server(2));
+        registrar.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {101}});
+        CPPUNIT_ASSERT(resentNotices(registrar, {}).empty());
+        registrar.update(m_now, snapshots.agentEpoch(1, 77).build());
+        const auto notices = resentNotices(registrar, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notices.size());
+        CPPUNIT_ASSERT(notices[0].destination == agentAddress(1));
+        CPPUNIT_ASSERT(notices[0].notice.owner == agentAddress(1));
+        CPPUNIT_ASSERT_EQUAL(101U, notices[0].notice.incarnation.value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resentNotices(registrar, seconds(1)).size());
+        // The owner has registered the flow again.
+        registrar.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {}});
+        CPPUNIT_ASSERT(resentNotices(registrar, seconds(2)).empty());
+    }
+
+    /// Guards against a restarted agent that passes packets of its own idle flows on, or does not register these flows again.
+    void restoresTheFlowsThatRegistrarsReturn()
+    {
+        Snapshots snapshots;
+        AgentSteering restarted = agent(1, snapshots.server(1).server(2).server(3), false);
+        const FlowTuple tuple = flowWithFirstRegistrar(restarted.directory(), agentAddress(2));
+        restarted.handleOwnerNotice(m_now, {tuple, agentAddress(1), {101}});
+        const auto notices = resentNotices(restarted, {});
+        CPPUNIT_ASSERT(!notices.empty() && notices[0].destination == agentAddress(2));
+        // It is not certain that the server owns the flow.
+        CPPUNIT_ASSERT(notices[0].notice.incarnation == Incarnation());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, restarted.load().openFlows);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(restarted.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<SendToCaller>(restarted.handleServerPacket(m_now, fromServer(tuple), m_notices)));
+        CPPUNIT_ASSERT(m_notices.front().notice.incarnation == Incarnation{101});
+    }
+
+    /// Guards against packets that are delivered to a server although it has replaced the owner, or has rejected the flow.
+    void restoresNoFlowOfAnotherServer()
+    {
+        const Snapshots snapshots = Snapshots().server(1).server(2).server(3);
+        AgentSteering restarted = agent(1, snapshots, false);
+        restarted.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {777}});
+        rejectProbe(restarted, flow(2));
+        restarted.handleOwnerNotice(m_now, {flow(2), agentAddress(1), {101}});
+        CPPUNIT_ASSERT(resentNotices(restarted, {}).empty());
+
+        AgentSteering unconfirmed = agent(1, snapshots, false);
+        unconfirmed.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 3}, false);
+        unconfirmed.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {777}});
+        unconfirmed.setServer(m_now, LocalServer{serviceKey("feed"), {101}, true, 3}, false);
+        CPPUNIT_ASSERT(resentNotices(unconfirmed, {}).empty());
+
+        AgentSteering replaced = agent(1, snapshots, false);
+        replaced.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {}});
+        replaced.setServer(m_now, LocalServer{serviceKey("feed"), {778}, true, 3}, true);
+        CPPUNIT_ASSERT(resentNotices(replaced, {}).empty());
+    }
+
     /// The owner registers a flow with both registrars, so a lookup tries them before all other agents.
     void triesTheRegistrarsFirst()
     {
