Learn nothing about an open flow from a packet of another one

Callers saw: an open flow with the addresses and ports of an abandoned one was reset by an agent (server-replaced, owner by local-server, learned before the flow) whose server had held the abandoned one.

Cause: the agent of the abandoned flow, which it lists as open, took the packets of the new flow for packets of its own: it claimed the new flow by an owner notice, let a FIN or a reset end the old one, and noted the caller's acknowledgement number. With that number it reset the caller when its server was replaced. A packet that acknowledges other data than what the server has sent lately, within 64 KiB, is still delivered, since the server decides, but changes nothing.

Evidence: the new test failed before (a notice).

Open: each packet of the new flow that such an agent's server rejects is dropped, as before, until the caller gives up.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -126,6 +126,11 @@
         flow.header = header;
         return deliver(now, flow, header, segment, notices);
     case FlowState::Open:
+        if (segment.isAck && !acknowledgesServer(flow, segment)) {
+            // It belongs to another flow with the same addresses and ports, or is very late. The server decides.
+            return DeliverToServer{};
+        }
+        return deliver(now, flow, header, segment, notices);
     case FlowState::Probed:
         return deliver(now, flow, header, segment, notices);
     case FlowState::Remote:
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(looksForTheOwnerOfAFlowThatFollowsOneOfAnEndedServer);
     CPPUNIT_TEST(probesTheServerForAFlowThatFollowsARecordedOne);
     CPPUNIT_TEST(keepsTheOwnerWhenTheLocalServerEndsAnEarlierFlow);
+    CPPUNIT_TEST(learnsNothingFromAPacketOfAnotherFlow);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -1403,6 +1404,30 @@
         }
     }
 
+    /// The caller has abandoned a flow of the local server and opened another one with the same addresses and ports at another server. Guards against a
+    /// claim of that flow, against a reset of it when the local server is replaced, and against a flow that ends with packets of another one.
+    void learnsNothingFromAPacketOfAnotherFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        openFlow(agent, flow(1));
+        m_notices.clear();
+        Segment foreign = data(flow(1), 900'000'000);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), foreign, m_notices)));
+        CPPUNIT_ASSERT(m_notices.empty());
+        foreign.isRst = true;
+        agent.handleCallerPacket(m_now, lookupHeader(), foreign, m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, agent.load().openFlows);
+        const auto resets = agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true);
+        CPPUNIT_ASSERT_EQUAL(1001U, resets.at(0).sequence);
+
+        // A reset of the caller need not acknowledge anything.
+        openFlow(agent, flow(2), 5'000'000);
+        Segment abort = fromCaller(flow(2));
+        abort.isRst = true;
+        agent.handleCallerPacket(m_now, header(), abort, m_notices);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
+    }
+
     /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
     AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
     {
