Reset only packets of the flow that has ended

Cause: the agent keeps an entry for each flow of a replaced server, and for each recorded flow that a control host ends, and resets every later packet with these addresses and ports. A new flow that has opened at another server replaces the entry only if this agent is one of its registrars and has received the notice.

Ruled out: the reset that endFlows sends at once carries the acknowledgement number of the record, which is outside of the window of a new flow but for about 1 in 28,000 (2 x 76,800 of 2^32).

Change: a packet is reset only if it acknowledges about what the server of the ended flow has sent (the recorded number, for recorded flows), within 64 KiB as for rejected packets. Any other packet continues the owner lookup, which ends in a reset if no server has the flow. A remote flow has no such number, only a notice, and is handled as before.

Tests: endsNoFlowOfAnotherServerWithThePortsOfAnEndedOne failed before. registrarResetsFlowsOfAReplacedServer has one more assertion: a flow that is known from a notice alone is reset again.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -192,6 +192,7 @@
         /// whether the flow of a packet has ended.
         bool isContested = false;
         ResetEvidence evidence; ///< set for orphaned flows
+        bool isServerSequenceKnown = false; ///< valid for orphaned flows, of which a remote one may be known from notices alone
         bool hasPendingRequest = false; ///< the server has not responded to the caller's last data yet
         TimePoint requestSentAt{};
         std::optional<std::uint32_t> callerSequenceEnd; ///< sequence number after the caller's last new data
@@ -229,6 +230,8 @@
     bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
     /// True if the packet acknowledges what the server has sent lately in this flow.
     static bool acknowledgesServer(const Flow &flow, const Segment &segment);
+    /// True if the packet does not belong to the orphaned flow, but to another one with the same addresses and ports, or if that is not known.
+    static bool mayHaveAnotherOwner(const Flow &orphaned, const Segment &segment);
     void rememberRejection(TimePoint now, const Segment &segment);
     /// True if an owner lookup asks `agent` after this one.
     bool ranksAfterThisAgent(const HostAddress &agent, const FlowTuple &tuple) const;
--- a/src/jujubequay/steering/agent_flow_records.cpp
+++ b/src/jujubequay/steering/agent_flow_records.cpp
@@ -41,6 +41,8 @@
         Flow &flow = m_flows[recorded.tuple];
         flow.state = FlowState::Orphaned;
         flow.lastUsed = now;
+        flow.serverSequence = recorded.acknowledgement;
+        flow.isServerSequenceKnown = true;
         flow.evidence = {m_options.agent, notice.incarnation, OwnershipSource::FlowRecord, now, ServerEnd{ServerEndCause::Replaced, current, now}};
         resets.push_back({recorded.tuple, recorded.acknowledgement, SteerCause::ServerReplaced, false, flow.evidence});
     }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -131,7 +131,7 @@
     case FlowState::Remote:
         return passToOtherServer(now, header, segment, flow);
     case FlowState::Orphaned:
-        return flow.isContested ? continueLookup(now, header, segment) : resetOrphanedFlow(segment, flow);
+        return mayHaveAnotherOwner(flow, segment) ? continueLookup(now, header, segment) : resetOrphanedFlow(segment, flow);
     }
     return DropPacket{SteerCause::UnknownFlow};
 }
@@ -212,10 +212,16 @@
     // The server got the SYN, or a probe, of a flow that another server may own.
     flow.isContested = flow.isContested || isHalfOpen(flow) || flow.state == FlowState::Probed;
     flow.evidence = evidenceOf(flow);
+    flow.isServerSequenceKnown = flow.state != FlowState::Remote;
     flow.state = FlowState::Orphaned;
     flow.lastUsed = now;
 }
 
+bool AgentSteering::mayHaveAnotherOwner(const Flow &orphaned, const Segment &segment)
+{
+    return orphaned.isContested || (orphaned.isServerSequenceKnown && !acknowledgesServer(orphaned, segment));
+}
+
 AgentDecision AgentSteering::deliver(TimePoint now, Flow &flow, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices)
 {
     flow.lastUsed = now;
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(looksForTheOwnerIfItsIncarnationIsUnknown);
     CPPUNIT_TEST(endsTheFlowsOfAnEarlierServer);
     CPPUNIT_TEST(neverEndsAnOpenFlow);
+    CPPUNIT_TEST(endsNoFlowOfAnotherServerWithThePortsOfAnEndedOne);
     CPPUNIT_TEST(recordsItsOpenFlows);
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
     CPPUNIT_TEST(probesTheServerAfterALateSynAtARestartedAgent);
@@ -351,6 +352,8 @@
         agent.update(m_now, snapshots.incarnation(3, 777).build());
         const AgentDecision ended = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices);
         CPPUNIT_ASSERT(std::get<ResetCaller>(ended).cause == SteerCause::ServerReplaced);
+        // The reset may be lost.
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 0x70000000), m_notices)));
         const AgentDecision open = agent.handleCallerPacket(m_now, lookupHeader(), data(flow(2), 5), m_notices);
         CPPUNIT_ASSERT(std::get<RelayToAgent>(open).agent == agentAddress(3));
     }
@@ -541,6 +544,21 @@
         CPPUNIT_ASSERT(restarted.endFlows(m_now, {{777}, {{flow(3), 1}}}).empty());
     }
 
+    /// Guards against the reset of an open flow during its owner lookup, at the agent of an ended flow with the same addresses and ports.
+    void endsNoFlowOfAnotherServerWithThePortsOfAnEndedOne()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        const FlowTuple replaced = flowWithFirstRegistrar(agent.directory(), agentAddress(2));
+        const FlowTuple recorded = {{replaced.caller.ip + 1, replaced.caller.port}, replaced.service};
+        openFlow(agent, replaced, 1000);
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {999}, true, 3}, true);
+        agent.endFlows(m_now, {{777}, {{recorded, 1000}}});
+        for (const FlowTuple &tuple : {replaced, recorded}) {
+            CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(tuple, 0x70000000), m_notices)));
+            CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, header(), data(tuple, 25000), m_notices)));
+        }
+    }
+
     void recordsItsOpenFlows()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
