Keep the flows of a server that announces another service

An agent took a change of the service in an announcement of the same incarnation for a new server: it reset all open flows of which it could not tell that the server had accepted them after its start (for example if the clock of the machine was set back, so that the start time is not used), and it took its flow table for complete. After a restart of the agent the flows that it had not seen were then not probed any more, and their owner lookup could end in a reset. A server that announces itself as another service than the agent's settings name had the same effect after each restart of its agent.

Change: only another incarnation is another server. New flows were checked against the announced service before, and still are.

The random schedule has no servers that change their service; how often the users' servers do is not known.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -47,7 +47,7 @@
     std::vector<ResetCaller> resets;
     const bool isSameIncarnation = m_server && server
         && (m_server->incarnation == server->incarnation || m_server->incarnation == unconfirmedIncarnation || server->incarnation == unconfirmedIncarnation);
-    if (!isSameIncarnation || m_server->service != server->service) {
+    if (!isSameIncarnation) {
         // The first server that this agent observes may have opened flows before the agent started.
         const bool isFirstServer = !m_server;
         m_unobservedBefore = isFresh || !isFirstServer ? std::nullopt : std::optional(now);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(redirectsSynsForAnotherService);
     CPPUNIT_TEST(resetsTheFlowsOfAReplacedServer);
     CPPUNIT_TEST(keepsFlowsWhenTheIncarnationIsConfirmed);
+    CPPUNIT_TEST(keepsFlowsWhenTheServerChangesItsService);
     CPPUNIT_TEST(doesNotProbeAServerThatStartedTogetherWithTheAgent);
     CPPUNIT_TEST(countsPendingRequests);
     CPPUNIT_TEST(measuresResponseTimeIncludingHoldTime);
@@ -978,6 +979,18 @@
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
     }
 
+    /// Guards against resets of the open flows of a server that announces another service, also of those that a restarted agent has not seen.
+    void keepsFlowsWhenTheServerChangesItsService()
+    {
+        AgentSteering agent({.agent = agentAddress(1)});
+        agent.update(m_now, Snapshots().server(1).server(2).build());
+        agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, true, 3}, false);
+        openFlow(agent, flow(1));
+        CPPUNIT_ASSERT(agent.setServer(m_now, LocalServer{serviceKey("tiles"), {101}, true, 3}, false).empty());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header(), data(flow(1), 1001), m_notices)));
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(flow(2), 5), m_notices)));
+    }
+
     /// After a power failure the agent connects to the server before the server announces itself.
     void doesNotProbeAServerThatStartedTogetherWithTheAgent()
     {
