Show that late deregistrations end no running server

A deregistration names its incarnation, and an entry of a lower order replaces none.

Tests: control hosts of the registry schedule are paused for up to 8 s now and handle their messages afterwards, in order; a control host that restarts with an empty registry and gets old entries from its peers was in it before.

--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -137,6 +137,7 @@
     CPPUNIT_TEST(isolatedControlHostDisconnectsWatchers);
     CPPUNIT_TEST(laggingControlHostCannotReinstateAState);
     CPPUNIT_TEST(laggingControlHostCannotReinstateAServer);
+    CPPUNIT_TEST(lateDeregistrationEndsOnlyItsOwnIncarnation);
     CPPUNIT_TEST(slowWatcherSkipsStatesAndCatchesUp);
     CPPUNIT_TEST(restartedControlHostDoesNotEmptyTheServerList);
     CPPUNIT_TEST(largeRegistryIsReplacedAsAWhole);
@@ -338,6 +339,35 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, subscriber.snapshot()->servers[0].order);
     }
 
+    /// Guards against a running server that leaves the list, or counts as ended, when a control host that was paused sends the end of its predecessor.
+    void lateDeregistrationEndsOnlyItsOwnIncarnation()
+    {
+        m_connection->rollOut(1);
+        step();
+        const auto receive = [&](bool isFull, std::uint64_t order, std::uint32_t incarnation, pb::ServerState state) {
+            pb::WatchDown message;
+            pb::RegistryDelta &delta = *message.mutable_registry();
+            delta.set_epoch(5);
+            delta.set_sequence(9);
+            delta.set_full(isFull);
+            pb::ServerEntry &entry = *delta.add_servers();
+            entry.set_name("127.0.0.2:4500");
+            entry.set_relay_address(entry.name());
+            entry.set_order(order);
+            entry.set_incarnation(incarnation);
+            entry.set_state(state);
+            m_subscriber->receive(m_now, m_connection->stream(), message);
+        };
+        receive(true, 20, 102, pb::SERVER_STATE_SERVING);
+        for (const bool isFull : {false, true}) {
+            receive(isFull, 10, 101, pb::SERVER_STATE_LEFT);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_subscriber->snapshot()->servers.size());
+            CPPUNIT_ASSERT_EQUAL(102U, m_subscriber->snapshot()->servers[0].incarnation.value);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_subscriber->snapshot()->deregisteredServers.size());
+            CPPUNIT_ASSERT_EQUAL(101U, m_subscriber->snapshot()->deregisteredServers[0].incarnation.value);
+        }
+    }
+
     void slowWatcherSkipsStatesAndCatchesUp()
     {
         m_connection->rollOut(1);
--- a/src/jujubequay/steering_program/server_end_random_test.cpp
+++ b/src/jujubequay/steering_program/server_end_random_test.cpp
@@ -71,6 +71,7 @@
     TimePoint startedAt{};
     std::optional<TimePoint> minoritySince;
     std::int64_t clockErrorMs = 0;
+    TimePoint pausedUntil{};
 };
 
 struct Server {
@@ -220,15 +221,26 @@
         const Duration delay = chance(20) ? milliseconds(below(2000)) : milliseconds(below(60));
         TimePoint &last = stream->lastDelivery[side];
         last = std::max(last, m_now + delay);
-        m_events.emplace(last, [this, stream, handler = std::move(handler)] {
-            if (stream->isOpen && isCut(stream->zones[0], stream->zones[1])) {
-                endStream(stream, std::nullopt);
-            } else if (stream->isOpen) {
-                handler();
-            }
+        m_events.emplace(last, [this, stream, side, handler = std::move(handler)] {
+            arrive(stream, side, handler);
         });
     }
 
+    /// A paused control host handles its messages later, in order.
+    void arrive(const StreamPointer &stream, std::size_t side, const std::function<void()> &handler)
+    {
+        const TimePoint pausedUntil = side == 0 ? m_hosts[stream->zones[1]].pausedUntil : TimePoint();
+        if (stream->isOpen && isCut(stream->zones[0], stream->zones[1])) {
+            endStream(stream, std::nullopt);
+        } else if (stream->isOpen && m_now < pausedUntil) {
+            m_events.emplace(pausedUntil, [this, stream, side, handler] {
+                arrive(stream, side, handler);
+            });
+        } else if (stream->isOpen) {
+            handler();
+        }
+    }
+
     // Control hosts
 
     void setClock(std::size_t zone)
@@ -246,6 +258,7 @@
         host.watch = std::make_unique<WatchServer>(m_state, *host.registry, *host.reports, WatchServerOptions());
         host.isFilled = false;
         host.startedAt = m_now;
+        host.pausedUntil = {};
         host.minoritySince.reset();
         for (std::size_t peer = 0; peer < zoneCount; ++peer) {
             if (peer != zone) {
@@ -274,7 +287,7 @@
     void stepHost(std::size_t zone)
     {
         ControlHost &host = m_hosts[zone];
-        if (!host.registry) {
+        if (!host.registry || m_now < host.pausedUntil) {
             return;
         }
         std::size_t reachable = 1;
@@ -689,7 +702,7 @@
         const std::size_t zone = below(zoneCount);
         const std::size_t index = below(agentCount);
         Agent &agent = m_agents[index];
-        switch (below(13)) {
+        switch (below(14)) {
         case 0:
         case 1:
         case 2:
@@ -729,6 +742,12 @@
         case 10:
             setClock(zone);
             break;
+        case 11:
+            if (chance(4)) {
+                m_hosts[zone].pausedUntil = m_now + milliseconds(below(8000));
+                note(fmt::format("{} is paused", controlName(zone)));
+            }
+            break;
         default:
             m_watchers[below(watcherCount)].pausedUntil = m_now + milliseconds(below(6000));
             break;
