Ask agents that know their flows before any probe

Cause: a lookup goes from one agent to the next, and each one that has restarted delivers the packet to its server to find out whether the server owns the flow, before agents with a complete flow table have been asked.

Change: a new phase of the lookup, KnownFlows, visits all agents by rank without probes. Only if one of them had an incomplete table does the phase AllServers follow, as before. An agent to which a registrar or a balancer has sent a packet as to the owner still probes at once.

Side by side with earlier versions: the phase uses the fourth value of its two bits, and agents that do not know it go on with AllServers; the flag that all tables were complete is cleared by them, so that the phase with probes follows.

Ruled out: a limit of probes for each flow and time. It needs a count in the header, which has no bits left, and drops packets.

asksAgentsThatKnowTheirFlowsBeforeAnyProbe failed before (deliveries at other servers). probesAllServersIfNoAgentKnowsTheFlow fails if the flag is always set. decodesTheHeaderOfAPacket covers the new phase and flag beside the old one.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -224,10 +224,14 @@
     /// Delivers a packet to find out whether the local server owns its flow.
     AgentDecision probe(TimePoint now, const SteerHeader &header, const FlowTuple &tuple);
     /// Forwards a packet whose owner is unknown to the next agent of the owner lookup, or ends the lookup.
-    AgentDecision continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const;
-    /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
-    /// were tried.
-    std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
+    AgentDecision continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment);
+    /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. `mayOwnFlow`: the local server may
+    /// own the flow. Empty after all agents were tried.
+    std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, bool mayOwnFlow, SteerHeader &next) const;
+    /// Limit of agents that a lookup visits until the end of `phase`.
+    std::size_t maxLookupHops(LookupPhase phase) const;
+    /// True unless another agent may still know the owner of the flow.
+    bool isProbeDue(const SteerHeader &header, const FlowTuple &tuple) const;
     /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
     bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
     /// True if the packet acknowledges what the server has sent lately in this flow.
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -18,6 +18,8 @@
     FirstRegistrar, ///< not started, or at the first registrar
     SecondRegistrar,
     AllServers, ///< at one agent after the other, in the order of their ranks
+    /// Like AllServers and before it, but no agent probes its server. Agents of versions without this phase continue with AllServers.
+    KnownFlows,
 };
 
 /// Limit of retries of a lookup that stays partial. After that the packet is dropped, and the caller retransmits it.
@@ -35,6 +37,8 @@
     std::uint8_t lookupRetries = 0; ///< at most maxLookupRetries
     /// The balancer decodes owner notices with an incarnation. Agents of versions without such notices clear it when they forward a packet.
     bool acceptsIncarnations = false;
+    /// In the phase KnownFlows: all agents so far had a complete flow table. Agents of versions without this phase clear it when they forward a packet.
+    bool areFlowTablesComplete = false;
 };
 
 /// Reports the owner of a flow to a balancer or to a registrar.
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -11,6 +11,9 @@
 /// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
 constexpr std::uint32_t maxSequenceDistance = 64U << 10U;
 
+/// A lookup visits at most this many agents before it visits all in the order of their ranks.
+constexpr std::size_t maxRegistrarHops = 4;
+
 bool isNear(std::uint32_t sequence, std::uint32_t reference)
 {
     return sequence - reference + maxSequenceDistance <= 2 * maxSequenceDistance;
@@ -25,7 +28,7 @@
     return DeliverToServer{};
 }
 
-AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment) const
+AgentDecision AgentSteering::continueLookup(TimePoint now, const SteerHeader &header, const Segment &segment)
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
     SteerHeader next = header;
@@ -34,7 +37,25 @@
     if (next.hops > m_options.maxHops) {
         return DropPacket{SteerCause::TooManyHops};
     }
-    const auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, next);
+    const bool mayOwnFlow = m_isServerKnown && mayOwnUnknownFlow(now, segment);
+    auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, mayOwnFlow, next);
+    if (next.hops > maxLookupHops(next.lookupPhase)) {
+        // The server lists of the agents differ, so that some are visited more than once and others not at all.
+        next.isLookupPartial = true;
+        next.areFlowTablesComplete = false;
+        agent.reset();
+    }
+    if (!agent && next.lookupPhase == LookupPhase::KnownFlows && !next.areFlowTablesComplete) {
+        next.lookupPhase = LookupPhase::AllServers;
+        next.hops = 0;
+        agent = m_directory.firstRegistrar(tuple);
+        if (agent == m_options.agent) {
+            if (mayOwnFlow) {
+                return probe(now, next, tuple);
+            }
+            agent = m_directory.nextAgent(tuple, m_options.agent);
+        }
+    }
     next.wantsOwnerNotice = true;
     if (agent) {
         return RelayToAgent{*agent, next, SteerCause::OwnerLookup};
@@ -52,9 +73,10 @@
 
 // Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
 // other agents as registrars.
-std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const
+std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, bool mayOwnFlow, SteerHeader &next) const
 {
-    if (next.lookupPhase == LookupPhase::AllServers) {
+    if (next.lookupPhase == LookupPhase::AllServers || next.lookupPhase == LookupPhase::KnownFlows) {
+        next.areFlowTablesComplete = next.areFlowTablesComplete && !mayOwnFlow;
         return m_directory.nextAgent(tuple, m_options.agent);
     }
     const std::vector<FlowRegistrar> registrars = m_directory.registrars(tuple);
@@ -73,11 +95,38 @@
         next.lookupPhase = LookupPhase::SecondRegistrar;
         return registrars.back().agent;
     }
-    next.lookupPhase = LookupPhase::AllServers;
+    next.lookupPhase = LookupPhase::KnownFlows;
+    next.areFlowTablesComplete = !mayOwnFlow;
     // The first registrar ranks best.
     return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
 }
 
+std::size_t AgentSteering::maxLookupHops(LookupPhase phase) const
+{
+    const std::size_t agentCount = m_agentEpochs.size();
+    // An agent of a version without the phase KnownFlows starts the last phase in the middle of it.
+    return maxRegistrarHops + (phase == LookupPhase::KnownFlows ? agentCount : 2 * agentCount);
+}
+
+bool AgentSteering::isProbeDue(const SteerHeader &header, const FlowTuple &tuple) const
+{
+    if (!header.wantsOwnerNotice) {
+        return true;
+    }
+    const std::vector<FlowRegistrar> registrars = m_directory.registrars(tuple);
+    switch (header.lookupPhase) {
+    case LookupPhase::FirstRegistrar:
+        return registrars.empty() || registrars.front().agent != m_options.agent;
+    case LookupPhase::SecondRegistrar:
+        return registrars.empty() || registrars.back().agent != m_options.agent;
+    case LookupPhase::AllServers:
+        return true;
+    case LookupPhase::KnownFlows:
+        return false;
+    }
+    return true;
+}
+
 bool AgentSteering::mayOwnUnknownFlow(TimePoint now, const Segment &segment) const
 {
     if (!m_server || isFlowTableComplete(now)) {
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -110,13 +110,14 @@
         if (!m_isServerKnown) {
             return HoldLookup{header};
         }
-        return mayOwnUnknownFlow(now, segment) ? probe(now, header, tuple) : continueLookup(now, header, segment);
+        const bool isProbed = mayOwnUnknownFlow(now, segment) && isProbeDue(header, tuple);
+        return isProbed ? probe(now, header, tuple) : continueLookup(now, header, segment);
     }
     Flow &flow = found->second;
     switch (flow.state) {
     case FlowState::SynDelivered:
         // The server does not answer a copy of the SYN if it owns the flow already.
-        if (flow.remoteAgent == HostAddress() && mayOwnUnknownFlow(now, segment)) {
+        if (flow.remoteAgent == HostAddress() && mayOwnUnknownFlow(now, segment) && isProbeDue(header, tuple)) {
             return probe(now, header, tuple);
         }
         // The caller has established the flow with another server, whose SYN-ACK arrived first.
@@ -160,7 +161,7 @@
         return continueLookup(now, header, segment);
     }
     SteerHeader next = header;
-    if (header.lookupPhase == LookupPhase::AllServers) {
+    if (header.lookupPhase == LookupPhase::AllServers || header.lookupPhase == LookupPhase::KnownFlows) {
         if (header.isLookupPartial && !ranksAfterThisAgent(flow.remoteAgent, flowTupleFromCaller(segment))) {
             // That agent may have been asked already, and would send the packet here again.
             return continueLookup(now, header, segment);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(recordsItsOpenFlows);
     CPPUNIT_TEST(probesTheServerAfterARestartOfTheAgent);
     CPPUNIT_TEST(probesTheServerAfterALateSynAtARestartedAgent);
+    CPPUNIT_TEST(asksAgentsThatKnowTheirFlowsBeforeAnyProbe);
+    CPPUNIT_TEST(probesAllServersIfNoAgentKnowsTheFlow);
     CPPUNIT_TEST(doesNotProbeAFlowAgainThatTheServerRejected);
     CPPUNIT_TEST(probesAgainWhenTheServerMayOwnTheFlow);
     CPPUNIT_TEST(looksForTheOwnerIfTheServerRejectsAPacketOfAClosedFlow);
@@ -148,6 +150,36 @@
         CPPUNIT_ASSERT_EQUAL(slots * agent.options().requestsPerSlot, static_cast<unsigned>(port));
     }
 
+    /// The agents that deliver a packet in the course of an owner lookup. All servers but that of `owner` reject it; without an owner the lookup has
+    /// to end with a reset.
+    std::vector<HostAddress> deliveries(std::map<HostAddress, AgentSteering> &agents,
+                                        const FlowTuple &tuple,
+                                        const std::optional<HostAddress> &owner = std::nullopt)
+    {
+        const Segment packet = data(tuple, 1001);
+        std::vector<HostAddress> delivered;
+        SteerHeader lookup = header();
+        lookup.wantsOwnerNotice = true;
+        HostAddress current = agents.begin()->second.directory().firstRegistrar(tuple).value();
+        while (true) {
+            AgentDecision decision = agents.at(current).handleCallerPacket(m_now, lookup, packet, m_notices);
+            if (std::holds_alternative<DeliverToServer>(decision)) {
+                delivered.push_back(current);
+                if (current == owner) {
+                    return delivered;
+                }
+                decision = agents.at(current).handleServerPacket(m_now, rejected(packet), m_notices);
+            }
+            const auto *relayed = std::get_if<RelayToAgent>(&decision);
+            if (relayed == nullptr) {
+                CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(decision));
+                return delivered;
+            }
+            current = relayed->agent;
+            lookup = relayed->header;
+        }
+    }
+
     /// A flow with the given first registrar.
     static FlowTuple flowWithFirstRegistrar(const ServerDirectory &directory, const HostAddress &first)
     {
@@ -665,6 +697,35 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == agentAddress(2));
     }
 
+    /// Guards against packets that go to the servers of restarted agents although the agent of their owner knows the flow.
+    void asksAgentsThatKnowTheirFlowsBeforeAnyProbe()
+    {
+        const Snapshots snapshots = Snapshots().server(1).server(2).server(3).server(4);
+        const AgentSteering owner = agent(1, snapshots);
+        const FlowTuple tuple = flowWithLastRank(owner.directory(), agentAddress(1));
+        std::map<HostAddress, AgentSteering> agents{{agentAddress(1), owner}};
+        openFlow(agents.at(agentAddress(1)), tuple);
+        for (std::uint32_t number = 2; number <= 4; ++number) {
+            agents.emplace(agentAddress(number), agent(number, snapshots, false));
+        }
+        CPPUNIT_ASSERT(deliveries(agents, tuple, agentAddress(1)) == std::vector{agentAddress(1)});
+    }
+
+    /// A flow of an agent that has restarted is found by probes, also if it is the first or the only one.
+    void probesAllServersIfNoAgentKnowsTheFlow()
+    {
+        Snapshots snapshots;
+        std::map<HostAddress, AgentSteering> agents;
+        for (std::uint32_t count = 1; count <= 4; ++count) {
+            agents.clear();
+            snapshots.server(count);
+            for (std::uint32_t number = 1; number <= count; ++number) {
+                agents.emplace(agentAddress(number), agent(number, snapshots, false));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{count}, deliveries(agents, flow(count)).size());
+        }
+    }
+
     /// Guards against flows whose packets keep going to other servers, because each restarted agent probes its server with each of them.
     void doesNotProbeAFlowAgainThatTheServerRejected()
     {
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned lookupRetriesShift = 4; // bits 4 and 5 of the flags
 constexpr unsigned lookupRetriesMask = 3;
 constexpr std::uint8_t acceptsIncarnationsFlag = 64;
+constexpr std::uint8_t flowTablesCompleteFlag = 128;
 static_assert(maxLookupRetries <= lookupRetriesMask);
 constexpr std::size_t prefixLength = 2; // version and message kind
 constexpr std::size_t endedFlowsHeadLength = prefixLength + sizeof(std::uint32_t);
@@ -56,6 +57,7 @@
     steered.header.lookupPhase = static_cast<LookupPhase>((flags >> lookupPhaseShift) & lookupPhaseMask);
     steered.header.lookupRetries = static_cast<std::uint8_t>((flags >> lookupRetriesShift) & lookupRetriesMask);
     steered.header.acceptsIncarnations = (flags & acceptsIncarnationsFlag) != 0;
+    steered.header.areFlowTablesComplete = (flags & flowTablesCompleteFlag) != 0;
     steered.header.routeTableVersion = readBigEndian<std::uint64_t>(in);
     steered.header.service = {readBigEndian<std::uint32_t>(in)};
     steered.header.balancer = takeAddress(in);
@@ -145,7 +147,7 @@
     position = writeBigEndian(position, header.hops);
     const int flags = (header.wantsOwnerNotice ? wantsOwnerNoticeFlag : 0) | (header.isLookupPartial ? lookupPartialFlag : 0)
         | (static_cast<int>(header.lookupPhase) << lookupPhaseShift) | (header.lookupRetries << lookupRetriesShift)
-        | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0);
+        | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0) | (header.areFlowTablesComplete ? flowTablesCompleteFlag : 0);
     position = writeBigEndian(position, static_cast<std::uint8_t>(flags));
     position = writeBigEndian(position, header.routeTableVersion);
     position = writeBigEndian(position, header.service.value);
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -19,21 +19,24 @@
 public:
     void decodesTheHeaderOfAPacket()
     {
-        std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
-        const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, LookupPhase::AllServers, 2, true};
-        encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
-        const auto message = decodeSteerMessage(datagram);
-        const auto &packet = std::get<SteeredPacket>(message.value());
-        CPPUNIT_ASSERT_EQUAL(header.hops, packet.header.hops);
-        CPPUNIT_ASSERT(packet.header.wantsOwnerNotice);
-        CPPUNIT_ASSERT(packet.header.isLookupPartial);
-        CPPUNIT_ASSERT(packet.header.lookupPhase == LookupPhase::AllServers);
-        CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, packet.header.lookupRetries);
-        CPPUNIT_ASSERT(packet.header.acceptsIncarnations);
-        CPPUNIT_ASSERT_EQUAL(header.routeTableVersion, packet.header.routeTableVersion);
-        CPPUNIT_ASSERT(packet.header.service == header.service);
-        CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, packet.packet.size());
+        for (const LookupPhase phase : {LookupPhase::AllServers, LookupPhase::KnownFlows}) {
+            std::vector<std::uint8_t> datagram(steerHeaderLength + 3, 0x55);
+            const SteerHeader header{3, true, 0x1122334455667788ULL, {0xAABBCCDD}, balancerAddress(9), true, phase, 2, true, true};
+            encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
+            const auto message = decodeSteerMessage(datagram);
+            const auto &packet = std::get<SteeredPacket>(message.value());
+            CPPUNIT_ASSERT_EQUAL(header.hops, packet.header.hops);
+            CPPUNIT_ASSERT(packet.header.wantsOwnerNotice);
+            CPPUNIT_ASSERT(packet.header.isLookupPartial);
+            CPPUNIT_ASSERT(packet.header.lookupPhase == phase);
+            CPPUNIT_ASSERT_EQUAL(std::uint8_t{2}, packet.header.lookupRetries);
+            CPPUNIT_ASSERT(packet.header.acceptsIncarnations);
+            CPPUNIT_ASSERT(packet.header.areFlowTablesComplete);
+            CPPUNIT_ASSERT_EQUAL(header.routeTableVersion, packet.header.routeTableVersion);
+            CPPUNIT_ASSERT(packet.header.service == header.service);
+            CPPUNIT_ASSERT(packet.header.balancer == header.balancer);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, packet.packet.size());
+        }
     }
 
     void decodesNotices()
