--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -18,6 +18,8 @@
     FirstRegistrar, ///< not started, or at the first registrar
     SecondRegistrar,
     AllServers, ///< at one agent after the other, in the order of their ranks
+    /// Like AllServers and before it, but no agent probes its server. Agents of versions without this phase continue with AllServers.
+    KnownFlows,
 };
 
 /// Limit of retries of a lookup that stays partial. After that the packet is dropped, and the caller retransmits it.
@@ -36,6 +38,8 @@
     /// The balancer decodes owner notices with an incarnation. Agents of versions without such notices clear it when they forward a packet.
     bool acceptsIncarnations = false;
     bool acceptsCallerSequences = false; ///< the same for owner notices with a sequence number of the caller
+    /// All agents so far had a complete flow table; only in the phase KnownFlows.
+    bool areFlowTablesComplete = false;
 };
 
 /// Reports the owner of a flow to a balancer or to a registrar.
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned lookupRetriesMask = 3;
 constexpr std::uint8_t acceptsIncarnationsFlag = 64;
 constexpr std::uint8_t acceptsCallerSequencesFlag = 128;
+/// In place of the service, which only a SYN has, in the phase KnownFlows. Agents of versions without this phase go on with AllServers.
+constexpr std::uint32_t flowTablesComplete = 1;
 static_assert(maxLookupRetries <= lookupRetriesMask);
 constexpr std::size_t prefixLength = 2; // version and message kind
 constexpr std::size_t endedFlowsHeadLength = prefixLength + sizeof(std::uint32_t);
@@ -59,7 +61,12 @@
     steered.header.acceptsIncarnations = (flags & acceptsIncarnationsFlag) != 0;
     steered.header.acceptsCallerSequences = (flags & acceptsCallerSequencesFlag) != 0;
     steered.header.routeTableVersion = readBigEndian<std::uint64_t>(in);
-    steered.header.service = {readBigEndian<std::uint32_t>(in)};
+    const auto service = readBigEndian<std::uint32_t>(in);
+    if (steered.header.lookupPhase == LookupPhase::KnownFlows) {
+        steered.header.areFlowTablesComplete = service == flowTablesComplete;
+    } else {
+        steered.header.service = {service};
+    }
     steered.header.balancer = takeAddress(in);
     steered.packet = datagram.subspan(steerHeaderLength);
     return steered;
@@ -166,7 +173,8 @@
         | (header.acceptsIncarnations ? acceptsIncarnationsFlag : 0) | (header.acceptsCallerSequences ? acceptsCallerSequencesFlag : 0);
     position = writeBigEndian(position, static_cast<std::uint8_t>(flags));
     position = writeBigEndian(position, header.routeTableVersion);
-    position = writeBigEndian(position, header.service.value);
+    const std::uint32_t lookupState = header.areFlowTablesComplete ? flowTablesComplete : 0;
+    position = writeBigEndian(position, header.lookupPhase == LookupPhase::KnownFlows ? lookupState : header.service.value);
     putAddress(position, header.balancer);
 }
 
