--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -80,7 +80,7 @@
     Duration routeTableFetchDelay = std::chrono::milliseconds(400);
     /// A request that has been held for this long is delivered, since its caller is about to time out.
     Duration maxHoldTime = std::chrono::milliseconds(900);
-    /// Limit of agents that forward the same packet. A lookup may have to visit all servers: with a limit of 64 it failed among 72 of them.
+    /// Limit of the hops of a packet. An owner lookup may have to visit all servers and counts only its steps between groups of them.
     std::uint8_t maxHops = 250;
     /// Time between owner notices to a registrar that has not acknowledged; many round trips.
     Duration noticeInterval = std::chrono::milliseconds(250);
@@ -233,8 +233,8 @@
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. `mayOwnFlow`: the local server may
     /// own the flow. Empty after all agents were tried.
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, bool mayOwnFlow, SteerHeader &next) const;
-    /// Limit of agents that a lookup visits until the end of `phase`.
-    std::size_t maxLookupHops(LookupPhase phase) const;
+    /// Hops that a step of an owner lookup to `agent` costs.
+    unsigned lookupHops(const FlowTuple &tuple, const SteerHeader &header, const HostAddress &agent) const;
     /// True unless another agent may still know the owner of the flow.
     bool isProbeDue(const SteerHeader &header, const FlowTuple &tuple) const;
     /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// A lookup visits at most this many agents before it visits all in the order of their ranks.
-constexpr std::size_t maxRegistrarHops = 4;
+/// Hops of a step that hosts with other lists may see as a step back. A lookup has room for 20 of them.
+constexpr unsigned uncertainStepHops = 12;
 
 }
 
@@ -30,18 +30,17 @@
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
     SteerHeader next = header;
-    ++next.hops;
     next.isLookupPartial = header.isLookupPartial || !isServerListStable(now);
-    if (next.hops > m_options.maxHops) {
-        return DropPacket{SteerCause::TooManyHops};
-    }
     const bool mayOwnFlow = m_isServerKnown && mayOwnUnknownFlow(now, segment);
     auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, mayOwnFlow, next);
-    if (next.hops > maxLookupHops(next.lookupPhase)) {
+    const unsigned hops = header.hops + (agent ? lookupHops(tuple, header, *agent) : 0U);
+    if (hops > m_options.maxHops) {
         // The server lists of the agents differ, so that some are visited more than once and others not at all.
         next.isLookupPartial = true;
         next.areFlowTablesComplete = false;
         agent.reset();
+    } else {
+        next.hops = static_cast<std::uint8_t>(hops);
     }
     if (!agent && next.lookupPhase == LookupPhase::KnownFlows && !next.areFlowTablesComplete) {
         next.lookupPhase = LookupPhase::AllServers;
@@ -69,6 +68,20 @@
     return reset(segment, SteerCause::UnknownFlow);
 }
 
+// A step down the ranks of a group is not counted, so that the number of servers does not limit the lookup.
+unsigned AgentSteering::lookupHops(const FlowTuple &tuple, const SteerHeader &header, const HostAddress &agent) const
+{
+    if (header.lookupPhase != LookupPhase::AllServers && header.lookupPhase != LookupPhase::KnownFlows) {
+        return 1;
+    }
+    if (m_directory.ranksBelowInGroup(tuple, m_options.agent, agent)) {
+        return 0;
+    }
+    const SteerServer *next = m_directory.find(agent);
+    const bool isCertain = m_directory.find(m_options.agent) != nullptr && next != nullptr && !next->unlistedSince;
+    return isCertain ? 1 : uncertainStepHops;
+}
+
 // Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
 // other agents as registrars.
 std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, bool mayOwnFlow, SteerHeader &next) const
@@ -99,13 +112,6 @@
     return isOtherAgent(registrars.front()) ? registrars.front().agent : m_directory.nextAgent(tuple, m_options.agent);
 }
 
-std::size_t AgentSteering::maxLookupHops(LookupPhase phase) const
-{
-    const std::size_t agentCount = m_agentEpochs.size();
-    // An agent of a version without the phase KnownFlows starts the last phase in the middle of it.
-    return maxRegistrarHops + (phase == LookupPhase::KnownFlows ? agentCount : 2 * agentCount);
-}
-
 bool AgentSteering::isProbeDue(const SteerHeader &header, const FlowTuple &tuple) const
 {
     if (!header.wantsOwnerNotice) {
