Show that answers that break off, or come twice, reach no caller as a success

No fault was found in the code; the tests are new, each seen to fail with its guard removed:

- RequestBrokerTest::answerThatBreaksOffIsNoSuccess: a failed answer with status 200 taken for a success.
- RequestBrokerTest::lateAnswerReachesNoOtherRequest: numbers of calls used again.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -114,6 +114,7 @@
         tls_context.cpp
         traffic.cpp
     TESTS
+        backend_client_test.cpp
         http1_server_test.cpp
         http2_session_test.cpp
         keep_alive_test.cpp
--- a/src/jujubequay/agent/request_broker_test.cpp
+++ b/src/jujubequay/agent/request_broker_test.cpp
@@ -166,6 +166,8 @@
     CPPUNIT_TEST(cancelledRequestStopsTheBackend);
     CPPUNIT_TEST(requestRefusedByBackendIsNotRun);
     CPPUNIT_TEST(crashedBackendHasUnknownOutcome);
+    CPPUNIT_TEST(answerThatBreaksOffIsNoSuccess);
+    CPPUNIT_TEST(lateAnswerReachesNoOtherRequest);
     CPPUNIT_TEST(answerBeyondTheBufferIsNoSuccess);
     CPPUNIT_TEST(drainRefusesNewWorkAndCompletesRunningWork);
     CPPUNIT_TEST(drainMovesFeedsWithTheirPosition);
@@ -272,6 +274,44 @@
         CPPUNIT_ASSERT_EQUAL(1, m_backend->executions[idOf(1)]);
     }
 
+    // Guards against the half of an answer that reaches the caller as a success, streamed or buffered.
+    void answerThatBreaksOffIsNoSuccess()
+    {
+        for (const bool isIdempotent : {true, false}) {
+            setUp();
+            Call call;
+            call.isIdempotent = isIdempotent;
+            request(flowA, 0, call);
+            m_broker->handleBackendEvent(m_now, BackendResponseStarted{m_backend->lastCall, 200});
+            m_broker->handleBackendEvent(m_now, BackendData{m_backend->lastCall, {1, 2}, 0});
+            m_broker->handleBackendEvent(m_now, BackendFailed{m_backend->lastCall, false, "reset"});
+            const Answer answer = answerOf(m_flows->messages(flowA, 0));
+            CPPUNIT_ASSERT_EQUAL(1, answer.trailers);
+            CPPUNIT_ASSERT_EQUAL(isIdempotent ? ResultCode::BackendFailed : ResultCode::OutcomeUnknown, answer.result);
+        }
+    }
+
+    // Guards against a second copy of an answer that counts as the answer to the next request.
+    void lateAnswerReachesNoOtherRequest()
+    {
+        const auto answerCall = [&](std::uint64_t call, std::uint8_t byte) {
+            m_broker->handleBackendEvent(m_now, BackendResponseStarted{call, 200});
+            m_broker->handleBackendEvent(m_now, BackendData{call, {byte}, 0});
+            m_broker->handleBackendEvent(m_now, BackendEnded{call});
+        };
+        request(flowA, 0, {});
+        const std::uint64_t first = m_backend->lastCall;
+        answerCall(first, 1);
+        Call next;
+        next.sequence = 2;
+        request(flowA, 4, next);
+        answerCall(first, 1);
+        CPPUNIT_ASSERT_EQUAL(0, answerOf(m_flows->messages(flowA, 4)).trailers);
+        answerCall(m_backend->lastCall, 2);
+        CPPUNIT_ASSERT(answerOf(m_flows->messages(flowA, 0)).body == Bytes{1});
+        CPPUNIT_ASSERT(answerOf(m_flows->messages(flowA, 4)).body == Bytes{2});
+    }
+
     /// Guards against an incomplete answer that reaches the caller as a success, and against an error that names the wrong cause.
     void answerBeyondTheBufferIsNoSuccess()
     {
