Let a restarted agent reset the flows of its earlier run, also after a key rotation

What callers get: after a restart of an agent, a caller with an open flow heard nothing and waited for its own time-out.

Cause, two faults in a row. Beside that, no reset was ever sent: each start has another incarnation, and datagrams for an earlier one were dropped before they reached the QUIC server.

Change: the key of a token is derived from the flow key of the identifier, which an agent knows as long as the key is not retired; the derivation is the same as before, so tokens of old processes stay valid where no rotation came between. Datagrams with a short header for an earlier incarnation of this agent are still counted as dropped and never reach a connection, but are answered with a reset. They come with a relay header and an identifier that were both checked under a flow key; the reset is shorter than the datagram.

Evidence: AgentPathTest::restartedAgentResetsFlowsOfItsEarlierRun (restart, rotation and a request in between) fails with either of the two changes taken back; the caller's flow has not ended after 5 s.

The setup of the suite moved into startAgent.

--- a/include/jujubequay/quic/quic_server.h
+++ b/include/jujubequay/quic/quic_server.h
@@ -26,6 +26,8 @@
     virtual void sendDatagram(FlowHandle flow, const HostAddress &caller, std::span<const std::uint8_t> datagram) = 0;
 };
 
+using ResetKey = std::array<std::uint8_t, 32>;
+
 struct QuicServerOptions {
     Duration idleTimeout = std::chrono::seconds(60);
     Duration handshakeTimeout = std::chrono::seconds(10);
@@ -41,7 +43,11 @@
     std::size_t maxSendBufferBytes = 256U << 10U; ///< bytes queued or not acknowledged on one connection
     std::size_t maxFlowMemoryBytes = 2U << 20U; ///< a connection that uses more is closed
     std::size_t maxTotalMemoryBytes = 512U << 20U; ///< no new connection is accepted while all connections together use this much
-    std::array<std::uint8_t, 32> statelessResetKey{}; ///< key of stateless reset tokens; must be the same after a restart of the agent
+    /// Returns the key of the stateless reset tokens of connection IDs under a flow key; empty if the flow key is unknown. It must be the same
+    /// after a restart of the agent.
+    std::function<std::optional<ResetKey>(std::uint8_t keyNumber)> resetKey = [](std::uint8_t) {
+        return ResetKey{};
+    };
 };
 
 struct QuicServerStatistics {
@@ -79,6 +85,8 @@
     /// Handles one datagram and returns the connection to which it belongs. Immediately sends only stateless resets, version negotiation and
     /// CONNECTION_CLOSE; `flush` sends all other packets.
     std::optional<FlowHandle> receive(TimePoint now, const HostAddress &caller, std::span<const std::uint8_t> datagram);
+    /// Answers a datagram of a connection that an earlier run of the agent had with a stateless reset.
+    void resetEarlierFlow(const HostAddress &caller, std::span<const std::uint8_t> datagram);
     /// Sends pending packets on all connections that changed since the last call.
     void flush(TimePoint now);
     /// Returns and removes the events since the last call, in order.
--- a/include/jujubequay/service/agent_path.h
+++ b/include/jujubequay/service/agent_path.h
@@ -79,6 +79,10 @@
     /// arrived for `drainStallTimeout`, their callers are assumed to be unreachable and the result is true as well.
     bool isIdle();
 
+    /// Closes the socket, as the end of the process does; callers are not notified. The object must exist until its context has run the pending
+    /// handlers.
+    void stop();
+
     HostAddress address() const;
     std::size_t flowCount() const;
     LoadReport load() const;
@@ -105,10 +109,12 @@
               std::uint64_t seed,
               asio::ip::udp::socket socket);
 
+    QuicServerOptions quicOptions() const;
     FlowIdBytes newFlowId();
     void waitForDatagrams();
     void receive(const HostAddress &sender, std::span<const std::uint8_t> datagram);
     void passToQuic(const RelayHeader &header, std::span<const std::uint8_t> payload);
+    void resetEarlierFlow(const RelayHeader &header, std::span<const std::uint8_t> payload);
     void relay(const HostAddress &destination, const RelayHeader &header, std::span<const std::uint8_t> payload);
     void processEvents();
     void scheduleTimeout();
--- a/src/jujubequay/agent_program/agent_process.cpp
+++ b/src/jujubequay/agent_program/agent_process.cpp
@@ -4,7 +4,6 @@
 #include <jujubequay/service/agent_path.h>
 #include <jujubequay/service/announce_client.h>
 #include <jujubequay/service/config_watcher.h>
-#include <jujubequay/wire/digest.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
@@ -39,17 +38,6 @@
     return value;
 }
 
-/// Derives the key of stateless reset tokens from the active flow key. All agents of a deployment derive the same key, so
-/// a restarted agent can reset the flows of its previous incarnation.
-std::array<std::uint8_t, 32> deriveResetKey(const FlowKeySet &keys)
-{
-    Digest digest;
-    const std::string purpose = "stateless reset";
-    digest.add({reinterpret_cast<const std::uint8_t *>(purpose.data()), purpose.size()});
-    digest.add(*keys.find(keys.activeNumber().value()));
-    return digest.finish();
-}
-
 /// State of the data path, passed from the traffic thread to the control thread.
 struct PathStatus {
     bool isIdle = false;
@@ -72,7 +60,7 @@
 private:
     void apply(const ConfigSnapshotPointer &config);
     void createPath(const ConfigSnapshotPointer &config, const ServiceSnapshot &service);
-    AgentPathOptions pathOptions(const ConfigSnapshot &config, const ServiceSnapshot &service) const;
+    AgentPathOptions pathOptions(const ServiceSnapshot &service) const;
     void reportRequest(const RequestReport &report);
 
     void queryHealth();
@@ -245,7 +233,7 @@
     }
 }
 
-AgentPathOptions AgentProcess::pathOptions(const ConfigSnapshot &config, const ServiceSnapshot &service) const
+AgentPathOptions AgentProcess::pathOptions(const ServiceSnapshot &service) const
 {
     AgentPathOptions options;
     options.service = service.id;
@@ -259,7 +247,6 @@
         options.quic.maxFlows = service.admission.maxConnections;
         options.redirect.maxFlows = service.admission.maxConnections;
     }
-    options.quic.statelessResetKey = deriveResetKey(config.flowKeys);
     return options;
 }
 
@@ -267,7 +254,7 @@
 {
     m_isPathRequested = true;
     const std::uint64_t seed = m_services.random()();
-    asio::post(m_trafficContext, [this, config, seed, options = pathOptions(*config, service)] {
+    asio::post(m_trafficContext, [this, config, seed, options = pathOptions(service)] {
         m_path = AgentPath::create(
             m_trafficContext,
             m_services.clock(),
--- a/src/jujubequay/quic/quic_server.cpp
+++ b/src/jujubequay/quic/quic_server.cpp
@@ -66,8 +66,8 @@
                    ConnectionIdSource connectionIdSource,
                    QuicServerSink &sink,
                    std::mt19937_64 &random)
-        : m_options(options)
-        , m_connectionOptions(connectionOptions(options))
+        : m_options(std::move(options))
+        , m_connectionOptions(connectionOptions(m_options))
         , m_credentials(std::move(credentials))
         , m_connectionIdSource(std::move(connectionIdSource))
         , m_sink(sink)
@@ -76,6 +76,7 @@
     }
 
     std::optional<FlowHandle> receive(TimePoint now, const HostAddress &caller, std::span<const std::uint8_t> datagram);
+    void resetEarlierFlow(const HostAddress &caller, std::span<const std::uint8_t> datagram);
     void flush(TimePoint now);
     std::optional<TimePoint> nextTimeout() const;
     void handleTimeout(TimePoint now);
@@ -118,7 +119,7 @@
     void updateTotals(FlowEntry &entry);
     void scheduleTimeout(TimePoint now, FlowHandle flow, FlowEntry &entry);
     void remove(FlowHandle flow);
-    void makeResetToken(const ngtcp2_cid &connectionId, std::uint8_t *token) const;
+    bool makeResetToken(const ngtcp2_cid &connectionId, std::uint8_t *token) const;
 
     const QuicConnectionOptions m_connectionOptions;
     const std::shared_ptr<const TlsCredentials> m_credentials;
@@ -241,7 +242,9 @@
         return;
     }
     std::array<std::uint8_t, NGTCP2_STATELESS_RESET_TOKENLEN> token;
-    makeResetToken(toConnectionId({header.dcid, header.dcidlen}), token.data());
+    if (!makeResetToken(toConnectionId({header.dcid, header.dcidlen}), token.data())) {
+        return;
+    }
     std::array<std::uint8_t, maximumResetLength> randomBytes;
     std::generate(randomBytes.begin(), randomBytes.end(), [this] {
         return static_cast<std::uint8_t>(m_random());
@@ -411,8 +414,7 @@
     }
     m_flows.at(flow).connectionIds.insert(bytes);
     connectionId = toConnectionId(bytes);
-    makeResetToken(connectionId, token);
-    return true;
+    return makeResetToken(connectionId, token);
 }
 
 void QuicServer::Implementation::removeConnectionId(FlowHandle flow, const ngtcp2_cid &connectionId)
@@ -429,9 +431,26 @@
     // Only servers request rotations. A request from a client is ignored.
 }
 
-void QuicServer::Implementation::makeResetToken(const ngtcp2_cid &connectionId, std::uint8_t *token) const
+// The key belongs to the flow key of the identifier and not to the active one, so that a rotation changes no token.
+bool QuicServer::Implementation::makeResetToken(const ngtcp2_cid &connectionId, std::uint8_t *token) const
 {
-    ngtcp2_crypto_generate_stateless_reset_token(token, m_options.statelessResetKey.data(), m_options.statelessResetKey.size(), &connectionId);
+    if (connectionId.datalen != flowIdLength) {
+        return false;
+    }
+    const auto key = m_options.resetKey(flowIdKeyNumber(std::span(connectionId.data).first<flowIdLength>()));
+    if (!key) {
+        return false;
+    }
+    return ngtcp2_crypto_generate_stateless_reset_token(token, key->data(), key->size(), &connectionId) == 0;
+}
+
+void QuicServer::Implementation::resetEarlierFlow(const HostAddress &caller, std::span<const std::uint8_t> datagram)
+{
+    ngtcp2_version_cid header;
+    const bool isShort = !datagram.empty() && (datagram[0] & longHeaderBit) == 0;
+    if (isShort && ngtcp2_pkt_decode_version_cid(&header, datagram.data(), datagram.size(), flowIdLength) == 0) {
+        sendReset(caller, datagram, header);
+    }
 }
 
 QuicServer::QuicServer(QuicServerOptions options,
@@ -439,7 +458,7 @@
                        ConnectionIdSource connectionIdSource,
                        QuicServerSink &sink,
                        std::mt19937_64 &random)
-    : m_implementation(std::make_unique<Implementation>(options, std::move(credentials), std::move(connectionIdSource), sink, random))
+    : m_implementation(std::make_unique<Implementation>(std::move(options), std::move(credentials), std::move(connectionIdSource), sink, random))
 {
 }
 
@@ -450,6 +469,11 @@
     return m_implementation->receive(now, caller, datagram);
 }
 
+void QuicServer::resetEarlierFlow(const HostAddress &caller, std::span<const std::uint8_t> datagram)
+{
+    m_implementation->resetEarlierFlow(caller, datagram);
+}
+
 void QuicServer::flush(TimePoint now)
 {
     m_implementation->flush(now);
--- a/src/jujubequay/service/agent_path.cpp
+++ b/src/jujubequay/service/agent_path.cpp
@@ -1,5 +1,6 @@
 #include <jujubequay/datapath/read_batches.h>
 #include <jujubequay/service/agent_path.h>
+#include <jujubequay/wire/digest.h>
 #include <jujubequay/wire/flow_close.h>
 
 #include <algorithm>
@@ -38,6 +39,16 @@
     return peers;
 }
 
+/// Derives the key of stateless reset tokens. All agents of a deployment derive the same one from a flow key.
+ResetKey deriveResetKey(const FlowSecret &secret)
+{
+    Digest digest;
+    const std::string purpose = "stateless reset";
+    digest.add({reinterpret_cast<const std::uint8_t *>(purpose.data()), purpose.size()});
+    digest.add(secret);
+    return digest.finish();
+}
+
 }
 
 AdmissionOptions admissionOptionsOf(const ServiceAdmission &rules)
@@ -102,7 +113,7 @@
                 {})
     , m_returnPaths({})
     , m_quic(
-          m_options.quic,
+          quicOptions(),
           std::move(credentials),
           [this] {
               return newFlowId();
@@ -130,6 +141,16 @@
     }
 }
 
+QuicServerOptions AgentPath::quicOptions() const
+{
+    QuicServerOptions options = m_options.quic;
+    options.resetKey = [this](std::uint8_t keyNumber) {
+        const FlowSecret *secret = m_config->flowKeys.find(keyNumber);
+        return secret == nullptr ? std::nullopt : std::optional(deriveResetKey(*secret));
+    };
+    return options;
+}
+
 void AgentPath::apply(ConfigSnapshotPointer config)
 {
     const auto previousKeyNumber = m_config->flowKeys.activeNumber();
@@ -195,6 +216,13 @@
     return m_broker.isIdle() && isDelivered;
 }
 
+void AgentPath::stop()
+{
+    m_socket.close();
+    m_timeoutTimer.cancel();
+    m_loadReportTimer.cancel();
+}
+
 HostAddress AgentPath::address() const
 {
     return m_address;
@@ -343,6 +371,9 @@
         void operator()(const IngressDrop &drop) const
         {
             count(path.m_counters.dropped[static_cast<std::size_t>(drop.cause)]);
+            if (drop.cause == IngressDropCause::StaleIncarnation) {
+                path.resetEarlierFlow(relayed.header, relayed.payload);
+            }
         }
     };
     std::visit(Visitor{*this, *relayed}, m_ingress.receive(now, header, relayed->payload, localLoad()));
@@ -359,6 +390,14 @@
     m_currentReturnPath.reset();
 }
 
+// The caller of a flow that an earlier run had would otherwise wait until it times out.
+void AgentPath::resetEarlierFlow(const RelayHeader &header, std::span<const std::uint8_t> payload)
+{
+    m_currentReturnPath = ReturnPath{header.balancer, header.entry};
+    m_quic.resetEarlierFlow(header.caller, payload);
+    m_currentReturnPath.reset();
+}
+
 void AgentPath::relay(const HostAddress &destination, const RelayHeader &header, std::span<const std::uint8_t> payload)
 {
     std::copy(payload.begin(), payload.end(), m_sendBuffer.begin() + relayHeaderLength);
--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -190,6 +190,7 @@
     CPPUNIT_TEST(resumeIdentifierReachesTheSameAgent);
     CPPUNIT_TEST(drainAnswersRequestsBeforeClosingFlows);
     CPPUNIT_TEST(drainDoesNotWaitForUnresponsiveCallers);
+    CPPUNIT_TEST(restartedAgentResetsFlowsOfItsEarlierRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,24 +201,8 @@
         const auto certificate = makeSelfSignedCertificate(serviceName);
         CPPUNIT_ASSERT(certificate);
         m_callerCredentials = *TlsCredentials::client(certificate->certificatePem);
-        AgentPathOptions options;
-        options.service = service;
-        options.serviceName = serviceName;
-        auto relaySocket = bindUdpSocket(*m_context, {loopback, 0});
-        CPPUNIT_ASSERT(relaySocket);
-        options.incarnation = incarnation;
-        options.drainStallTimeout = std::chrono::milliseconds(200);
-        options.broker.admission.slots = 1;
-        m_agent = AgentPath::create(
-            *m_context,
-            m_clock,
-            options,
-            std::move(*relaySocket),
-            *TlsCredentials::server(certificate->certificatePem, certificate->keyPem),
-            configWith(keysUpTo(0), 5),
-            *m_backend,
-            [](const RequestReport &) {},
-            11);
+        m_agentCredentials = *TlsCredentials::server(certificate->certificatePem, certificate->keyPem);
+        m_agent = startAgent({loopback, 0}, incarnation, keysUpTo(0));
         m_balancers.clear();
         for (int number = 0; number < 2; ++number) {
             addBalancer(5);
@@ -364,7 +349,9 @@
                 return !m_backend->pending.empty();
             },
             false);
-        m_balancers.clear();
+        for (const auto &balancer : m_balancers) {
+            balancer->path->stop();
+        }
         m_agent->beginDrain();
         m_backend->answerAll(*m_agent);
         while (!m_agent->isIdle()) {
@@ -373,9 +360,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_agent->flowCount());
     }
 
+    // Guards against callers that wait for their time-out after an agent has restarted, also if the flow keys were rotated meanwhile.
+    void restartedAgentResetsFlowsOfItsEarlierRun()
+    {
+        TestCaller caller = makeCaller({m_balancers[0]->entry});
+        expectEcho(caller, 1, "before");
+        const HostAddress address = m_agent->address();
+        m_agent->stop();
+        const auto stoppedAgent = std::exchange(m_agent, startAgent(address, Incarnation{78}, keysUpTo(1)));
+        m_balancers[0]->path->apply({tableWith(keysUpTo(1), 5), {{service, m_balancers[0]->entry}}});
+        caller.request(2, "after", incarnation.value);
+        const TimePoint deadline = m_clock.now() + std::chrono::seconds(5);
+        runUntil(caller, [&] {
+            return caller.isEnded || m_clock.now() > deadline;
+        });
+        CPPUNIT_ASSERT(caller.isEnded);
+        CPPUNIT_ASSERT_EQUAL(1, m_backend->executions);
+    }
+
 private:
     static constexpr Incarnation incarnation{77};
 
+    std::unique_ptr<AgentPath> startAgent(const HostAddress &address, Incarnation agentIncarnation, const FlowKeySet &keys)
+    {
+        AgentPathOptions options;
+        options.service = service;
+        options.serviceName = serviceName;
+        options.incarnation = agentIncarnation;
+        options.drainStallTimeout = std::chrono::milliseconds(200);
+        options.broker.admission.slots = 1;
+        auto relaySocket = bindUdpSocket(*m_context, address);
+        CPPUNIT_ASSERT(relaySocket);
+        return AgentPath::create(
+            *m_context, m_clock, options, std::move(*relaySocket), m_agentCredentials, configWith(keys, 5), *m_backend, [](const RequestReport &) {}, 11);
+    }
+
     std::shared_ptr<ForwardingTable> tableWith(const FlowKeySet &keys, std::uint64_t revision) const
     {
         auto table = std::make_shared<ForwardingTable>();
@@ -460,6 +479,7 @@
     std::unique_ptr<AgentPath> m_agent;
     std::vector<std::unique_ptr<TestBalancer>> m_balancers;
     std::shared_ptr<const TlsCredentials> m_callerCredentials;
+    std::shared_ptr<const TlsCredentials> m_agentCredentials;
     std::map<StreamNumber, ResultCode> m_results;
 };
 
