Show that a stranger opens no flow at a draining agent

The QUIC server takes any destination identifier with the length of a flow identifier for a resume identifier, also while it refuses new flows. A balancer however forwards only identifiers that decode under a flow key as such; all others reach the agent as Initial packets, which a draining agent refuses before the QUIC server sees them.

AgentPathTest::strangerOpensNoFlowAtADrainingAgent sends a forged identifier of 20 bytes through a balancer to a draining agent. It passes, and fails if the ingress lets Initial packets without a second choice pass while draining (1 flow instead of 0). service_test 17 of 17.

Not changed: an identifier of another length would stay in the table when issueConnectionId refuses it; ngtcp2 asks for 20 bytes only.

--- a/src/jujubequay/service/agent_path_test.cpp
+++ b/src/jujubequay/service/agent_path_test.cpp
@@ -191,6 +191,7 @@
     CPPUNIT_TEST(drainAnswersRequestsBeforeClosingFlows);
     CPPUNIT_TEST(drainDoesNotWaitForUnresponsiveCallers);
     CPPUNIT_TEST(restartedAgentResetsFlowsOfItsEarlierRun);
+    CPPUNIT_TEST(strangerOpensNoFlowAtADrainingAgent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -378,6 +379,18 @@
         CPPUNIT_ASSERT_EQUAL(1, m_backend->executions);
     }
 
+    // Guards against an identifier of a stranger that is taken for a resume identifier because it has the same length.
+    void strangerOpensNoFlowAtADrainingAgent()
+    {
+        m_agent->beginDrain();
+        const FlowIdBytes forged{1, 2, 3};
+        TestCaller caller = makeCaller({m_balancers[0]->entry}, forged);
+        runUntil(caller, [this] {
+            return m_balancers[0]->staleRevision > 0 || m_agent->flowCount() > 0;
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_agent->flowCount());
+    }
+
 private:
     static constexpr Incarnation incarnation{77};
 
