Let an owner lookup visit more servers than hops fit

The servers and their flows live on; balancers, agents and registrars have forgotten them, so each flow needs an owner lookup.

21.49 side-dar-temeke-8 event=packet-dropped source=100.69.0.136:1061 destination=198.18.0.1:8443 opening=false cause=too-many-hops

The same flow had been placed at 5.54.

Cause: the lookup visits one server after the other by rank and counted each as a hop of 250 at most; the packet was then dropped, and so was each retransmission. A limit of that kind is needed only against packets that go round between hosts with different lists. Scores of ranks are the same on all hosts and fall with each step within a group of servers, so such steps can't go round: they are no longer counted. A step to an agent that is not listed, or from one that is missing in its own list, may be seen as a step back by others; it counts twelvefold, so a lookup that goes round ends after 20 of them. No message changes: an old agent still adds one for each of its own steps and drops beyond 250.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -79,7 +79,7 @@
     Duration routeTableFetchDelay = std::chrono::milliseconds(400);
     /// A request that has been held for this long is delivered, since its caller is about to time out.
     Duration maxHoldTime = std::chrono::milliseconds(900);
-    /// Limit of agents that forward the same packet. A lookup may have to visit all servers: with a limit of 64 it failed among 72 of them.
+    /// Limit of the hops of a packet. An owner lookup may have to visit all servers and counts only its steps between groups of them.
     std::uint8_t maxHops = 250;
     /// Time between owner notices to a registrar that has not acknowledged; many round trips.
     Duration noticeInterval = std::chrono::milliseconds(250);
@@ -225,6 +225,8 @@
     /// Next agent of an owner lookup; sets the phase in `next`. `isLookup`: the packet is part of a lookup already. Empty after all agents
     /// were tried.
     std::optional<HostAddress> nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const;
+    /// Hops that a step of an owner lookup to `agent` costs.
+    unsigned lookupHops(const FlowTuple &tuple, const SteerHeader &header, const HostAddress &agent) const;
     /// True if the packet belongs to an unknown flow that the local server may own. The server has to be known.
     bool mayOwnUnknownFlow(TimePoint now, const Segment &segment) const;
     /// True if the packet acknowledges what the server has sent lately in this flow.
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -87,6 +87,9 @@
     std::optional<HostAddress> firstRegistrar(const FlowTuple &tuple) const;
     /// The agent that ranks next after `previous` for a flow, or the best one if `previous` is unknown; empty after the last one.
     std::optional<HostAddress> nextAgent(const FlowTuple &tuple, const HostAddress &previous) const;
+    /// True if `next` ranks below `previous` in the same group. Hosts with different lists may disagree about groups but not about scores, so
+    /// a sequence of such steps never returns to an agent.
+    bool ranksBelowInGroup(const FlowTuple &tuple, const HostAddress &previous, const HostAddress &next) const;
 
 private:
     /// Index of a server in m_servers.
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -25,7 +25,7 @@
 
 /// Header in front of a caller's packet between balancers and agents.
 struct SteerHeader {
-    std::uint8_t hops = 0; ///< number of agents that have forwarded the packet
+    std::uint8_t hops = 0; ///< agents that have forwarded the packet, except those that an owner lookup does not count
     bool wantsOwnerNotice = false; ///< requests an owner notice for the balancer, which has no entry for the flow
     std::uint64_t routeTableVersion = 0; ///< version of the balancer's route table
     ServiceKey service; ///< service that was chosen for a SYN
--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -10,6 +10,8 @@
 
 /// Packets whose sequence numbers differ by more belong to different flows with the same addresses and ports.
 constexpr std::uint32_t maxSequenceDistance = 64U << 10U;
+/// Hops of a step that hosts with other lists may see as a step back. A lookup has room for 20 of them.
+constexpr unsigned uncertainStepHops = 12;
 
 bool isNear(std::uint32_t sequence, std::uint32_t reference)
 {
@@ -29,12 +31,13 @@
 {
     const FlowTuple tuple = flowTupleFromCaller(segment);
     SteerHeader next = header;
-    ++next.hops;
     next.isLookupPartial = header.isLookupPartial || !isServerListStable(now);
-    if (next.hops > m_options.maxHops) {
+    const auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, next);
+    const unsigned hops = header.hops + (agent ? lookupHops(tuple, header, *agent) : 0U);
+    if (hops > m_options.maxHops) {
         return DropPacket{SteerCause::TooManyHops};
     }
-    const auto agent = nextLookupAgent(header.wantsOwnerNotice, tuple, next);
+    next.hops = static_cast<std::uint8_t>(hops);
     next.wantsOwnerNotice = true;
     if (agent) {
         return RelayToAgent{*agent, next, SteerCause::OwnerLookup};
@@ -50,6 +53,20 @@
     return reset(segment, SteerCause::UnknownFlow);
 }
 
+// A step down the ranks of a group is not counted, so that the number of servers does not limit the lookup.
+unsigned AgentSteering::lookupHops(const FlowTuple &tuple, const SteerHeader &header, const HostAddress &agent) const
+{
+    if (header.lookupPhase != LookupPhase::AllServers) {
+        return 1;
+    }
+    if (m_directory.ranksBelowInGroup(tuple, m_options.agent, agent)) {
+        return 0;
+    }
+    const SteerServer *next = m_directory.find(agent);
+    const bool isCertain = m_directory.find(m_options.agent) != nullptr && next != nullptr && !next->unlistedSince;
+    return isCertain ? 1 : uncertainStepHops;
+}
+
 // Tries the registrars first, then all agents by rank, which include the registrars: a host with a different server list may have tried
 // other agents as registrars.
 std::optional<HostAddress> AgentSteering::nextLookupAgent(bool isLookup, const FlowTuple &tuple, SteerHeader &next) const
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(resendsANoticeUntilItIsAcknowledged);
     CPPUNIT_TEST(notifiesANewRegistrar);
     CPPUNIT_TEST(notifiesARestartedRegistrar);
+    CPPUNIT_TEST(triesAllServersOfALargeFleet);
+    CPPUNIT_TEST(endsALookupThatGoesRound);
     CPPUNIT_TEST(stopsNotifyingARegistrarThatNeverAcknowledges);
     CPPUNIT_TEST(stopsProbingTheServerAfterTheIdleTimeout);
     CPPUNIT_TEST(forwardsPacketsOfAFlowThatAnotherServerHasEstablished);
@@ -278,6 +280,63 @@
         }
     }
 
+    /// Guards against a lookup that is given up before it has visited all servers, so that the caller waits for its own deadline.
+    void triesAllServersOfALargeFleet()
+    {
+        constexpr std::uint32_t serverCount = 400;
+        Snapshots fleet;
+        for (std::uint32_t number = 1; number <= serverCount; ++number) {
+            fleet.server(number);
+        }
+        std::set<HostAddress> visited;
+        SteerHeader header = AgentSteeringTest::header();
+        HostAddress currentAgent = agentAddress(1);
+        while (true) {
+            visited.insert(currentAgent);
+            AgentSteering agent = this->agent(currentAgent.ip - agentAddress(0).ip, fleet);
+            const AgentDecision decision = agent.handleCallerPacket(m_now, header, data(flow(1), 5), m_notices);
+            const auto *relayed = std::get_if<RelayToAgent>(&decision);
+            if (relayed == nullptr) {
+                CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(decision));
+                break;
+            }
+            currentAgent = relayed->agent;
+            header = relayed->header;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{serverCount}, visited.size());
+    }
+
+    /// Guards against a packet that agents forward forever, because one of them is missing in its own list and starts again at the best rank.
+    void endsALookupThatGoesRound()
+    {
+        constexpr std::uint32_t serverCount = 20;
+        constexpr int maxRounds = 50;
+        Snapshots fleet;
+        for (std::uint32_t number = 1; number <= serverCount; ++number) {
+            fleet.server(number);
+        }
+        const AgentSteering observer = agent(1, fleet);
+        const HostAddress last = observer.directory().rankedAgents(flow(1)).back();
+        SteerHeader header = lookupHeader();
+        HostAddress currentAgent = observer.directory().rankedAgents(flow(1)).front();
+        for (std::uint32_t forwards = 0;; ++forwards) {
+            CPPUNIT_ASSERT(forwards < maxRounds * serverCount);
+            const std::uint32_t number = currentAgent.ip - agentAddress(0).ip;
+            Snapshots list = fleet;
+            if (currentAgent == last) {
+                list.without(number);
+            }
+            AgentSteering agent = this->agent(number, list);
+            const AgentDecision decision = agent.handleCallerPacket(m_now, header, data(flow(1), 5), m_notices);
+            const auto *relayed = std::get_if<RelayToAgent>(&decision);
+            if (relayed == nullptr) {
+                break;
+            }
+            currentAgent = relayed->agent;
+            header = relayed->header;
+        }
+    }
+
     void stopsNotifyingARegistrarThatNeverAcknowledges()
     {
         AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -299,4 +299,13 @@
     return group == groups.end() ? std::nullopt : std::optional(bestBelow(**group, hash, std::nullopt)->agent);
 }
 
+bool ServerDirectory::ranksBelowInGroup(const FlowTuple &tuple, const HostAddress &previous, const HostAddress &next) const
+{
+    const SteerServer *from = find(previous);
+    const SteerServer *to = find(next);
+    const bool isSameGroup = from != nullptr && to != nullptr && from->zone == to->zone && from->unlistedSince.has_value() == to->unlistedSince.has_value();
+    const std::uint64_t hash = hashOf(tuple);
+    return isSameGroup && scoreOf(hash, next) < scoreOf(hash, previous);
+}
+
 }
