Count the hops of a packet of another flow that a server rejects

The hops of the packet started again at 0, so that two agents that take each other for the owner would pass it back and forth without end. The agent now keeps the header of such a packet, and that of a SYN which reaches an open flow.

Evidence: countsTheHopsOfAPacketOfAnotherFlow failed before (hops not 8); redirectsASynThatFollowsAPacketOfAnotherFlow fails without the second header.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -181,7 +181,7 @@
         TimePoint synReceivedAt{};
         TimePoint openedAt{};
         std::optional<TimePoint> synAckSentAt; ///< when the server last answered a SYN of the flow before it was open
-        SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow
+        SteerHeader header; ///< header of the last SYN or probe, or of the last packet of a closed flow or of another one than the open one
         std::uint32_t serverInitialSequence = 0; ///< sequence number of the SYN-ACK
         std::uint32_t serverSequence = 0; ///< sequence number after the server's last packet
         std::optional<std::uint32_t> callerSequence; ///< acknowledgement number in the last packet of the server
--- a/src/jujubequay/steering/agent_flow_acceptance.cpp
+++ b/src/jujubequay/steering/agent_flow_acceptance.cpp
@@ -21,6 +21,7 @@
     if (found != m_flows.end()) {
         Flow &flow = found->second;
         if (isLocalFlow(flow)) {
+            flow.header = flow.state == FlowState::Open ? header : flow.header;
             return deliver(now, flow, header, segment, notices);
         }
         if (mayBeRemoteFlowOfSyn(now, flow)) {
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -128,6 +128,7 @@
     case FlowState::Open:
         if (segment.isAck && !acknowledgesServer(flow, segment)) {
             // It belongs to another flow with the same addresses and ports, or is very late. The server decides.
+            flow.header = header;
             return DeliverToServer{};
         }
         return deliver(now, flow, header, segment, notices);
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -90,6 +90,8 @@
     CPPUNIT_TEST(probesTheServerForAFlowThatFollowsARecordedOne);
     CPPUNIT_TEST(keepsTheOwnerWhenTheLocalServerEndsAnEarlierFlow);
     CPPUNIT_TEST(learnsNothingFromAPacketOfAnotherFlow);
+    CPPUNIT_TEST(countsTheHopsOfAPacketOfAnotherFlow);
+    CPPUNIT_TEST(redirectsASynThatFollowsAPacketOfAnotherFlow);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
     CPPUNIT_TEST_SUITE_END();
@@ -1428,6 +1430,35 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, agent.load().openFlows);
     }
 
+    /// Two agents may each take the other one for the owner, because of flows with the same addresses and ports that have been abandoned. Guards against
+    /// a packet that goes round between them for ever.
+    void countsTheHopsOfAPacketOfAnotherFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3));
+        openFlow(agent, flow(1));
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(2), {102}, 0});
+        const Segment foreign = data(flow(1), 900'000'000);
+        SteerHeader header = AgentSteeringTest::header();
+        header.hops = 7;
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, header, foreign, m_notices)));
+        const AgentDecision passed = agent.handleServerPacket(m_now, rejected(foreign), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(passed).agent == agentAddress(2));
+        CPPUNIT_ASSERT_EQUAL(std::uint8_t{8}, std::get<RelayToAgent>(passed).header.hops);
+    }
+
+    /// Guards against a new flow that is reset because of the hops of an earlier packet with the same addresses and ports.
+    void redirectsASynThatFollowsAPacketOfAnotherFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        openFlow(agent, flow(1));
+        SteerHeader late = header();
+        late.hops = 7;
+        agent.handleCallerPacket(m_now, late, data(flow(1), 900'000'000), m_notices);
+        agent.handleCallerPacket(m_now + seconds(6), header(), syn(flow(1)), m_notices);
+        const AgentDecision decision = agent.handleServerPacket(m_now + seconds(6), rejected(syn(flow(1))), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<RelayToAgent>(decision));
+    }
+
     /// Passes a caller's packet from agent to agent, starting at its first registrar. Returns the last decision.
     AgentDecision lookUp(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
     {
