Count a server list as stable only while it is current

Change: WatchSubscriber confirms the server list with each message of the control host, also an empty heartbeat, once the stream has sent a list: a control host that has restarted sends heartbeats before its list. AgentSteering counts the list as current for two thirds of the silence limit after that, heartbeats come after a third. After a longer gap, which is also how a pause looks, the list has to be unchanged for 0.4 s from the next message on, in which the messages of that time are read. Lookups are held meanwhile as before, and dropped when they grow too old, so without control hosts nothing hangs. No message changes.

Tests: holdsLookupsWhileNoControlHostConfirmsTheServerList and holdsLookupsAfterAPause fail if the list always counts as current, confirmsTheServerListThatTheStreamHasSent if each message confirms.

--- a/include/jujubequay/control/watch_subscriber.h
+++ b/include/jujubequay/control/watch_subscriber.h
@@ -44,12 +44,15 @@
 struct PublishConfig {
     ConfigSnapshotPointer snapshot;
 };
+/// Effect: the server list in force is current. Comes with each message on a stream that has sent the list, after PublishConfig.
+struct ConfirmServerList {
+};
 /// Effect: use these control hosts from now on.
 struct PublishControlHosts {
     std::vector<HostAddress> addresses;
 };
-using WatchSubscriberEffect
-    = std::variant<OpenWatchStream, SendToControl, CloseWatchStream, RequestPeerState, RefusedControlMessage, PublishConfig, PublishControlHosts>;
+using WatchSubscriberEffect = std::
+    variant<OpenWatchStream, SendToControl, CloseWatchStream, RequestPeerState, RefusedControlMessage, PublishConfig, ConfirmServerList, PublishControlHosts>;
 using WatchSubscriberEffects = std::vector<WatchSubscriberEffect>;
 
 struct WatchSubscriberOptions {
@@ -157,6 +160,7 @@
     std::uint32_t m_failures = 0;
     TimePoint m_nextAttempt{};
     TimePoint m_lastMessageAt{};
+    bool m_hasRegistryOfStream = false; ///< the open stream has sent a server list, or that there is no newer one
     std::optional<TimePoint> m_nextMove; // earliest change to a control host of the local availability zone
 
     std::uint64_t m_revision = 0;
--- a/include/jujubequay/service/config_watcher.h
+++ b/include/jujubequay/service/config_watcher.h
@@ -13,8 +13,8 @@
 
 namespace Jujubequay {
 
-/// Runs a WatchSubscriber on the control thread: opens its streams, queries peers, and passes new configurations and
-/// control hosts to the handlers.
+/// Runs a WatchSubscriber on the control thread: opens its streams, queries peers, and passes new configurations,
+/// confirmations of the server list and control hosts to the handlers.
 class ConfigWatcher : public std::enable_shared_from_this<ConfigWatcher>
 {
 public:
@@ -27,7 +27,8 @@
                   std::vector<HostAddress> peers,
                   std::mt19937_64 &random,
                   ConfigSnapshotHandler onConfig,
-                  std::function<void(const std::vector<HostAddress> &)> onControlHosts = {});
+                  std::function<void(const std::vector<HostAddress> &)> onControlHosts = {},
+                  std::function<void()> onServerListConfirmed = {});
 
     void start();
     void stop();
@@ -63,6 +64,7 @@
     const std::vector<HostAddress> m_peers;
     ConfigSnapshotHandler m_onConfig;
     std::function<void(const std::vector<HostAddress> &)> m_onControlHosts;
+    std::function<void()> m_onServerListConfirmed;
     WatchSubscriber m_subscriber;
     asio::steady_timer m_timer;
     std::shared_ptr<MessageStream> m_watchStream; ///< null while no watch stream is open
--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -89,6 +89,8 @@
     std::uint8_t maxNotices = 8;
     /// The server list is stable if it has not changed for this long. Flows without an owner are reset only then.
     Duration stabilizationTime = std::chrono::milliseconds(400);
+    /// How long the server list counts as current after a message of a control host. Longer than the interval of its heartbeats.
+    Duration serverListValidity = std::chrono::seconds(1);
 };
 
 /// Changes of the recorded flows of the local server.
@@ -126,7 +128,9 @@
     AgentDecision startHeldRequest(TimePoint now, const Segment &segment);
     /// False until the first call of `setServer`. Until then the local server may own any flow.
     bool isServerKnown() const;
-    /// True if the registry is complete and the server list has not changed for `stabilizationTime`.
+    /// Call for each message of a control host, also an empty one, after `update` with its contents: the server list is current.
+    void confirmServerList(TimePoint now);
+    /// True if the registry is complete, and the server list is current and has not changed for `stabilizationTime`.
     bool isServerListStable(TimePoint now) const;
     /// Restarts the owner lookup for a packet that was queued for HoldLookup.
     AgentDecision retryLookup(TimePoint now, const SteerHeader &header, const Segment &segment, std::vector<AddressedNotice> &notices);
@@ -280,6 +284,8 @@
     void restoreFlow(TimePoint now, const OwnerNotice &notice);
     /// Removes the restored flows that the current server does not own.
     void removeInvalidRestoredFlows();
+    /// False if a control host has been silent, or this host has been suspended: servers that have joined meanwhile may be missing.
+    bool isServerListCurrent(TimePoint now) const;
     /// True if the flow table lists every flow of the local server.
     bool isFlowTableComplete(TimePoint now) const;
     void startRequest(TimePoint now, Flow &flow);
@@ -310,6 +316,7 @@
     bool m_isServerKnown = false;
     OutlierDetector m_outlierDetector;
     TimePoint m_serverListChangedAt{};
+    TimePoint m_serverListConfirmedAt{}; ///< when a control host has last sent a message
     std::optional<TimePoint> m_unobservedBefore; ///< flows of the server that were opened before may be missing in the flow table
     std::uint64_t m_highestRouteTableVersion = 0; ///< highest version in a received packet
     TimePoint m_highestRouteTableSeenAt{};
--- a/include/jujubequay/steering_program/agent_traffic.h
+++ b/include/jujubequay/steering_program/agent_traffic.h
@@ -45,6 +45,8 @@
 
     void start();
     void update(const ConfigSnapshotPointer &snapshot);
+    /// The server list is current: a control host has sent a message.
+    void confirmServerList();
     /// Sets the local server, and resets the callers of a server that is replaced. `isFresh` as in AgentSteering::setServer.
     void setServer(const std::optional<LocalServer> &server, bool isFresh);
     const PacketCounters &counters() const;
--- a/include/jujubequay/steering_program/discovery.h
+++ b/include/jujubequay/steering_program/discovery.h
@@ -33,6 +33,7 @@
     HostAddress noticeAddress; ///< address to which control hosts send start notices
     ConfigSnapshotHandler onConfig;
     std::function<void(const std::vector<HostAddress> &)> onControlHosts = {};
+    std::function<void()> onServerListConfirmed = {};
 };
 
 /// Creates a watcher that subscribes to the control hosts, starting from the seeds. `services` must have been started and must outlive the
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -226,6 +226,7 @@
     ++m_stream;
     m_isStreamOpen = true;
     m_hasReceivedState = false;
+    m_hasRegistryOfStream = false;
     m_lastMessageAt = now;
     m_openedAt = now;
     m_followsStartNotice = false;
@@ -385,6 +386,9 @@
     if (isConfigNew || isRegistryNew) {
         publish(effects);
     }
+    if (m_hasRegistryOfStream && !m_incomingRegistry) {
+        effects.emplace_back(ConfirmServerList());
+    }
     if (isConfigNew) {
         sendReport(effects);
     }
@@ -474,6 +478,7 @@
     m_registryEpoch = delta.epoch();
     m_registrySequence = delta.sequence();
     m_registryHost = m_rankedHosts[m_currentHost];
+    m_hasRegistryOfStream = true;
     return true;
 }
 
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -68,6 +68,8 @@
                 ++peerStateRequests;
             } else if (const auto *refused = std::get_if<RefusedControlMessage>(&effect)) {
                 refusals.push_back(refused->detail);
+            } else if (std::holds_alternative<ConfirmServerList>(effect)) {
+                ++confirmations;
             } else {
                 ++publishedSnapshots;
             }
@@ -105,6 +107,7 @@
     std::vector<std::string> refusals;
     int peerStateRequests = 0;
     int publishedSnapshots = 0;
+    int confirmations = 0; ///< of the server list
 
 private:
     WatchSubscriber &m_subscriber;
@@ -137,6 +140,7 @@
     CPPUNIT_TEST(isolatedControlHostDisconnectsWatchers);
     CPPUNIT_TEST(laggingControlHostCannotReinstateAState);
     CPPUNIT_TEST(laggingControlHostCannotReinstateAServer);
+    CPPUNIT_TEST(confirmsTheServerListThatTheStreamHasSent);
     CPPUNIT_TEST(slowWatcherSkipsStatesAndCatchesUp);
     CPPUNIT_TEST(restartedControlHostDoesNotEmptyTheServerList);
     CPPUNIT_TEST(largeRegistryIsReplacedAsAWhole);
@@ -338,6 +342,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, subscriber.snapshot()->servers[0].order);
     }
 
+    /// Guards against heartbeats of a restarted control host, which come before its list, that make an old list count as current.
+    void confirmsTheServerListThatTheStreamHasSent()
+    {
+        std::mt19937_64 random(1);
+        WatchSubscriber subscriber(balancerOptions(), random);
+        Connection connection(subscriber);
+        const TimePoint now{seconds(10)};
+        connection.executeEffects(now, subscriber.tick(now));
+        const auto confirmationsAfter = [&](const pb::WatchDown &message) {
+            connection.confirmations = 0;
+            connection.executeEffects(now, subscriber.receive(now, connection.stream(), message));
+            return connection.confirmations;
+        };
+        pb::WatchDown heartbeat;
+        heartbeat.set_heartbeat(true);
+        pb::WatchDown list;
+        list.mutable_registry()->set_epoch(5);
+        list.mutable_registry()->set_sequence(9);
+        list.mutable_registry()->set_full(true);
+        list.mutable_registry()->set_more(true);
+        CPPUNIT_ASSERT_EQUAL(0, confirmationsAfter(heartbeat));
+        CPPUNIT_ASSERT_EQUAL(0, confirmationsAfter(list));
+        list.mutable_registry()->set_full(false);
+        list.mutable_registry()->set_more(false);
+        CPPUNIT_ASSERT_EQUAL(1, confirmationsAfter(list));
+        CPPUNIT_ASSERT_EQUAL(1, confirmationsAfter(heartbeat));
+        subscriber.streamClosed(now, connection.stream());
+        connection.executeEffects(now + seconds(10), subscriber.tick(now + seconds(10)));
+        CPPUNIT_ASSERT_EQUAL(0, confirmationsAfter(heartbeat));
+    }
+
     void slowWatcherSkipsStatesAndCatchesUp()
     {
         m_connection->rollOut(1);
--- a/src/jujubequay/service/config_watcher.cpp
+++ b/src/jujubequay/service/config_watcher.cpp
@@ -18,7 +18,8 @@
                              std::vector<HostAddress> peers,
                              std::mt19937_64 &random,
                              ConfigSnapshotHandler onConfig,
-                             std::function<void(const std::vector<HostAddress> &)> onControlHosts)
+                             std::function<void(const std::vector<HostAddress> &)> onControlHosts,
+                             std::function<void()> onServerListConfirmed)
     : m_context(context)
     , m_clock(clock)
     , m_logger(logger)
@@ -26,6 +27,7 @@
     , m_peers(std::move(peers))
     , m_onConfig(std::move(onConfig))
     , m_onControlHosts(std::move(onControlHosts))
+    , m_onServerListConfirmed(std::move(onServerListConfirmed))
     , m_subscriber(std::move(options), random)
     , m_timer(context)
 {
@@ -166,6 +168,12 @@
                                    {"control_host", toString(watcher.m_subscriber.controlHost())}});
             watcher.m_onConfig(effect.snapshot);
         }
+        void operator()(const ConfirmServerList &) const
+        {
+            if (watcher.m_onServerListConfirmed) {
+                watcher.m_onServerListConfirmed();
+            }
+        }
         void operator()(const PublishControlHosts &effect) const
         {
             watcher.m_logger.info("control-hosts", {{"count", effect.addresses.size()}, {"first", toString(effect.addresses.front())}});
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -272,9 +272,24 @@
     return m_isServerKnown;
 }
 
+void AgentSteering::confirmServerList(TimePoint now)
+{
+    if (!isServerListCurrent(now)) {
+        // After a pause the messages of the time before are read first, and changes follow them.
+        m_serverListChangedAt = now;
+    }
+    m_serverListConfirmedAt = now;
+}
+
+bool AgentSteering::isServerListCurrent(TimePoint now) const
+{
+    return now - m_serverListConfirmedAt <= m_options.serverListValidity;
+}
+
 bool AgentSteering::isServerListStable(TimePoint now) const
 {
-    return m_directory.isReady() && m_directory.isRegistryComplete() && now - m_serverListChangedAt >= m_options.stabilizationTime;
+    const bool isUnchanged = now - m_serverListChangedAt >= m_options.stabilizationTime;
+    return m_directory.isReady() && m_directory.isRegistryComplete() && isUnchanged && isServerListCurrent(now);
 }
 
 // Packets of the server
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -55,6 +55,8 @@
     CPPUNIT_TEST(triesAllServersWhenServerListsDiffer);
     CPPUNIT_TEST(resetsAFlowWithoutAnOwner);
     CPPUNIT_TEST(holdsLookupsWhileTheServerListIsUnstable);
+    CPPUNIT_TEST(holdsLookupsWhileNoControlHostConfirmsTheServerList);
+    CPPUNIT_TEST(holdsLookupsAfterAPause);
     CPPUNIT_TEST(resetsNoFlowWhileTheRegistryIsIncomplete);
     CPPUNIT_TEST(retriesALookupThroughAnIncompleteServerList);
     CPPUNIT_TEST(givesUpALookupThatStaysPartial);
@@ -99,6 +101,7 @@
     {
         AgentSteering agent({.agent = agentAddress(number)});
         agent.update(m_now - seconds(10), snapshots.build());
+        agent.confirmServerList(m_now - milliseconds(500));
         agent.setServer(m_now - seconds(10), LocalServer{serviceKey("feed"), {100 + number}, true, 3}, isFresh);
         return agent;
     }
@@ -859,15 +862,41 @@
         const FlowTuple tuple = flowWithLastRank(agent.directory(), agentAddress(1));
         CPPUNIT_ASSERT(std::holds_alternative<HoldLookup>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
         CPPUNIT_ASSERT(!agent.isServerListStable(m_now));
+        agent.confirmServerList(m_now + milliseconds(400));
         CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now + seconds(1), lookupHeader(), data(tuple, 5), m_notices)));
     }
 
+    /// Guards against a reset of a flow whose server has joined while the watch stream had stalled.
+    void holdsLookupsWhileNoControlHostConfirmsTheServerList()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        const FlowTuple tuple = flowWithLastRank(agent.directory(), agentAddress(1));
+        const auto isReset = [&](Duration elapsed) {
+            return std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now + elapsed, lookupHeader(), data(tuple, 5), m_notices));
+        };
+        CPPUNIT_ASSERT(isReset(milliseconds(500)));
+        CPPUNIT_ASSERT(!isReset(milliseconds(600)));
+    }
+
+    /// Guards against a reset by a host that was suspended: the messages of that time, of which the first may be an old heartbeat, are read one by one.
+    void holdsLookupsAfterAPause()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        CPPUNIT_ASSERT(agent.isServerListStable(m_now));
+        const TimePoint end = m_now + seconds(20);
+        CPPUNIT_ASSERT(!agent.isServerListStable(end));
+        agent.confirmServerList(end);
+        CPPUNIT_ASSERT(!agent.isServerListStable(end));
+        CPPUNIT_ASSERT(agent.isServerListStable(end + agent.options().stabilizationTime));
+    }
+
     /// After a restart of all control hosts a server that is not listed yet may own the flow. Once the registry is complete, the caller is
     /// reset without further delay.
     void resetsNoFlowWhileTheRegistryIsIncomplete()
     {
         AgentSteering agent({.agent = agentAddress(1)});
         agent.update(m_now - seconds(10), Snapshots().server(1).incomplete().build());
+        agent.confirmServerList(m_now - milliseconds(500));
         agent.setServer(m_now - seconds(10), LocalServer{serviceKey("feed"), {101}, true, 3}, true);
         CPPUNIT_ASSERT(std::holds_alternative<HoldLookup>(agent.handleCallerPacket(m_now, lookupHeader(), data(flow(1), 5), m_notices)));
         agent.update(m_now, Snapshots().server(1).build());
--- a/src/jujubequay/steering/steering_random_events.cpp
+++ b/src/jujubequay/steering/steering_random_events.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t maxDeregistered = 64;
+constexpr auto heartbeatDelay = std::chrono::milliseconds(5);
 /// The address of a server is not used for another service before.
 constexpr auto reuseTime = std::chrono::seconds(2);
 
@@ -54,8 +55,10 @@
 void SteeringRandomRun::publishTo(const HostAddress &host, bool isCertain)
 {
     if (!isCertain && chance(0.05)) {
+        m_stalledWatchers.insert(host);
         return;
     }
+    m_stalledWatchers.erase(host);
     ConfigSnapshot snapshot;
     snapshot.routes = std::make_shared<RouteTable>(m_routes);
     for (const auto &entry : m_registry) {
@@ -80,12 +83,31 @@
         const auto index = agentAt(host);
         if (index && m_agents[*index].steering) {
             m_agents[*index].steering->update(m_now, snapshot);
+            m_agents[*index].steering->confirmServerList(m_now);
             m_agents[*index].steering->resendNotices(m_now, m_notices);
             sendNotices(*index);
         }
     });
 }
 
+// A control host confirms the list only if it has sent all changes before.
+void SteeringRandomRun::sendHeartbeats()
+{
+    for (std::size_t index = 0; index < m_agents.size(); ++index) {
+        const HostAddress host = m_agents[index].address;
+        if (m_stalledWatchers.contains(host)) {
+            continue;
+        }
+        TimePoint &last = m_lastPublishedTo[host];
+        last = std::max(last, m_now + heartbeatDelay);
+        after(last - m_now, [this, index] {
+            if (m_agents[index].steering) {
+                m_agents[index].steering->confirmServerList(m_now);
+            }
+        });
+    }
+}
+
 void SteeringRandomRun::setRoute(const HostAddress &address, const std::vector<std::string> &services)
 {
     m_routes.set_version(m_routes.version() + 1);
--- a/src/jujubequay/steering/steering_random_run.cpp
+++ b/src/jujubequay/steering/steering_random_run.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr auto runTime = std::chrono::seconds(60);
+constexpr auto heartbeatInterval = std::chrono::milliseconds(500);
 constexpr auto maxFlowAge = std::chrono::seconds(60);
 constexpr auto idleTimeout = std::chrono::seconds(15);
 /// How long a disturbed host or server does not count.
@@ -79,6 +80,9 @@
     every(std::chrono::seconds(4), [this] {
         publish();
     });
+    every(heartbeatInterval, [this] {
+        sendHeartbeats();
+    });
     const Duration eventInterval = Milliseconds(300 + random(3000));
     after(std::chrono::seconds(6), [this, eventInterval] {
         every(eventInterval, [this] {
--- a/src/jujubequay/steering/steering_random_run.h
+++ b/src/jujubequay/steering/steering_random_run.h
@@ -207,6 +207,7 @@
     void announceToRegistry(std::size_t agent);
     void publish();
     void publishTo(const HostAddress &host, bool isCertain);
+    void sendHeartbeats();
     void setRoute(const HostAddress &address, const std::vector<std::string> &services);
 
     // Events
@@ -256,6 +257,7 @@
     std::vector<DeregisteredServer> m_deregistered;
     bool m_isRegistryComplete = true;
     std::uint64_t m_controlHostStarts = 0; ///< a start of the control hosts ends the wait for announcements of the one before
+    std::set<HostAddress> m_stalledWatchers; ///< get no heartbeats until they get the next list
     std::map<HostAddress, TimePoint> m_lastPublishedTo; ///< keeps the lists of one host in order
 };
 
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -47,6 +47,8 @@
 {
     AgentSteeringOptions options;
     options.agent = settings.relayAddress;
+    // Control hosts send a heartbeat after a third of the silence limit.
+    options.serverListValidity = settings.discovery.silenceLimit * 2 / 3;
     return options;
 }
 
@@ -146,6 +148,11 @@
     retryLookupsIfServerListStable();
 }
 
+void AgentTraffic::confirmServerList()
+{
+    m_steering.confirmServerList(m_clock.now());
+}
+
 void AgentTraffic::setServer(const std::optional<LocalServer> &server, bool isFresh)
 {
     const bool wasServerKnown = m_steering.isServerKnown();
--- a/src/jujubequay/steering_program/discovery.cpp
+++ b/src/jujubequay/steering_program/discovery.cpp
@@ -33,7 +33,8 @@
                                            std::vector<HostAddress>(),
                                            services.random(),
                                            std::move(options.onConfig),
-                                           std::move(options.onControlHosts));
+                                           std::move(options.onControlHosts),
+                                           std::move(options.onServerListConfirmed));
 }
 
 void applySeeds(Logger &logger, const SeedReader &read, const std::function<void(std::vector<HostAddress>)> &apply)
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -119,6 +119,11 @@
     watcher.onControlHosts = [this](const std::vector<HostAddress> &controlHosts) {
         m_announceClient->setControlHosts(controlHosts);
     };
+    watcher.onServerListConfirmed = [this] {
+        m_loop.post([traffic = m_traffic.get()] {
+            traffic->confirmServerList();
+        });
+    };
     m_watcher = createWatcher(m_context, m_services, m_settings.discovery, std::move(watcher));
     m_watcher->start();
     m_settingsWatcher.start();
