--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -221,11 +221,11 @@
         changed.set_sequence(3);
         changed.set_state(pb::SERVER_STATE_DRAINING);
         registry.announce(now, 1, static_cast<std::uint64_t>(repeat), changed);
-        const std::uint64_t sentBefore = server.sentBytes();
+        const std::uint64_t sentBefore = server.messages().sentBytes();
         const double startMs = processorMilliseconds();
         pumpAndConfirm();
         changeMs += processorMilliseconds() - startMs;
-        changeBytes += server.sentBytes() - sentBefore;
+        changeBytes += server.messages().sentBytes() - sentBefore;
     }
     fmt::print("watch-server watchers={:<5} heap_kb_per_watcher={:<5.2f} change_ms={:<7.2f} change_us_per_watcher={:<6.2f} bytes_per_watcher={}\n",
                watchers,
--- a/src/jujubequay/control_program/control_process.cpp
+++ b/src/jujubequay/control_program/control_process.cpp
@@ -184,8 +184,8 @@
         m_metrics->setGauge("control_revision", static_cast<double>(m_service->driver().state().revision()));
         m_metrics->setGauge("control_applied_index", static_cast<double>(m_service->driver().replica().appliedIndex()));
         m_metrics->setGauge("control_watchers", static_cast<double>(m_service->watchServer().watcherCount()));
-        m_metrics->setGauge("control_watch_sent_bytes", static_cast<double>(m_service->watchServer().sentBytes()));
-        m_metrics->setGauge("control_watch_received_bytes", static_cast<double>(m_service->watchServer().receivedBytes()));
+        m_metrics->setGauge("control_watch_sent_bytes", static_cast<double>(m_service->watchServer().messages().sentBytes()));
+        m_metrics->setGauge("control_watch_received_bytes", static_cast<double>(m_service->watchServer().messages().receivedBytes()));
     }
 
     const ControlSettings &m_settings;
