--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -101,6 +101,13 @@
     CPPUNIT_TEST(learnsNothingFromAPacketOfAnotherFlow);
     CPPUNIT_TEST(asksEachServerDespiteALateNotice);
     CPPUNIT_TEST(passesALatePacketOnAFewTimes);
+    CPPUNIT_TEST(probesItsServerAfterTheEndOfAnEarlierOwner);
+    CPPUNIT_TEST(probesItsServerAfterALateSynAndTheEndOfAnEarlierOwner);
+    CPPUNIT_TEST(holdsLookupsBeforeItsServerIsKnownDespiteANotice);
+    CPPUNIT_TEST(endsNoRecordedFlowThatItsServerMayOwn);
+    CPPUNIT_TEST(claimsNoFlowBecauseOfAReset);
+    CPPUNIT_TEST(findsTheOwnerDespiteANoticeOfAServingOne);
+    CPPUNIT_TEST(acceptsAReturnedFlowDespiteALateNotice);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -1695,6 +1702,117 @@
         }
     }
 
+    /// A restarted agent hears of an earlier flow with the same ports, whose server then ends, before a packet of the open flow of its own server arrives.
+    /// Guards against a lookup that does not ask the owner's server, and resets the flow.
+    void probesItsServerAfterTheEndOfAnEarlierOwner()
+    {
+        Snapshots snapshots;
+        snapshots.server(1).server(2).server(3);
+        std::map<HostAddress, AgentSteering> agents;
+        agents.emplace(agentAddress(1), agent(1, snapshots, false));
+        agents.emplace(agentAddress(2), agent(2, snapshots));
+        agents.emplace(agentAddress(3), agent(3, snapshots));
+        agents.at(agentAddress(1)).handleOwnerNotice(m_now - seconds(2), {flow(1), agentAddress(3), {103}, 5'000'000});
+        for (auto &[address, agent] : agents) {
+            agent.update(m_now - seconds(1), Snapshots(snapshots).incarnation(3, 777).build());
+        }
+        const std::vector<HostAddress> delivered = deliveries(agents, flow(1), agentAddress(1));
+        CPPUNIT_ASSERT(!delivered.empty() && delivered.back() == agentAddress(1));
+    }
+
+    /// The same with a late copy of the SYN before the notice.
+    void probesItsServerAfterALateSynAndTheEndOfAnEarlierOwner()
+    {
+        Snapshots snapshots;
+        AgentSteering agent = this->agent(1, snapshots.server(1).server(2).server(3), false);
+        const FlowTuple tuple = flowWithLastRank(agent.directory(), agentAddress(1));
+        agent.handleCallerPacket(m_now - seconds(3), header(), syn(tuple, 1), m_notices);
+        agent.handleOwnerNotice(m_now - seconds(2), {tuple, agentAddress(3), {103}, 5'000'000});
+        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5), m_notices)));
+    }
+
+    /// Guards against a restarted agent that counts as one without the flow before it knows whether its server runs.
+    void holdsLookupsBeforeItsServerIsKnownDespiteANotice()
+    {
+        Snapshots snapshots;
+        snapshots.server(1).server(2).server(3);
+        AgentSteering agent({.agent = agentAddress(1)});
+        agent.update(m_now - seconds(10), snapshots.build());
+        const FlowTuple tuple = flowWithLastRank(agent.directory(), agentAddress(1));
+        agent.handleOwnerNotice(m_now - seconds(2), {tuple, agentAddress(3), {103}, 5'000'000});
+        agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        SteerHeader lookup = lookupHeader();
+        lookup.lookupPhase = LookupPhase::KnownFlows;
+        lookup.areFlowTablesComplete = true;
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(agent.handleCallerPacket(m_now, lookup, data(tuple, 5), m_notices)));
+    }
+
+    /// A server opens a flow before its announcement, its agent records the flow as one of the server before, and restarts. Guards against a reset of an
+    /// open flow because of a record, at an agent that does not know the flows of its server.
+    void endsNoRecordedFlowThatItsServerMayOwn()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        CPPUNIT_ASSERT(agent.endFlows(m_now, {{777}, {{flow(1), 1001}}}).empty());
+    }
+
+    /// A server answers data of a flow with an RST if it had an earlier one with the same ports. Guards against a registrar that learns from it that this
+    /// server owns the flow, with a sequence number of the flow that is open elsewhere.
+    void claimsNoFlowBecauseOfAReset()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2), false);
+        const FlowTuple tuple = flowWithFirstRegistrar(agent.directory(), agentAddress(2));
+        agent.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5, 5'000'000), m_notices);
+        Segment reset = fromServer(tuple);
+        reset.isRst = true;
+        reset.acknowledgement = 5'000'100;
+        agent.handleServerPacket(m_now, reset, m_notices);
+        CPPUNIT_ASSERT(m_notices.empty());
+    }
+
+    /// As in asksEachServerDespiteALateNotice, with all retries of the lookup. Guards against a flow whose packets are dropped for as long as the server
+    /// in the notice runs.
+    void findsTheOwnerDespiteANoticeOfAServingOne()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            snapshots.server(number);
+        }
+        std::map<HostAddress, AgentSteering> agents;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            agents.emplace(agentAddress(number), agent(number, snapshots));
+        }
+        const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(1));
+        openFlow(agents.at(ranked[2]), flow(1));
+        agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(1), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}, 5'000'000});
+        HostAddress current = ranked[0];
+        AgentDecision decision = RelayToAgent{current, header(), SteerCause::OwnerLookup};
+        std::get<RelayToAgent>(decision).header.wantsOwnerNotice = true;
+        while (true) {
+            if (const auto *relayed = std::get_if<RelayToAgent>(&decision)) {
+                current = relayed->agent;
+                decision = agents.at(current).handleCallerPacket(m_now, SteerHeader(relayed->header), data(flow(1), 1001), m_notices);
+            } else if (const auto *held = std::get_if<HoldLookup>(&decision)) {
+                decision = agents.at(current).retryLookup(m_now, SteerHeader(held->header), data(flow(1), 1001), m_notices);
+            } else {
+                break;
+            }
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(decision));
+        CPPUNIT_ASSERT(current == ranked[2]);
+    }
+
+    /// Guards against a restarted agent that ignores the registrars of an open flow because a notice of an earlier flow has reached it first: it passes the
+    /// packets on to the server of that one.
+    void acceptsAReturnedFlowDespiteALateNotice()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2).server(3), false);
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(3), {103}, 5'000'000});
+        agent.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {101}, 900'000'000});
+        const AgentDecision decision = agent.handleCallerPacket(m_now, header(), data(flow(1), 5, 900'000'000), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(decision));
+    }
+
 private:
     unsigned m_lastHops = 0;
 };
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(decodesWhichFlowANoticeIsAbout);
     CPPUNIT_TEST(decodesEndedFlows);
     CPPUNIT_TEST(rejectsIncompleteAndForeignMessages);
+    CPPUNIT_TEST(trustsNoAgentOfAnEarlierVersion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +46,24 @@
         }
     }
 
+    /// An agent of the version before KnownFlows that knows another owner keeps phase and service of the header, and does not mark the lookup as partial.
+    /// Guards against the reset of a flow whose owner ranks between the two.
+    void trustsNoAgentOfAnEarlierVersion()
+    {
+        SteerHeader header;
+        header.wantsOwnerNotice = true;
+        header.lookupPhase = LookupPhase::KnownFlows;
+        header.areFlowTablesComplete = true;
+        header.acceptsIncarnations = true;
+        header.acceptsCallerSequences = true;
+        std::vector<std::uint8_t> datagram(steerHeaderLength + 3);
+        encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
+        constexpr std::uint8_t flagsOfThatVersion = 127;
+        ++datagram[2];
+        datagram[3] &= flagsOfThatVersion;
+        CPPUNIT_ASSERT(!std::get<SteeredPacket>(decodeSteerMessage(datagram).value()).header.areFlowTablesComplete);
+    }
+
     void decodesNotices()
     {
         auto owner = encode(OwnerNotice{flow(7), agentAddress(3)});
