--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -106,7 +106,10 @@
     CPPUNIT_TEST(holdsLookupsBeforeItsServerIsKnownDespiteANotice);
     CPPUNIT_TEST(endsNoRecordedFlowThatItsServerMayOwn);
     CPPUNIT_TEST(claimsNoFlowBecauseOfAReset);
+    CPPUNIT_TEST(keepsAFlowThatAnotherServerHasReset);
+    CPPUNIT_TEST(asksEachServerAfterAnAgentOfAnEarlierVersion);
     CPPUNIT_TEST(findsTheOwnerDespiteANoticeOfAServingOne);
+    CPPUNIT_TEST(resetsAReturnedFlowWhoseServerIsReplaced);
     CPPUNIT_TEST(acceptsAReturnedFlowDespiteALateNotice);
     CPPUNIT_TEST_SUITE_END();
 
@@ -1770,36 +1773,122 @@
         CPPUNIT_ASSERT(m_notices.empty());
     }
 
-    /// As in asksEachServerDespiteALateNotice, with all retries of the lookup. Guards against a flow whose packets are dropped for as long as the server
-    /// in the notice runs.
-    void findsTheOwnerDespiteANoticeOfAServingOne()
+    /// The same up to the end: that server is replaced, and the registrar, which had restarted, gets a packet of the flow that is open elsewhere.
+    void keepsAFlowThatAnotherServerHasReset()
     {
         Snapshots snapshots;
-        for (std::uint32_t number = 1; number <= 8; ++number) {
-            snapshots.server(number);
+        snapshots.server(1).server(2).server(3);
+        AgentSteering restarted = agent(1, snapshots, false);
+        AgentSteering registrar = agent(2, snapshots);
+        const FlowTuple tuple = flowWithFirstRegistrar(registrar.directory(), agentAddress(2));
+        restarted.handleCallerPacket(m_now, lookupHeader(), data(tuple, 5, 5'000'000), m_notices);
+        Segment reset = fromServer(tuple);
+        reset.isRst = true;
+        reset.acknowledgement = 5'000'100;
+        restarted.handleServerPacket(m_now, reset, m_notices);
+        for (const AddressedNotice &notice : m_notices) {
+            if (notice.destination == agentAddress(2)) {
+                registrar.handleOwnerNotice(m_now, notice.notice);
+            }
         }
+        registrar.update(m_now + seconds(1), snapshots.incarnation(1, 777).build());
+        const AgentDecision decision = registrar.handleCallerPacket(m_now + seconds(2), header(), data(tuple, 5, 5'000'200), m_notices);
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+    }
+
+    /// The first agent of the lookup runs the version before KnownFlows and knows the owner of an earlier flow: it passes the packet on with the phase
+    /// and the service of its header. Guards against a lookup that leaves out the owner, which ranks between the two, and resets its flow.
+    void asksEachServerAfterAnAgentOfAnEarlierVersion()
+    {
+        Snapshots snapshots;
         std::map<HostAddress, AgentSteering> agents;
-        for (std::uint32_t number = 1; number <= 8; ++number) {
+        for (std::uint32_t number = 1; number <= 4; ++number) {
+            snapshots.server(number);
+        }
+        for (std::uint32_t number = 1; number <= 4; ++number) {
             agents.emplace(agentAddress(number), agent(number, snapshots));
         }
-        const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(1));
-        openFlow(agents.at(ranked[2]), flow(1));
-        agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(1), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}, 5'000'000});
-        HostAddress current = ranked[0];
+        // The second registrar, which knows nothing of the flow, begins the phase.
+        const FlowTuple tuple = flow(1);
+        const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(tuple);
+        openFlow(agents.at(ranked[1]), tuple);
+        SteerHeader lookup = header();
+        lookup.wantsOwnerNotice = true;
+        lookup.lookupPhase = LookupPhase::SecondRegistrar;
+        lookup.acceptsIncarnations = true;
+        lookup.acceptsCallerSequences = true;
+        AgentDecision decision = agents.at(ranked[2]).handleCallerPacket(m_now, lookup, data(tuple, 1001), m_notices);
+        CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).agent == ranked[0]);
+        std::vector<std::uint8_t> datagram(steerHeaderLength);
+        encodeSteerHeader(std::get<RelayToAgent>(decision).header, std::span(datagram).first<steerHeaderLength>());
+        constexpr std::uint8_t flagsOfThatVersion = 127;
+        ++datagram[2];
+        datagram[3] &= flagsOfThatVersion;
+        decision = RelayToAgent{ranked[3], std::get<SteeredPacket>(decodeSteerMessage(datagram).value()).header, SteerCause::KnownOwner};
+        while (const auto *relayed = std::get_if<RelayToAgent>(&decision)) {
+            decision = agents.at(relayed->agent).handleCallerPacket(m_now, SteerHeader(relayed->header), data(tuple, 1001), m_notices);
+        }
+        CPPUNIT_ASSERT(!std::holds_alternative<ResetCaller>(decision));
+    }
+
+    /// Like lookUp, with the retries of lookups that are held. Returns the last decision and its agent.
+    std::pair<AgentDecision, HostAddress> lookUpWithRetries(std::map<HostAddress, AgentSteering> &agents, const FlowTuple &tuple)
+    {
+        HostAddress current = agents.begin()->second.directory().firstRegistrar(tuple).value();
         AgentDecision decision = RelayToAgent{current, header(), SteerCause::OwnerLookup};
         std::get<RelayToAgent>(decision).header.wantsOwnerNotice = true;
         while (true) {
             if (const auto *relayed = std::get_if<RelayToAgent>(&decision)) {
                 current = relayed->agent;
-                decision = agents.at(current).handleCallerPacket(m_now, SteerHeader(relayed->header), data(flow(1), 1001), m_notices);
+                decision = agents.at(current).handleCallerPacket(m_now, SteerHeader(relayed->header), data(tuple, 1001), m_notices);
             } else if (const auto *held = std::get_if<HoldLookup>(&decision)) {
-                decision = agents.at(current).retryLookup(m_now, SteerHeader(held->header), data(flow(1), 1001), m_notices);
+                decision = agents.at(current).retryLookup(m_now, SteerHeader(held->header), data(tuple, 1001), m_notices);
             } else {
-                break;
+                return {decision, current};
             }
         }
+    }
+
+    /// The registrars return an idle flow to its restarted agent, which registers it again without an incarnation, and then its server is replaced. Guards
+    /// against a caller that gets no answer at all, since its packets go round until they are dropped.
+    void resetsAReturnedFlowWhoseServerIsReplaced()
+    {
+        Snapshots snapshots;
+        snapshots.server(1).server(2).server(3);
+        std::map<HostAddress, AgentSteering> agents;
+        for (std::uint32_t number = 1; number <= 3; ++number) {
+            agents.emplace(agentAddress(number), agent(number, snapshots, number != 1));
+        }
+        AgentSteering &owner = agents.at(agentAddress(1));
+        owner.handleOwnerNotice(m_now, {flow(1), agentAddress(1), {101}, 0});
+        for (const AddressedNotice &notice : resentNotices(owner, milliseconds(0))) {
+            agents.at(notice.destination).handleOwnerNotice(m_now, notice.notice);
+        }
+        owner.setServer(m_now, LocalServer{serviceKey("feed"), {777}, true, 3}, true);
+        for (auto &[address, agent] : agents) {
+            agent.update(m_now - seconds(1), Snapshots(snapshots).incarnation(1, 777).build());
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(lookUpWithRetries(agents, flow(1)).first));
+    }
+
+    /// As in asksEachServerDespiteALateNotice, with all retries of the lookup. Guards against a flow whose packets are dropped for as long as the server
+    /// in the notice runs.
+    void findsTheOwnerDespiteANoticeOfAServingOne()
+    {
+        Snapshots snapshots;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            snapshots.server(number);
+        }
+        std::map<HostAddress, AgentSteering> agents;
+        for (std::uint32_t number = 1; number <= 8; ++number) {
+            agents.emplace(agentAddress(number), agent(number, snapshots));
+        }
+        const std::vector<HostAddress> ranked = agents.begin()->second.directory().rankedAgents(flow(1));
+        openFlow(agents.at(ranked[2]), flow(1));
+        agents.at(ranked[0]).handleOwnerNotice(m_now, {flow(1), ranked[3], {100 + ranked[3].ip - agentAddress(0).ip}, 5'000'000});
+        const auto [decision, last] = lookUpWithRetries(agents, flow(1));
         CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(decision));
-        CPPUNIT_ASSERT(current == ranked[2]);
+        CPPUNIT_ASSERT(last == ranked[2]);
     }
 
     /// Guards against a restarted agent that ignores the registrars of an open flow because a notice of an earlier flow has reached it first: it passes the
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(ignoresANoticeAboutAnEndedServer);
     CPPUNIT_TEST(asksARegistrarAfterContradictoryNotices);
     CPPUNIT_TEST(asksARegistrarIfTheFlowWasIdle);
+    CPPUNIT_TEST(asksARegistrarAgainAfterAnIdleTime);
     CPPUNIT_TEST(asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow);
     CPPUNIT_TEST(asksARegistrarIfTheNoticeMayBeAboutAnotherFlow);
     CPPUNIT_TEST(recognizesAFlowThatHasSentMuchSinceTheNotice);
@@ -379,6 +380,20 @@
         CPPUNIT_ASSERT(std::get<RelayToAgent>(decision).header.wantsOwnerNotice);
     }
 
+    /// The first packet after an idle time, or the notice that answers it, is lost. Guards against a reset of its retransmission, for which the balancer
+    /// knows no more than before.
+    void asksARegistrarAgainAfterAnIdleTime()
+    {
+        Snapshots snapshots;
+        BalancerSteering steering = this->steering(snapshots.server(1).server(2));
+        steering.handleOwnerNotice(m_now, OwnerNotice{flow(1), agentAddress(1), {101}, 0});
+        steering.update(m_now + seconds(2), snapshots.incarnation(1, 777).build());
+        for (const milliseconds retransmission : {milliseconds(0), milliseconds(200), milliseconds(600)}) {
+            const BalancerDecision decision = steering.decide(m_now + seconds(6) + retransmission, data(flow(1), 900));
+            CPPUNIT_ASSERT(relayAgent(decision) == steering.directory().firstRegistrar(flow(1)));
+        }
+    }
+
     /// Several packets of the earlier flow have made its owner send several notices, which arrive late. Guards against a reset of the open flow when
     /// that owner ends.
     void asksARegistrarAfterARepeatedNoticeOfAnEarlierFlow()
