--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(holdsLookupsBeforeItsServerIsKnownDespiteANotice);
     CPPUNIT_TEST(endsNoRecordedFlowThatItsServerMayOwn);
     CPPUNIT_TEST(claimsNoFlowBecauseOfAReset);
+    CPPUNIT_TEST(correctsBalancersThatMayStillResetAFlow);
     CPPUNIT_TEST(keepsAFlowThatAnotherServerHasReset);
     CPPUNIT_TEST(asksEachServerAfterAnAgentOfAnEarlierVersion);
     CPPUNIT_TEST(findsTheOwnerDespiteANoticeOfAServingOne);
@@ -1759,6 +1760,20 @@
         CPPUNIT_ASSERT(agent.endFlows(m_now, {{777}, {{flow(1), 1001}}}).empty());
     }
 
+    /// A flow was reported as one of the server before, and its server announces itself 3.5 s later. Guards against a balancer that is not told, although it
+    /// resets flows without asking until 4 s after their last packet.
+    void correctsBalancersThatMayStillResetAFlow()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1).server(2));
+        openFlow(agent, flow(1));
+        agent.expire(m_now + milliseconds(3400));
+        agent.setServer(m_now + milliseconds(3500), LocalServer{serviceKey("feed"), {777}, true, 3, m_now - seconds(1)}, true);
+        const std::vector<AddressedNotice> notices = resentNotices(agent, milliseconds(3500));
+        CPPUNIT_ASSERT(std::any_of(notices.begin(), notices.end(), [](const AddressedNotice &notice) {
+            return notice.destination == balancerAddress(1);
+        }));
+    }
+
     /// A server answers data of a flow with an RST if it had an earlier one with the same ports. Guards against a registrar that learns from it that this
     /// server owns the flow, with a sequence number of the flow that is open elsewhere.
     void claimsNoFlowBecauseOfAReset()
