--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -1806,6 +1806,7 @@
         const FlowTuple tuple = flowWithLastRank(agent.directory(), agentAddress(1));
         agent.handleOwnerNotice(m_now - seconds(2), {tuple, agentAddress(3), {103}, 5'000'000});
         agent.update(m_now - seconds(1), snapshots.incarnation(3, 777).build());
+        agent.confirmServerList(m_now - milliseconds(500));
         SteerHeader lookup = lookupHeader();
         lookup.lookupPhase = LookupPhase::KnownFlows;
         lookup.areFlowTablesComplete = true;
