Ask the local server before a lookup that follows the end of another one

Callers could see an open flow reset (unknown-flow). An agent that had restarted beside the owner, and had heard of an earlier flow with the same ports, took the packet for one of that flow; when its server had ended, the lookup went on to the other agents and never asked the local server. The same after a late SYN, and before the agent knew whether its server runs.

Change: such a packet is looked up like one of an unknown flow.

--- a/src/jujubequay/steering/agent_owner_lookup.cpp
+++ b/src/jujubequay/steering/agent_owner_lookup.cpp
@@ -22,6 +22,9 @@
 
 AgentDecision AgentSteering::lookUp(TimePoint now, const SteerHeader &header, const Segment &segment)
 {
+    if (!m_isServerKnown) {
+        return HoldLookup{header};
+    }
     const FlowTuple tuple = flowTupleFromCaller(segment);
     return mayOwnUnknownFlow(now, segment) && isProbeDue(header, tuple) ? probe(now, header, tuple) : continueLookup(now, header, segment);
 }
--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -107,9 +107,6 @@
     const FlowTuple tuple = flowTupleFromCaller(segment);
     const auto found = m_flows.find(tuple);
     if (found == m_flows.end()) {
-        if (!m_isServerKnown) {
-            return HoldLookup{header};
-        }
         return lookUp(now, header, segment);
     }
     Flow &flow = found->second;
@@ -162,14 +159,15 @@
     if (isOfRemoteFlow(flow, segment) && hasEnded && flow.state == FlowState::Remote && !flow.isContested) {
         return resetEndedFlow(segment, flow);
     }
+    const bool mayBeLocal = flow.state == FlowState::Remote || flow.state == FlowState::SynDelivered;
     if (hasEnded || (flow.remoteIncarnation == Incarnation() && m_directory.find(flow.remoteAgent) == nullptr)) {
-        return continueLookup(now, header, segment);
+        return mayBeLocal ? lookUp(now, header, segment) : continueLookup(now, header, segment);
     }
     SteerHeader next = header;
     if (header.lookupPhase == LookupPhase::AllServers || header.lookupPhase == LookupPhase::KnownFlows) {
         if (header.isLookupPartial && !ranksAfterThisAgent(flow.remoteAgent, flowTupleFromCaller(segment))) {
             // That agent may have been asked already, and would send the packet here again.
-            return continueLookup(now, header, segment);
+            return mayBeLocal ? lookUp(now, header, segment) : continueLookup(now, header, segment);
         }
         // If that agent does not know the flow, it continues with the agents that rank after it and leaves others out.
         next.isLookupPartial = true;
@@ -405,6 +403,7 @@
         if (flow.remoteAgent != HostAddress()) {
             removeFromCounts(flow);
             setRemote(flow);
+            rememberRejection(now, segment);
             return passToOtherServer(now, header, segment, flow);
         }
         if (!flow.isConfirmedByServer) {
