Trust no agent of an earlier version in a lookup without probes

During a roll an agent of an earlier version that knows another owner passes a packet on with the phase and the service of its header, and without the mark of a partial lookup. Owners that rank between the two were left out, and the flow reset. Agents of these versions always clear the last flag, so the state of the phase counts only with it.

--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -15,7 +15,8 @@
 constexpr unsigned lookupRetriesMask = 3;
 constexpr std::uint8_t acceptsIncarnationsFlag = 64;
 constexpr std::uint8_t acceptsCallerSequencesFlag = 128;
-/// In place of the service, which only a SYN has, in the phase KnownFlows. Agents of versions without this phase go on with AllServers.
+/// In place of the service, which only a SYN has, in the phase KnownFlows. Valid only with `acceptsCallerSequencesFlag`: an
+/// agent of a version without this phase may pass the packet on with it, but clears the flag.
 constexpr std::uint32_t flowTablesComplete = 1;
 static_assert(maxLookupRetries <= lookupRetriesMask);
 constexpr std::size_t prefixLength = 2; // version and message kind
@@ -63,7 +64,7 @@
     steered.header.routeTableVersion = readBigEndian<std::uint64_t>(in);
     const auto service = readBigEndian<std::uint32_t>(in);
     if (steered.header.lookupPhase == LookupPhase::KnownFlows) {
-        steered.header.areFlowTablesComplete = service == flowTablesComplete;
+        steered.header.areFlowTablesComplete = service == flowTablesComplete && steered.header.acceptsCallerSequences;
     } else {
         steered.header.service = {service};
     }
