Claim no flow because its server resets it

A server answers data of a flow that has ended with a reset. If a restarted agent probes it for another flow with the same ports, the reset made the agent claim the flow at its registrars, with a sequence number of the flow that is open elsewhere; when the server was replaced, that flow was reset. Open: the reset itself goes to the caller, as before, and a FIN that is answered with an ACK has the same ambiguity.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -340,6 +340,10 @@
         // It belongs to an earlier flow with the same addresses and ports, which was closed here.
         return SendToCaller{};
     }
+    if (segment.isRst && (flow.state == FlowState::Probed || flow.state == FlowState::Remote)) {
+        // The server may answer for an earlier flow with the same addresses and ports, so that this does not show that it owns the flow.
+        return SendToCaller{};
+    }
     flow.isConfirmedByServer = true;
     if (flow.state == FlowState::Probed || flow.state == FlowState::Remote || flow.state == FlowState::Restored) {
         if (!isLocalFlow(flow)) {
