Ask a registrar again if the first packet after an idle time is lost

A balancer asks a registrar before it resets a flow that was idle, since the ports may be in use again. The packet that found the flow idle also marked it as used, so that its retransmission 200 ms later was reset without asking. The owner has to confirm the flow anew now.

--- a/src/jujubequay/steering/balancer_steering.cpp
+++ b/src/jujubequay/steering/balancer_steering.cpp
@@ -127,6 +127,8 @@
             }
             return reset(segment, SteerCause::ServerReplaced);
         }
+        // The retransmission of a packet that has found the flow idle proves no more.
+        flow.isConfirmed = flow.isConfirmed && !wasIdle;
         // The registrars know whether another server has opened the flow, or another flow with the same addresses and ports.
     }
     if (const auto registrar = m_directory.firstRegistrar(tuple)) {
