Correct owner notices at all balancers that may still act on them

A balancer may reset a flow alone for 4 s after its last packet, but an agent that corrects a notice told only the balancers of the last 3 s. It tells those of the last 5 s now.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -9,8 +9,9 @@
 /// 65,536.
 constexpr std::uint32_t maxInitialWindowBytes = 64U << 10U;
 
-/// Load notices are sent to balancers from which a packet was received within this time.
-constexpr auto balancerRetention = std::chrono::seconds(3);
+/// Load notices and corrections of owner notices are sent to balancers from which a packet was received within this time. A balancer resets a flow
+/// without asking until the flow was idle for `minPortReuseTime`.
+constexpr auto balancerRetention = minPortReuseTime + std::chrono::seconds(1);
 
 /// One part in this number of the moving average of service times is the newest one.
 constexpr int serviceTimeWeight = 8;
