Follow no notice in the retry of a lookup

A lookup that follows a notice leaves agents out, so it is partial and is retried; the retry followed the same notice, and after three of them the packet was dropped, as was each further one of the flow, whose owner ranks between the two agents. A retry asks each agent now.

--- a/src/jujubequay/steering/agent_steering.cpp
+++ b/src/jujubequay/steering/agent_steering.cpp
@@ -166,7 +166,7 @@
     }
     SteerHeader next = header;
     if (header.lookupPhase == LookupPhase::AllServers || header.lookupPhase == LookupPhase::KnownFlows) {
-        if (header.isLookupPartial && !ranksAfterThisAgent(flow.remoteAgent, flowTupleFromCaller(segment))) {
+        if (header.lookupRetries > 0 || (header.isLookupPartial && !ranksAfterThisAgent(flow.remoteAgent, flowTupleFromCaller(segment)))) {
             // That agent may have been asked already, and would send the packet here again.
             return mayBeLocal ? lookUp(now, header, segment) : continueLookup(now, header, segment);
         }
