Accept a returned flow despite a late notice of an earlier one

A restarted agent ignored the notice of a registrar that its server owns a flow if a late notice of an earlier flow with the same ports had come first, and passed the packets of the flow on to another server.

--- a/src/jujubequay/steering/agent_flow_restoration.cpp
+++ b/src/jujubequay/steering/agent_flow_restoration.cpp
@@ -40,11 +40,12 @@
         return;
     }
     const auto found = m_flows.find(notice.tuple);
-    if (found == m_flows.end()) {
+    if (found == m_flows.end() || found->second.state == FlowState::Remote) {
         if (isFlowTableComplete(now)) {
             return;
         }
         Flow &flow = m_flows[notice.tuple];
+        flow = {};
         flow.state = FlowState::Restored;
         flow.remoteIncarnation = notice.incarnation;
         flow.lastUsed = now;
