Keep what registrars are told about flows in one place

Found by the review: noticeOf serves all states of a flow but stood with the restoration, under a comment about restored flows only; restoreFlow looked the flow up three times.

--- a/src/jujubequay/steering/agent_flow_restoration.cpp
+++ b/src/jujubequay/steering/agent_flow_restoration.cpp
@@ -40,19 +40,18 @@
         return;
     }
     const auto found = m_flows.find(notice.tuple);
-    if (found == m_flows.end() || found->second.state == FlowState::Remote) {
-        if (isFlowTableComplete(now)) {
-            return;
-        }
-        Flow &flow = m_flows[notice.tuple];
+    const bool isOpen = found != m_flows.end() && (found->second.state == FlowState::Open || found->second.state == FlowState::Restored);
+    const bool isUnknown = found == m_flows.end() || found->second.state == FlowState::Remote;
+    if (!isOpen && (!isUnknown || isFlowTableComplete(now))) {
+        return;
+    }
+    Flow &flow = m_flows[notice.tuple];
+    if (isUnknown) {
         flow = {};
         flow.state = FlowState::Restored;
         flow.remoteIncarnation = notice.incarnation;
         flow.lastUsed = now;
-    } else if (found->second.state != FlowState::Open && found->second.state != FlowState::Restored) {
-        return;
     }
-    Flow &flow = m_flows[notice.tuple];
     flow.registrars.clear();
     updateRegistrars(notice.tuple, flow);
     m_pendingNotifications.insert(notice.tuple);
@@ -68,15 +67,4 @@
     });
 }
 
-// A restored flow is registered without an incarnation: that the local server owns it is not certain, so it is not to be reset when this server
-// ends.
-OwnerNotice AgentSteering::noticeOf(const FlowTuple &tuple, const Flow &flow, bool isShort) const
-{
-    if (flow.state == FlowState::Remote) {
-        return {tuple, flow.remoteAgent, flow.remoteIncarnation, flow.remoteSequence};
-    }
-    const bool isConfirmed = flow.state == FlowState::Open && !isShort;
-    return isConfirmed ? OwnerNotice{tuple, m_options.agent, confirmedIncarnation(), flow.callerSequence} : OwnerNotice{tuple, m_options.agent, {}};
-}
-
 }
--- a/src/jujubequay/steering/agent_registrars.cpp
+++ b/src/jujubequay/steering/agent_registrars.cpp
@@ -65,6 +65,16 @@
              header.acceptsCallerSequences ? flow.callerSequence : std::nullopt}};
 }
 
+// That the local server owns a restored flow is not certain, so its registrars get no incarnation: they must not reset it when this server ends.
+OwnerNotice AgentSteering::noticeOf(const FlowTuple &tuple, const Flow &flow, bool isShort) const
+{
+    if (flow.state == FlowState::Remote) {
+        return {tuple, flow.remoteAgent, flow.remoteIncarnation, flow.remoteSequence};
+    }
+    const bool isConfirmed = flow.state == FlowState::Open && !isShort;
+    return isConfirmed ? OwnerNotice{tuple, m_options.agent, confirmedIncarnation(), flow.callerSequence} : OwnerNotice{tuple, m_options.agent, {}};
+}
+
 void AgentSteering::registerFlow(TimePoint now, const FlowTuple &tuple, Flow &flow, std::vector<AddressedNotice> &notices)
 {
     updateRegistrars(tuple, flow);
