--- a/src/jujubequay/quic/quic_test_network.h
+++ b/src/jujubequay/quic/quic_test_network.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace Jujubequay {
@@ -50,7 +51,7 @@
     explicit QuicTestNetwork(std::uint64_t seed, LossyLink::Options linkOptions = {}, QuicServerOptions options = {})
         : m_random(seed)
         , m_linkOptions(linkOptions)
-        , m_serverOptions(options)
+        , m_serverOptions(std::move(options))
         , m_serverCredentials(TlsCredentials::server(testCertificate().certificatePem, testCertificate().keyPem).value())
         , m_clientCredentials(TlsCredentials::client(testCertificate().certificatePem).value())
     {
