--- a/review/standins.py
+++ b/review/standins.py
@@ -312,7 +312,7 @@
         self.number, self.service, self.work_s = number, service, work_s
         self.flows = {}  # (src, sport, dst, dport) -> state
         self.runs = {}  # request id -> number of runs
-        self.taken_syns = 0
+        self.syn_taken_at = {}  # (src, sport, dst, dport) -> time of the first SYN
         self.sequence = 0
         self.state = "ready"
         self.boot = 0
@@ -336,11 +336,14 @@
         self._tasks.append(asyncio.create_task(self._send_heartbeats()))
         self.record.write(f"{self.name} starts as {self.id}, born {self.born}")
 
-    def stop(self):
-        self.is_running = False
+    def stop_heartbeats(self):
         for task in self._tasks:
             task.cancel()
         self._tasks.clear()
+
+    def stop(self):
+        self.is_running = False
+        self.stop_heartbeats()
         self._udp.close()
         self._tcp.close()
         self.flows.clear()
@@ -403,7 +406,7 @@
         flow = self.flows.get(key)
         if packet.flags & SYN:
             if flow is None:
-                self.taken_syns += 1
+                self.syn_taken_at[key] = time.monotonic()
                 self.record.write(f"{self.name} takes SYN {key[0]}:{key[1]}")
                 flow = self.flows[key] = {"seq": random.randrange(2**32), "ack": (packet.seq + 1) % 2**32, "open": False, "data": b"", "last": None, "fin": False}
                 flow["first"] = flow["seq"]
