Report a failure of a stand-in as a case that could not run

An exception in a script ended it with status 1, which means that the rule was broken. Such a run now ends with 2, and a script that is stopped ends its processes.

--- a/review/standins.py
+++ b/review/standins.py
@@ -12,8 +12,9 @@
 import struct
 import subprocess
 import tempfile
+import sys
 import time
-import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
@@ -93,25 +94,26 @@
 
 async def http(address, method, path, body=None, timeout=1.0):
     """Sends one request. Returns the status and the body, or (0, b"") without an answer in time."""
-    writer = None
-    try:
-        async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection(*address)
-            payload = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+    payload = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection(*address)
+        try:
             head = f"{method} {path} HTTP/1.1\r\nHost: {address[0]}\r\nConnection: close\r\n"
             if payload:
                 head += "Content-Type: application/json\r\n"
-            writer.write(head.encode("latin-1") + f"Content-Length: {len(payload)}\r\n\r\n".encode() + payload)
+            writer.write(f"{head}Content-Length: {len(payload)}\r\n\r\n".encode() + payload)
             await writer.drain()
-            answer = await reader.read()
-            head, _, content = answer.partition(b"\r\n\r\n")
+            head, _, content = (await reader.read()).partition(b"\r\n\r\n")
             return int(head.split(b" ", 2)[1]), content
-    except (OSError, TimeoutError, IndexError, ValueError):
-        return 0, b""
-    finally:
-        if writer is not None:
+        finally:
             writer.close()
 
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, IndexError, ValueError):
+        return 0, b""
+
 
 class Host:
     """A machine of the deployment: its role, addresses and the process that runs there."""
@@ -128,7 +130,7 @@
     def __init__(self, record, controls=3, balancers=2, agents=2, services=None, tolerated=1):
         self.record = record
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="jujubequay-review-"))
-        self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
+        self.roles = self.read_roles((ROOT / "deploy/system.toml").read_text())
         self.network = random.randrange(64, 120)
         ports = self._free_ports(6)
         self.datagram_port, self.ready_port, self.control_port, self.outbound_port, self.app_port, self.internal_port = ports
@@ -177,6 +179,14 @@
                 ports.append(port)
         return ports
 
+    @staticmethod
+    def read_roles(text):
+        """The command and the template of each role of the deploy file."""
+        roles = {}
+        for name, body in re.findall(r"^\[roles\.(\w+)\]\n((?:(?!\[).*\n?)*)", text, flags=re.M):
+            roles[name] = dict(re.findall(r'^(\w+) = "(.*)"$', body, flags=re.M))
+        return roles
+
     @staticmethod
     def render(template, fields):
         """Fills in a settings template, as far as the templates of deploy/ use the language."""
@@ -387,7 +397,7 @@
             status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
             writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode())
             await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             pass
         finally:
             writer.close()
@@ -549,7 +559,7 @@
             self._event.clear()
             try:
                 await asyncio.wait_for(self._event.wait(), max(0.0, deadline - time.monotonic()))
-            except TimeoutError:
+            except asyncio.TimeoutError:
                 pass
         return done()
 
@@ -594,10 +604,11 @@
 def run_case(file, scenario):
     """Runs a scenario. Returns 0 if the rule held, 1 if it was broken and 2 if the case could not run."""
     record = Record(pathlib.Path(file).resolve().parent / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes of the scenario, too
     try:
         result = asyncio.run(scenario(record))
-    except (OSError, TimeoutError, FlowReset) as error:
-        record.write(f"the case could not run: {type(error).__name__} {error}")
+    except Exception:
+        record.write(f"the case could not run:\n{traceback.format_exc()}")
         result = 2
     record.write(f"exit status {result}")
     return result
