Remove a replaced control host from the group when it leaves

Cause: a leader that stops announced its leave to nobody, and the next leader counted its silence from its own election.

Change: a leader that gets SIGTERM removes itself if another voter replaces it, and ends once that has committed, after 1 s at the latest. A follower repeats its announcement until the leader has acknowledged it. Without a replacement nobody is removed, so a roll leaves the membership as it is.

--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -110,8 +110,9 @@
     bool toleratesVoterLoss() const;
     /// Leader only: true if the member was in contact within the election timeout and holds every entry that had committed at the last heartbeat.
     bool isCaughtUp(TimePoint now, const std::string &id) const;
-    /// Leader only: time of the last message from a member in this term; no value for an identity that is not a member.
-    std::optional<TimePoint> lastContact(const std::string &id) const;
+    /// Leader only: time of the last message from a member, or of the election if there was none since. For the leader before, messages
+    /// before the election count too. No value for an identity that is not a member.
+    std::optional<TimePoint> lastMessageAt(const std::string &id) const;
 
 private:
     /// Replication state that a leader keeps for another member.
@@ -119,7 +120,8 @@
         std::uint64_t matchIndex = 0; // last entry that is durable at the member
         std::uint64_t nextIndex = 1; // next entry to send
         bool isProbing = true; // `nextIndex` is a guess; one request is sent per heartbeat or rejection
-        TimePoint lastContact{};
+        TimePoint lastContact{}; // time of the last reply in this term, or of the election
+        TimePoint lastMessageAt{}; // see Replica::lastMessageAt
         std::uint64_t acknowledgedRound = 0; // last read round that the member has acknowledged
         std::uint64_t snapshotIndex = 0; // index of the snapshot being sent; 0 for none
         std::uint64_t snapshotOffset = 0; // bytes of this snapshot that the member has received
@@ -274,6 +276,8 @@
     std::size_t m_bytesSinceSnapshot = 0;
     TimePoint m_electionDeadline{};
     TimePoint m_lastLeaderContact{};
+    std::string m_lastLeader; // the last leader that this replica has followed; empty if none
+    TimePoint m_lastLeaderMessageAt{}; // time of the last message of any kind from m_lastLeader
     bool m_hasLeaderContact = false; // m_lastLeaderContact is valid; cleared when this replica starts a pre-vote or steps down
     bool m_hasObservedLeader = false;
     std::uint32_t m_firstElectionAttempts = 0; // election timeouts set before the first leader was observed
--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -82,8 +82,11 @@
     void replaceRoutes(const jujubequay::pb::ReplaceRoutes &change, std::function<void(const RouteChangeAnswer &)> handler);
     /// Calls the handler with Ok once a majority has confirmed that the route table of `driver().state()` is current.
     void confirmRoutes(std::function<void(ResultCode)> handler);
-    /// Announces to the leader that this process stops. Call it before a requested stop.
+    /// Announces to the leader that this process stops. Call it before a requested stop. A leader removes itself from the group if another
+    /// voter replaces it.
     void announceLeave();
+    /// True after announceLeave while the leader has not acknowledged it or, on the leader itself, while it is still to be removed.
+    bool isLeaving() const;
 
     /// The open flows that agents have recorded. The owner of this object saves them.
     FlowRecordStore &flowRecords();
@@ -104,6 +107,8 @@
     void updatePeers();
     void promoteLearners();
     void reconcileMembership();
+    std::vector<MemberStatus> memberStatus(TimePoint now) const;
+    void announceLeaveToLeader();
     void joinIfNeeded();
     bool isRegistryStable();
     void updateRegistryComplete();
@@ -141,6 +146,7 @@
     std::string m_lastNotified; ///< address of the last start notice; known hosts are notified in turn
     std::vector<HostAddress> m_seeds;
     bool m_isMembershipChangePending = false;
+    bool m_isLeaving = false;
     TimePoint m_registryChangedAt{};
     std::size_t m_registryServerCount = 0;
     bool m_isRegistryComplete = false;
--- a/include/jujubequay/control/join_service.h
+++ b/include/jujubequay/control/join_service.h
@@ -30,8 +30,9 @@
     /// Sends a join request to the leader, if its address is known, or to the next host, at most once per request interval. Call it
     /// while this host is not a member.
     void requestJoin(const std::vector<HostAddress> &hosts);
-    /// Announces to the leader that this process stops.
+    /// Announces to the leader that this process stops, at most once per request interval and until the leader has acknowledged it.
     void announceLeave(const HostAddress &leader);
+    bool isLeaveAcknowledged() const;
 
 private:
     void receive(std::uint64_t id, const Bytes &bytes);
@@ -45,8 +46,10 @@
     AcceptedStreams m_acceptedStreams;
     std::shared_ptr<MessageStream> m_stream;
     std::shared_ptr<std::string> m_leaderHint;
+    std::shared_ptr<bool> m_isLeaveAcknowledged; // shared with the handlers of streams
     std::size_t m_nextHost = 0;
     TimePoint m_lastRequestAt{};
+    TimePoint m_lastLeaveAt{};
 };
 
 }
--- a/include/jujubequay/control/membership_reconciler.h
+++ b/include/jujubequay/control/membership_reconciler.h
@@ -36,14 +36,17 @@
 ///
 /// A voter is removed only if another disk replaces it: either a learner on the same host shows that the disk is lost, or there are
 /// more voters than desired and the voter is leaving or unresponsive. A partition or a pause alone therefore never shrinks the group.
+/// A leader that leaves removes itself: the next leader would not know that it has left.
 class MembershipReconciler
 {
 public:
     explicit MembershipReconciler(MembershipReconcilerOptions options);
 
     void joinRequested(TimePoint now, Consensus::AddLearner candidate);
-    /// Call when the process with this disk identity is about to stop.
+    /// Call when the process with this disk identity, which may be this one, is about to stop.
     void leaveAnnounced(TimePoint now, const std::string &id);
+    /// True if a voter that leaves can be removed now or once a learner has caught up.
+    bool hasReplacement(const std::vector<MemberStatus> &members) const;
     /// Returns the next change, if any. Call it again once the change has committed or failed.
     std::optional<Consensus::MembershipChange> nextChange(TimePoint now, const std::vector<MemberStatus> &members);
 
--- a/include/jujubequay/steering_program/route_control_process.h
+++ b/include/jujubequay/steering_program/route_control_process.h
@@ -65,6 +65,8 @@
     ControlHostOptions options();
     void reloadSeeds();
     void waitForStop();
+    /// Ends the process after the stop delay, or later if this host has not left the group yet, at the latest at the deadline.
+    void stopOnceLeft(TimePoint deadline);
     void scheduleTick();
     void publishMetrics();
     void publishMessages(const MessageAccount &messages);
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -379,6 +379,9 @@
 
 void Replica::dispatch(const pb::ReplicaMessage &message)
 {
+    if (message.from() == m_lastLeader) {
+        m_lastLeaderMessageAt = m_now;
+    }
     const bool isVoteRequest = message.has_vote_request();
     // Ignores the request: a member without contact with the leader must not force an election while others have contact with it.
     if (isVoteRequest && hasRecentLeader()) {
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -23,6 +23,8 @@
         if (added) {
             entry->second.nextIndex = m_log->lastIndex() + 1;
             entry->second.lastContact = m_now; // gives the member one election timeout to reply before this leader steps down
+            const bool wasLeader = member.id() == m_lastLeader;
+            entry->second.lastMessageAt = wasLeader ? m_lastLeaderMessageAt : m_now;
         }
     }
 }
@@ -78,6 +80,8 @@
     becomeFollower(message.term(), message.from());
     m_hasLeaderContact = true;
     m_lastLeaderContact = m_now;
+    m_lastLeader = message.from();
+    m_lastLeaderMessageAt = m_now;
     resetElectionTimer();
 }
 
@@ -195,6 +199,7 @@
     const pb::AppendReply &reply = message.append_reply();
     Progress &progress = found->second;
     progress.lastContact = m_now;
+    progress.lastMessageAt = m_now;
     progress.acknowledgedRound = std::max(progress.acknowledgedRound, reply.round());
     confirmReads();
     if (reply.accepted()) {
@@ -265,10 +270,10 @@
         && now - progress->second.lastContact <= m_options.electionTimeout && progress->second.matchIndex > 0;
 }
 
-std::optional<TimePoint> Replica::lastContact(const std::string &id) const
+std::optional<TimePoint> Replica::lastMessageAt(const std::string &id) const
 {
     const auto progress = m_progress.find(id);
-    return progress == m_progress.end() ? std::nullopt : std::optional(progress->second.lastContact);
+    return progress == m_progress.end() ? std::nullopt : std::optional(progress->second.lastMessageAt);
 }
 
 bool Replica::toleratesVoterLoss() const
--- a/src/jujubequay/consensus/snapshot_transfer.cpp
+++ b/src/jujubequay/consensus/snapshot_transfer.cpp
@@ -120,6 +120,7 @@
     const pb::SnapshotReply &reply = message.snapshot_reply();
     Progress &progress = found->second;
     progress.lastContact = m_now;
+    progress.lastMessageAt = m_now;
     progress.acknowledgedRound = std::max(progress.acknowledgedRound, reply.round());
     confirmReads();
     if (reply.installed()) {
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -175,8 +175,12 @@
         }
     }
     if (m_membershipReconciler) {
+        if (m_isLeaving) {
+            announceLeaveToLeader();
+        } else {
+            joinIfNeeded();
+        }
         reconcileMembership();
-        joinIfNeeded();
         reconcileKnownHosts();
         sendStartNotices();
     }
@@ -325,13 +329,7 @@
     if (m_isMembershipChangePending) {
         return;
     }
-    std::vector<MemberStatus> members;
-    for (const pb::Member &member : replica.membership().members()) {
-        const bool isSelf = member.id() == replica.id();
-        const TimePoint lastContact = isSelf ? now : replica.lastContact(member.id()).value_or(now);
-        members.push_back({member.id(), member.host(), member.voter(), isSelf, replica.isCaughtUp(now, member.id()), now - lastContact});
-    }
-    const auto change = m_membershipReconciler->nextChange(now, members);
+    const auto change = m_membershipReconciler->nextChange(now, memberStatus(now));
     if (!change) {
         return;
     }
@@ -347,6 +345,18 @@
     });
 }
 
+std::vector<MemberStatus> ControlHostService::memberStatus(TimePoint now) const
+{
+    const Consensus::Replica &replica = m_driver.replica();
+    std::vector<MemberStatus> members;
+    for (const pb::Member &member : replica.membership().members()) {
+        const bool isSelf = member.id() == replica.id();
+        const TimePoint lastMessageAt = isSelf ? now : replica.lastMessageAt(member.id()).value_or(now);
+        members.push_back({member.id(), member.host(), member.voter(), isSelf, replica.isCaughtUp(now, member.id()), now - lastMessageAt});
+    }
+    return members;
+}
+
 bool ControlHostService::isRegistryStable()
 {
     if (m_options.registryStableTime == Duration::zero() || m_registryExchange.isFilled()) {
@@ -543,12 +553,34 @@
 
 void ControlHostService::announceLeave()
 {
+    m_isLeaving = m_membershipReconciler.has_value();
+    if (m_isLeaving) {
+        announceLeaveToLeader();
+    }
+}
+
+void ControlHostService::announceLeaveToLeader()
+{
+    const Consensus::Replica &replica = m_driver.replica();
     const auto leader = parseHostAddress(leaderAddress());
-    if (m_membershipReconciler && leader && m_driver.replica().role() != Consensus::Role::Leader) {
+    if (replica.role() == Consensus::Role::Leader) {
+        m_membershipReconciler->leaveAnnounced(m_environment.clock.now(), replica.id());
+    } else if (leader) {
         m_joinService.announceLeave(*leader);
     }
 }
 
+bool ControlHostService::isLeaving() const
+{
+    if (!m_isLeaving || !Consensus::isVoter(m_driver.replica().membership(), m_driver.replica().id())) {
+        return false;
+    }
+    if (m_driver.replica().role() == Consensus::Role::Leader) {
+        return m_membershipReconciler->hasReplacement(memberStatus(m_environment.clock.now()));
+    }
+    return !m_joinService.isLeaveAcknowledged();
+}
+
 // Routes
 
 // With fewer voters than configured, an accepted change could be lost although no more disks fail than are tolerated.
--- a/src/jujubequay/control/control_host_service_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -90,6 +90,9 @@
     CPPUNIT_TEST(announcementReachesTheRegistryOfEachHost);
     CPPUNIT_TEST(restartedControlHostsNotifyKnownHosts);
     CPPUNIT_TEST(rolesMayUseOnlyTheirPaths);
+    CPPUNIT_TEST(replacedLeaderHasNoVoteAfterItsPlannedStop);
+    CPPUNIT_TEST(replacedLeaderThatWasKilledLosesItsVoteByItsOwnSilence);
+    CPPUNIT_TEST(stoppedHostsKeepTheirVotesWithoutAReplacement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,12 +103,7 @@
         m_logger = std::make_unique<NullLogger>(m_clock, LogOrigin{"test", "test", "test"}, Logger::Options());
         m_hosts.clear();
         for (int number = 0; number < 3; ++number) {
-            auto host = std::make_unique<Host>();
-            host->name = std::string("control-") + static_cast<char>('a' + number);
-            host->address = HostAddress{0x7F000001, static_cast<std::uint16_t>(7000 + number)};
-            host->client = m_network->client({host->name, "control"});
-            host->storage.stored.identity = {host->name + "-disk", host->name};
-            m_hosts.push_back(std::move(host));
+            addHost();
         }
         // The first host creates the cluster; the others join it with an operator command.
         auto &membership = m_hosts[0]->storage.stored.snapshot.membership;
@@ -276,7 +274,98 @@
         }
     }
 
+    // Guards against a group that never elects a leader again: the replaced host still counts as a voter when another disk is lost.
+    void replacedLeaderHasNoVoteAfterItsPlannedStop()
+    {
+        Host &stopped = leaderWithSuccessor();
+        Host &other = *m_hosts[otherThanLeader()];
+        stopped.control->announceLeave();
+        run(milliseconds(100));
+        stopHost(stopped);
+        run(seconds(2));
+        loseDisk(other);
+        run(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voters());
+    }
+
+    // Guards against the same after a kill: the next leader must not count the silence of the former one from its own election.
+    void replacedLeaderThatWasKilledLosesItsVoteByItsOwnSilence()
+    {
+        stopHost(leaderWithSuccessor());
+        run(MembershipReconcilerOptions().surplusVoterTimeout + milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voters());
+    }
+
+    // Guards against a group that shrinks because control hosts are restarted.
+    void stoppedHostsKeepTheirVotesWithoutAReplacement()
+    {
+        m_reconcilesKnownHosts = true;
+        restartAll();
+        run(seconds(5));
+        const std::vector<Host *> stopped{m_hosts[leader()].get(), m_hosts[otherThanLeader()].get()};
+        for (Host *host : stopped) {
+            host->control->announceLeave();
+        }
+        run(milliseconds(100));
+        for (Host *host : stopped) {
+            CPPUNIT_ASSERT(!host->control->isLeaving());
+            stopHost(*host);
+        }
+        for (Host *host : stopped) {
+            startHost(*host);
+        }
+        run(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voters());
+    }
+
 private:
+    Host &addHost()
+    {
+        auto host = std::make_unique<Host>();
+        const std::size_t number = m_hosts.size();
+        host->name = std::string("control-") + static_cast<char>('a' + number);
+        host->address = HostAddress{0x7F000001, static_cast<std::uint16_t>(7000 + number)};
+        host->client = m_network->client({host->name, "control"});
+        host->storage.stored.identity = {host->name + "-disk", host->name};
+        m_hosts.push_back(std::move(host));
+        return *m_hosts.back();
+    }
+
+    /// Adds a host that becomes the fourth of three desired voters. Returns the leader.
+    Host &leaderWithSuccessor()
+    {
+        m_reconcilesKnownHosts = true;
+        restartAll();
+        run(seconds(5));
+        startEmptyHost(addHost());
+        run(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, voters());
+        return *m_hosts[leader()];
+    }
+
+    void startEmptyHost(Host &host)
+    {
+        startHost(host);
+        std::vector<HostAddress> seeds;
+        for (const auto &seed : m_hosts) {
+            seeds.push_back(seed->address);
+        }
+        host.control->setSeeds(seeds);
+    }
+
+    void loseDisk(Host &host)
+    {
+        stopHost(host);
+        host.storage = MemoryStorage();
+        host.storage.stored.identity = {host.name + "-empty-disk", host.name};
+        startEmptyHost(host);
+    }
+
+    std::size_t voters() const
+    {
+        return Consensus::voterCount(m_hosts[leader()]->control->driver().replica().membership());
+    }
+
     void startHost(Host &host)
     {
         ControlHostOptions options;
--- a/src/jujubequay/control/join_service.cpp
+++ b/src/jujubequay/control/join_service.cpp
@@ -22,6 +22,7 @@
     , m_localRequest(std::move(localRequest))
     , m_handlers(std::move(handlers))
     , m_leaderHint(std::make_shared<std::string>())
+    , m_isLeaveAcknowledged(std::make_shared<bool>(false))
 {
 }
 
@@ -66,17 +67,30 @@
 
 void JoinService::announceLeave(const HostAddress &leader)
 {
+    const TimePoint now = m_clock.now();
+    if (*m_isLeaveAcknowledged || now - m_lastLeaveAt < requestInterval) {
+        return;
+    }
+    m_lastLeaveAt = now;
     send(leader, true);
 }
 
+bool JoinService::isLeaveAcknowledged() const
+{
+    return *m_isLeaveAcknowledged;
+}
+
 void JoinService::send(const HostAddress &host, bool isLeaving)
 {
     MessageStreamHandlers handlers;
-    handlers.message = [hint = m_leaderHint](const Bytes &bytes) {
+    handlers.message = [hint = m_leaderHint, isLeaveAcknowledged = m_isLeaveAcknowledged, isLeaving, host](const Bytes &bytes) {
         pb::JoinAnswer answer;
-        if (answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-            *hint = answer.leader_address();
+        if (!answer.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            return;
         }
+        *hint = answer.leader_address();
+        // Only the leader keeps the announcement.
+        *isLeaveAcknowledged = *isLeaveAcknowledged || (isLeaving && answer.leader_address() == toString(host));
     };
     handlers.closed = [](ResultCode) {};
     pb::JoinRequest request = m_localRequest;
--- a/src/jujubequay/control/membership_reconciler.cpp
+++ b/src/jujubequay/control/membership_reconciler.cpp
@@ -23,6 +23,7 @@
 void MembershipReconciler::joinRequested(TimePoint now, Consensus::AddLearner candidate)
 {
     const std::string id = candidate.id;
+    m_leavingMembers.erase(id); // the process has started again
     m_candidates[id] = {std::move(candidate), now};
 }
 
@@ -31,6 +32,11 @@
     m_leavingMembers[id] = now;
 }
 
+bool MembershipReconciler::hasReplacement(const std::vector<MemberStatus> &members) const
+{
+    return countVoters(members) > m_options.voters || countVoters(members) < members.size();
+}
+
 std::optional<Consensus::MembershipChange> MembershipReconciler::nextChange(TimePoint now, const std::vector<MemberStatus> &members)
 {
     std::erase_if(m_candidates, [&](const auto &entry) {
@@ -95,9 +101,10 @@
     const bool hasSurplusVoter = countVoters(members) > m_options.voters;
     const MemberStatus *longestUnresponsive = nullptr;
     for (const MemberStatus &member : members) {
-        const bool isLeavingOrUnresponsive = m_leavingMembers.contains(member.id) || member.timeSinceContact > m_options.surplusVoterTimeout;
-        const bool isSurplus = member.isVoter ? hasSurplusVoter && isLeavingOrUnresponsive : member.timeSinceContact > m_options.learnerTimeout;
-        if (!member.isSelf && isSurplus && (longestUnresponsive == nullptr || member.timeSinceContact > longestUnresponsive->timeSinceContact)) {
+        const bool isUnresponsive = !member.isSelf && member.timeSinceContact > m_options.surplusVoterTimeout;
+        const bool isSurplus
+            = member.isVoter ? hasSurplusVoter && (m_leavingMembers.contains(member.id) || isUnresponsive) : member.timeSinceContact > m_options.learnerTimeout;
+        if (isSurplus && (longestUnresponsive == nullptr || member.timeSinceContact > longestUnresponsive->timeSinceContact)) {
             longestUnresponsive = &member;
         }
     }
--- a/src/jujubequay/control/membership_reconciler_test.cpp
+++ b/src/jujubequay/control/membership_reconciler_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(keepsUnresponsiveVotersWithoutAReplacement);
     CPPUNIT_TEST(removesAnUnresponsiveSurplusVoter);
     CPPUNIT_TEST(removesALeavingSurplusVoterAtOnce);
+    CPPUNIT_TEST(removesItselfIfItLeavesAndAnotherVoterReplacesIt);
+    CPPUNIT_TEST(keepsAMemberThatHasReturnedAfterItsLeave);
     CPPUNIT_TEST(keepsAdditionalMembersAsLearners);
     CPPUNIT_TEST(ignoresExpiredJoinRequests);
     CPPUNIT_TEST(neverRemovesARequiredVoterWithoutAReplacement);
@@ -94,6 +96,29 @@
         CPPUNIT_ASSERT_EQUAL(std::string("remove c"), nextChange());
     }
 
+    /// Guards against a leader that stops as a voter of the group, which its successor removes only after a silence.
+    void removesItselfIfItLeavesAndAnotherVoterReplacesIt()
+    {
+        addVoters(5);
+        m_reconciler.leaveAnnounced(m_now, "a");
+        CPPUNIT_ASSERT(!m_reconciler.hasReplacement(m_members));
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), nextChange());
+        m_members.push_back({"f", "host-f", false, false, true, {}});
+        CPPUNIT_ASSERT(m_reconciler.hasReplacement(m_members));
+        CPPUNIT_ASSERT_EQUAL(std::string("promote f"), nextChange());
+        m_members.back().isVoter = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("remove a"), nextChange());
+    }
+
+    /// Guards against the removal of a host that was only restarted, once another host has joined.
+    void keepsAMemberThatHasReturnedAfterItsLeave()
+    {
+        addVoters(6);
+        m_reconciler.leaveAnnounced(m_now, "c");
+        m_reconciler.joinRequested(m_now, {"c", "host-c", "10.0.0.3:7720"});
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), nextChange());
+    }
+
     /// More voters than desired would slow down each change and tolerate no more losses than required.
     void keepsAdditionalMembersAsLearners()
     {
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -17,8 +17,13 @@
 constexpr auto role = "control";
 /// Time from a disk failure to the next attempt to open the replica. A disk that is full or stalled usually recovers within seconds.
 constexpr auto reopenInterval = std::chrono::milliseconds(500);
-/// Time for the leave announcement to reach the leader, one way between availability zones.
+/// Time for the last messages to reach the other control hosts, one way between availability zones.
 constexpr auto stopDelay = std::chrono::milliseconds(60);
+/// Longest time from the stop signal to the end of the process, in which this host leaves the group.
+constexpr auto maxLeaveTime = std::chrono::seconds(1);
+/// Number of election timeouts without a message after which a voter that another one replaces is removed. The former leader is silent for
+/// one to two of them before its successor is elected.
+constexpr int surplusVoterElectionTimeouts = 2;
 constexpr int heartbeatsPerLease = 3;
 /// Flow records that are lost with the power of this host are at most this much older than the loss, and the time that the disk takes.
 constexpr auto flowRecordSaveInterval = std::chrono::milliseconds(500);
@@ -180,6 +185,7 @@
     options.acceptsAnyService = true;
     options.membershipReconciler = MembershipReconcilerOptions();
     options.membershipReconciler->voters = 2 * m_settings.toleratedDiskLosses + 1;
+    options.membershipReconciler->surplusVoterTimeout = surplusVoterElectionTimeouts * m_settings.electionTimeout;
     return options;
 }
 
@@ -377,10 +383,20 @@
         if (m_session && !m_hasSessionFailed) {
             m_session->service->announceLeave();
         }
-        m_stopTimer.expires_after(stopDelay);
-        m_stopTimer.async_wait([this](const asio::error_code &) {
+        stopOnceLeft(m_services.clock().now() + maxLeaveTime);
+    });
+}
+
+void RouteControlProcess::stopOnceLeft(TimePoint deadline)
+{
+    const bool isLeaving = m_session && !m_hasSessionFailed && m_session->service->isLeaving();
+    m_stopTimer.expires_after(stopDelay);
+    m_stopTimer.async_wait([this, isLeaving, deadline](const asio::error_code &) {
+        if (isLeaving && m_services.clock().now() < deadline) {
+            stopOnceLeft(deadline);
+        } else {
             m_context.stop();
-        });
+        }
     });
 }
 
