Require every field of a server's heartbeat

Cause: decodeAnnouncement never read "Address" and "Zone", and ignored "Version" and "WarmupLeftMs" of another type. An incomplete message of another writer counted as an announcement, and its start time made it a new server.

Ruled out: the choice of the balancers and the registry, which followed what the agent announced (event=server new=true with the other service).

Change: all fields are required, with type and range, in one place; the log line of a refusal names the field, the bound and the value. A capacity that does not fit 16 bits is refused instead of being cut.

--- a/fuzz/platform_calls_fuzz.cpp
+++ b/fuzz/platform_calls_fuzz.cpp
@@ -48,7 +48,9 @@
     handleFailure(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(announcement, Platform::decodeAnnouncement("id", body));
-            checkInvariant(!announcement.service.empty(), "an announcement names a service");
+            checkInvariant(!announcement.service.empty() && !announcement.zone.empty() && !announcement.version.empty(),
+                           "an announcement names its service, its availability zone and its version");
+            checkInvariant(parseHostAddress(toString(announcement.address)) == announcement.address, "an announcement states the server's address");
             return {};
         },
         ignore);
--- a/include/jujubequay/steering_program/server_announcements.h
+++ b/include/jujubequay/steering_program/server_announcements.h
@@ -2,6 +2,7 @@
 
 #include <jujubequay/core/clock.h>
 #include <jujubequay/core/error.h>
+#include <jujubequay/core/identifiers.h>
 
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,8 @@
     std::uint64_t startedAtMs = 0; ///< start time of the server in ms since 1970, by its wall clock
     std::uint64_t sequence = 0; ///< increases with each announcement of one incarnation
     std::string service;
+    HostAddress address; ///< at which the server receives packets
+    std::string zone; ///< availability zone
     std::string version; ///< software version of the server
     std::uint32_t slots = 1; ///< requests that the server runs at the same time
     bool isDraining = false;
