Refuse announcements that contradict what the agent knows of its server

The server got no new flows afterwards.

Cause: an agent compared an announcement with nothing. Another identifier and a later start time made it a new server, which ends the flows of the one before and makes all its later heartbeats late.

Ruled out: the decoder, since all fields were there; the balancers and the registry, which played no part in the reset.

Change: address, service, start time and sequence number are checked in one place against settings, routes in force and time of day, before anything changes. A service that is only on a route is refused while the current server announces itself. The agent reads its service again when the settings file changes.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -291,6 +291,7 @@
 jujubequay_module(steering_program
     SOURCES
         agent_traffic.cpp
+        announcement_check.cpp
         balancer_traffic.cpp
         discovery.cpp
         flow_record_files.cpp
@@ -303,6 +304,7 @@
         steering_balancer_process.cpp
         traffic_loop.cpp
     TESTS
+        announcement_check_test.cpp
         flow_record_files_test.cpp
         packet_report_test.cpp
         server_announcements_test.cpp
--- a/include/jujubequay/steering_program/server_announcements.h
+++ b/include/jujubequay/steering_program/server_announcements.h
@@ -59,6 +59,8 @@
     /// True if the server sends announcements, does not drain and has not announced its departure.
     bool acceptsNewFlows(TimePoint now) const;
     bool isUnresponsive(TimePoint now) const;
+    /// Time since the last announcement of the current server.
+    Duration timeSinceAnnouncement(TimePoint now) const;
     /// Identifies the incarnation of the server; never 0 or unconfirmedIncarnation while there is a current server.
     std::uint32_t incarnation() const;
 
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -20,7 +20,10 @@
 class SteeringAgentProcess
 {
 public:
-    SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec);
+    /// Reads the settings again after a change of the settings file.
+    using AgentSettingsReader = std::function<Result<SteeringAgentSettings>()>;
+
+    SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, AgentSettingsReader readSettings, const PacketCodec &codec);
     ~SteeringAgentProcess();
     SteeringAgentProcess(const SteeringAgentProcess &) = delete;
     SteeringAgentProcess &operator=(const SteeringAgentProcess &) = delete;
@@ -33,13 +36,17 @@
     asio::io_context &context();
     Logger &logger();
 
-    /// Handles an announcement of the local server. It is in effect on return.
-    void handleServerAnnouncement(const ServerAnnouncement &announcement);
+    /// Handles an announcement of the local server. It is in effect on return. Fails with BadRequest, and changes nothing, if it cannot be an
+    /// announcement of this server.
+    Result<void> handleServerAnnouncement(const ServerAnnouncement &announcement);
     /// Handles the announcement that the process of the local server is about to end. `startedAtMs`: its start time, if it states it.
     void handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs);
 
 private:
     void applyConfig(const ConfigSnapshotPointer &snapshot);
+    /// Refuses another service than that of the settings while the current server announces itself.
+    Result<void> checkServiceChange(const ServerAnnouncement &announcement) const;
+    void applyAnnouncement(const ServerAnnouncement &announcement);
     /// Updates the traffic thread and the announcement to the control hosts from the state of the local server.
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry serverEntry() const;
@@ -51,12 +58,13 @@
     void checkServer();
     /// Reports to the announce client that a control host is reachable.
     void reportReachableControlHost(const HostAddress &controlHost);
-    void reloadSeeds();
+    void reloadSettings();
     void waitForStop();
     void publishMetrics();
 
     const SteeringAgentSettings m_settings;
-    const SeedReader m_readSeeds;
+    std::string m_service; ///< service of the server by the current settings file; may be empty
+    const AgentSettingsReader m_readSettings;
     const PacketCodec &m_codec;
     asio::io_context m_context{1};
     ProcessServices m_services;
--- a/src/jujubequay/daemon/steering_settings.cpp
+++ b/src/jujubequay/daemon/steering_settings.cpp
@@ -61,7 +61,7 @@
     settings.relayAddress = reader.address("relay_address", "address that receives packets from balancers and other agents (UDP)");
     settings.serverOutput = reader.address("server_output", "address that receives the packets of the server (UDP)");
     settings.serverInput = reader.address("server_input", "address of the server for packets (UDP) and status checks (HTTP)");
-    settings.service = reader.text("service", "", "service of the server until the server announces itself");
+    settings.service = reader.text("service", "", "service of the server; it may announce another one that is on a route");
     settings.readyAddress = reader.address("ready_address", "address of the readiness endpoint: whether this agent runs (HTTP)");
     settings.announceAddress = reader.address("announce_address", "address that receives announcements of the server (HTTP)");
     settings.callerAddress = reader.address("caller_address", "address of which only the port is used, on which callers receive packets");
--- a/src/jujubequay/steering_program/server_announcements.cpp
+++ b/src/jujubequay/steering_program/server_announcements.cpp
@@ -89,7 +89,12 @@
 
 bool ServerAnnouncements::isUnresponsive(TimePoint now) const
 {
-    return m_current && now - m_lastAnnouncedAt > m_silenceLimit;
+    return m_current && timeSinceAnnouncement(now) > m_silenceLimit;
+}
+
+Duration ServerAnnouncements::timeSinceAnnouncement(TimePoint now) const
+{
+    return now - m_lastAnnouncedAt;
 }
 
 std::uint32_t ServerAnnouncements::incarnation() const
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -1,3 +1,4 @@
+#include <jujubequay/steering_program/announcement_check.h>
 #include <jujubequay/steering_program/steering_agent_process.h>
 
 #include <csignal>
@@ -45,15 +46,19 @@
 
 }
 
-SteeringAgentProcess::SteeringAgentProcess(SteeringAgentSettings settings, std::filesystem::path settingsFile, SeedReader readSeeds, const PacketCodec &codec)
+SteeringAgentProcess::SteeringAgentProcess(SteeringAgentSettings settings,
+                                           std::filesystem::path settingsFile,
+                                           AgentSettingsReader readSettings,
+                                           const PacketCodec &codec)
     : m_settings(std::move(settings))
-    , m_readSeeds(std::move(readSeeds))
+    , m_service(m_settings.service)
+    , m_readSettings(std::move(readSettings))
     , m_codec(codec)
     , m_services(m_context, "jjq-agent", m_settings.discovery.common, steeringProcessOptions(role, m_settings.discovery))
     , m_settingsWatcher(m_context,
                         std::move(settingsFile),
                         [this] {
-                            reloadSeeds();
+                            reloadSettings();
                         })
     , m_stopSignals(m_context, SIGTERM, SIGINT)
     , m_serverCheckTimer(m_context,
@@ -171,7 +176,26 @@
 
 // Local server
 
-void SteeringAgentProcess::handleServerAnnouncement(const ServerAnnouncement &announcement)
+Result<void> SteeringAgentProcess::handleServerAnnouncement(const ServerAnnouncement &announcement)
+{
+    const ConfigSnapshotPointer config = m_watcher->subscriber().snapshot();
+    BOOST_LEAF_CHECK(checkAnnouncement(announcement, {m_settings.serverInput, m_service}, *config->routes, std::chrono::system_clock::now()));
+    BOOST_LEAF_CHECK(checkServiceChange(announcement));
+    applyAnnouncement(announcement);
+    return {};
+}
+
+Result<void> SteeringAgentProcess::checkServiceChange(const ServerAnnouncement &announcement) const
+{
+    const auto &current = m_announcements.current();
+    const bool isOtherService = current && current->service != announcement.service && announcement.service != m_service;
+    if (isOtherService && m_announcements.timeSinceAnnouncement(m_services.clock().now()) < m_settings.announceInterval) {
+        return fail(ResultCode::BadRequest, fmt::format("service \"{}\": the server of \"{}\" announces itself", announcement.service, current->service));
+    }
+    return {};
+}
+
+void SteeringAgentProcess::applyAnnouncement(const ServerAnnouncement &announcement)
 {
     const bool isFirstServer = !m_announcements.current();
     const bool wasServerRunning = std::exchange(m_isServerRunning, false);
@@ -250,7 +274,7 @@
 
 void SteeringAgentProcess::checkServer()
 {
-    if (m_settings.service.empty()) {
+    if (m_service.empty()) {
         return;
     }
     m_probe.start([this](ServerProcess process) {
@@ -276,7 +300,7 @@
                                   static_cast<std::uint16_t>(current->slots),
                                   m_serverStartedAt};
     } else if (m_isServerRunning) {
-        localServer = LocalServer{serviceKey(m_settings.service), unconfirmedIncarnation, true, 1};
+        localServer = LocalServer{serviceKey(m_service), unconfirmedIncarnation, true, 1};
     }
     // A running server announces itself within one interval, or two if an announcement is lost.
     const bool hasWaitedForAnnouncement = m_services.clock().now() - m_startedAtMonotonic >= 2 * m_settings.announceInterval;
@@ -315,7 +339,7 @@
     entry.set_agent_epoch(m_epoch);
     const auto &current = m_announcements.current();
     if (m_isServerRunning) {
-        entry.set_service(m_settings.service);
+        entry.set_service(m_service);
         entry.set_incarnation(unconfirmedIncarnation.value);
         entry.set_agent_order(unconfirmedOrder);
         entry.set_state(pb::SERVER_STATE_SERVING);
@@ -325,7 +349,7 @@
         if (m_isAnnouncing) {
             entry = m_announceClient->announcer().server();
         } else {
-            entry.set_service(m_settings.service);
+            entry.set_service(m_service);
             entry.set_incarnation(m_absentIncarnation);
             entry.set_agent_order(wallClockMs());
         }
@@ -362,9 +386,18 @@
     }
 }
 
-void SteeringAgentProcess::reloadSeeds()
+// A server of another service may be started at the same address, without a restart of the agent.
+void SteeringAgentProcess::reloadSettings()
 {
-    applySeeds(m_services.logger(), m_readSeeds, [this](std::vector<HostAddress> seeds) {
+    const auto readSeeds = [this]() -> Result<std::vector<HostAddress>> {
+        BOOST_LEAF_AUTO(settings, m_readSettings());
+        if (settings.service != m_service) {
+            m_services.logger().info("service-changed", {{"from", m_service}, {"to", settings.service}});
+            m_service = settings.service;
+        }
+        return settings.discovery.seeds;
+    };
+    applySeeds(m_services.logger(), readSeeds, [this](std::vector<HostAddress> seeds) {
         m_watcher->setControlHosts(std::move(seeds));
     });
 }
--- a/src/jujubequay/steering_program/steering_agent_process_test.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process_test.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(announcesTheEndOfAServerThatEndsWhileItStops);
     CPPUNIT_TEST(announcesTheEndOfAServerThatAcceptedNoConnection);
     CPPUNIT_TEST(doesNotEndAServerByACheckOfItsPredecessor);
+    CPPUNIT_TEST(keepsItsServerWhenAnotherServiceIsAnnounced);
+    CPPUNIT_TEST(acceptsAnotherServiceOnceTheSettingsNameIt);
     CPPUNIT_TEST_SUITE_END();
 
     using Acceptor = asio::ip::tcp::acceptor;
@@ -76,14 +78,33 @@
         std::function<void(SteeringAgentProcess &, Acceptor &server)> action;
     };
 
-    static void announce(SteeringAgentProcess &agent, const std::string &id, std::uint64_t startedAtMs)
+    static ServerAnnouncement announcement(const HostAddress &server, const std::string &id, std::uint64_t startedAtMs)
     {
         ServerAnnouncement announcement;
         announcement.id = id;
         announcement.startedAtMs = startedAtMs;
         announcement.sequence = 1;
         announcement.service = "feed";
-        agent.handleServerAnnouncement(announcement);
+        announcement.address = server;
+        return announcement;
+    }
+
+    /// Returns false if the agent refuses the announcement.
+    static bool announce(SteeringAgentProcess &agent, const ServerAnnouncement &announcement)
+    {
+        return handleFailure(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(agent.handleServerAnnouncement(announcement));
+                return true;
+            },
+            [](const Failure &) {
+                return false;
+            });
+    }
+
+    static HostAddress addressOf(const Acceptor &server)
+    {
+        return {loopback, server.local_endpoint().port()};
     }
 
     static void listen(Acceptor &server, const asio::ip::tcp::endpoint &address)
@@ -94,8 +115,9 @@
         server.listen();
     }
 
-    /// Runs an agent whose server is `i-1` until it is stopped. Returns true if the agent has announced that the server has ended.
-    static bool announcesEnd(const std::vector<Step> &steps)
+    /// Runs an agent whose server is `i-1` until it is stopped. Returns true if the agent has announced that the server has ended. `service`: the
+    /// service of the settings file, which the agent reads again on SIGHUP.
+    static bool announcesEnd(const std::vector<Step> &steps, const std::shared_ptr<std::string> &service = std::make_shared<std::string>())
     {
         asio::io_context serverContext;
         Acceptor server(serverContext, {asio::ip::address_v4::loopback(), 0});
@@ -113,7 +135,8 @@
         settings.discovery.silenceLimit = milliseconds(2000);
         settings.relayAddress = {loopback, 0};
         settings.serverOutput = {loopback, 0};
-        settings.serverInput = {loopback, server.local_endpoint().port()};
+        settings.serverInput = addressOf(server);
+        settings.service = *service;
         settings.announceInterval = milliseconds(200);
         const auto accept = [&](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
             MessageStreamHandlers handlers;
@@ -136,8 +159,10 @@
         SteeringAgentProcess agent(
             settings,
             {},
-            [&]() -> Result<std::vector<HostAddress>> {
-                return settings.discovery.seeds;
+            [&]() -> Result<SteeringAgentSettings> {
+                SteeringAgentSettings reloaded = settings;
+                reloaded.service = *service;
+                return reloaded;
             },
             codec);
         std::thread controlThread([&] {
@@ -154,7 +179,7 @@
             });
         };
         schedule(milliseconds(0), [&] {
-            announce(agent, "i-1", 1000);
+            CPPUNIT_ASSERT(announce(agent, announcement(settings.serverInput, "i-1", 1000)));
         });
         for (const Step &step : steps) {
             schedule(step.time, [&] {
@@ -239,11 +264,46 @@
         // Runs after the check was started and before its result is handled.
         const auto replace = [&](SteeringAgentProcess &agent, Acceptor &server) {
             listen(server, address);
-            announce(agent, "i-2", 2000);
+            CPPUNIT_ASSERT(announce(agent, announcement(addressOf(server), "i-2", 2000)));
             agent.handleServerDeparture("i-2", std::nullopt);
         };
         CPPUNIT_ASSERT(!announcesEnd({{milliseconds(300), endAndLeave}, {milliseconds(350), pause}, {milliseconds(430), replace}, {milliseconds(800), stop}}));
     }
+
+    /// Guards against an announcement of another writer that ends the running server and resets its flows.
+    void keepsItsServerWhenAnotherServiceIsAnnounced()
+    {
+        std::vector<bool> accepted;
+        const auto announceOthers = [&accepted](SteeringAgentProcess &agent, Acceptor &server) {
+            ServerAnnouncement other = announcement(addressOf(server), "i-2", 2000);
+            other.service = "vault";
+            accepted.push_back(announce(agent, other));
+            accepted.push_back(announce(agent, announcement({loopback, 1}, "i-2", 2000)));
+            ServerAnnouncement next = announcement(addressOf(server), "i-1", 1000);
+            next.sequence = 2;
+            accepted.push_back(announce(agent, next));
+        };
+        announcesEnd({{milliseconds(100), announceOthers}, {milliseconds(300), stop}}, std::make_shared<std::string>("feed"));
+        CPPUNIT_ASSERT((std::vector<bool>{false, false, true}) == accepted);
+    }
+
+    /// A server of another service may be started at the address of an agent that runs on.
+    void acceptsAnotherServiceOnceTheSettingsNameIt()
+    {
+        const auto service = std::make_shared<std::string>("feed");
+        bool isAccepted = false;
+        const auto reload = [service](SteeringAgentProcess &, Acceptor &) {
+            *service = "vault";
+            std::raise(SIGHUP);
+        };
+        const auto announceOther = [&isAccepted](SteeringAgentProcess &agent, Acceptor &server) {
+            ServerAnnouncement other = announcement(addressOf(server), "i-2", 2000);
+            other.service = "vault";
+            isAccepted = announce(agent, other);
+        };
+        announcesEnd({{milliseconds(100), reload}, {milliseconds(200), announceOther}, {milliseconds(300), stop}}, service);
+        CPPUNIT_ASSERT(isAccepted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SteeringAgentProcessTest);
