Bound the time in which an unannounced server accepts new flows

Cause: a restarted agent finds that a server runs and presents it as one that accepts new flows until a heartbeat says otherwise. A server that has deregistered sends none. Control hosts refuse that only until the entry of the drain has expired, 4 s later.

Change: the guess holds for two announcement intervals; then the server is presented as draining and checked for its end. A departure before the first heartbeat counts instead of being forgotten. Control hosts remember that the last announcement of a server was a drain or a departure, and refuse a guess that accepts new flows in its place.

--- a/include/jujubequay/control/lease_registry.h
+++ b/include/jujubequay/control/lease_registry.h
@@ -88,6 +88,7 @@
         bool isLocalChange = false;
         TimePoint lastHeartbeatAt{}; ///< valid for entries that this host owns
         TimePoint leftAt{};
+        bool hasAnnouncedEnd = false; ///< the last announcement said that the server drains or has left
         std::deque<std::uint32_t> pastIncarnations;
     };
     struct ZoneCount {
--- a/include/jujubequay/control/watched_servers.h
+++ b/include/jujubequay/control/watched_servers.h
@@ -6,6 +6,9 @@
 
 namespace Jujubequay {
 
+/// True if the server has left by its own announcement; false if it runs, or if a control host has removed it.
+bool hasDeregistered(const jujubequay::pb::ServerEntry &entry);
+
 /// True if watchers have to be notified of the change. They use neither the owner of an entry nor its sequence number, and of its
 /// observation only whether the server has deregistered itself.
 bool isVisibleToWatchers(const jujubequay::pb::ServerEntry &previous, const jujubequay::pb::ServerEntry &entry);
--- a/include/jujubequay/steering_program/server_announcements.h
+++ b/include/jujubequay/steering_program/server_announcements.h
@@ -46,8 +46,12 @@
     /// `silenceLimit`: the server is unresponsive if its last announcement is older than this.
     explicit ServerAnnouncements(Duration silenceLimit);
 
+    /// A server that has not announced itself accepts connections. Until `acceptsUntil` it counts as one that accepts new flows; a running server
+    /// announces itself by then, but one that has deregistered does not.
+    void serverFound(TimePoint acceptsUntil);
     AnnouncementOutcome handleAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
-    /// Marks the server as departing. Returns false if `id` is not the current server, or if a start time is given and differs.
+    /// Marks the server as departing. Returns false if `id` is not the current server, or if a start time is given and differs. Without a current
+    /// server, the departure is that of a server which has not announced itself, unless it repeats that of the server that was removed.
     bool handleDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs);
     /// Removes the current server, whose process has ended.
     void removeServer();
@@ -56,8 +60,12 @@
     const std::optional<ServerAnnouncement> &current() const;
     /// True after handleDeparture, until the server is removed or replaced. The server may still run.
     bool hasAnnouncedDeparture() const;
-    /// True if the server sends announcements, does not drain and has not announced its departure.
+    /// True after serverFound, until the server announces itself or is removed.
+    bool isUnannounced() const;
+    /// True if the server sends announcements, or may still send its first one, does not drain and has not announced its departure.
     bool acceptsNewFlows(TimePoint now) const;
+    /// True if the server has announced its departure, or has not announced itself in time: its process may end without a further announcement.
+    bool mayHaveEnded(TimePoint now) const;
     bool isUnresponsive(TimePoint now) const;
     /// Time since the last announcement of the current server.
     Duration timeSinceAnnouncement(TimePoint now) const;
@@ -71,6 +79,8 @@
     std::string m_removedId;
     TimePoint m_lastAnnouncedAt{};
     bool m_hasAnnouncedDeparture = false;
+    bool m_isUnannounced = false;
+    TimePoint m_unannouncedUntil{}; ///< time until which the unannounced server accepts new flows
 };
 
 }
--- a/include/jujubequay/steering_program/steering_agent_process.h
+++ b/include/jujubequay/steering_program/steering_agent_process.h
@@ -50,8 +50,9 @@
     /// Updates the traffic thread and the announcement to the control hosts from the state of the local server.
     void applyServer(bool isFresh);
     jujubequay::pb::ServerEntry serverEntry() const;
+    /// Schedules a check of a server whose process may end without a further announcement, unless one is scheduled.
     void scheduleEndCheck();
-    /// Checks whether the process of a departing server has ended, and again later if it has not.
+    /// Checks whether the process of such a server has ended, and again later if it has not.
     void checkServerEnd();
     void handleServerEnd();
     /// Checks whether the server runs, so that a restarted agent need not wait for the next announcement.
@@ -86,7 +87,7 @@
     std::optional<TimePoint> m_serverStartedAt; ///< when the server started, by the clock of the process; empty if its clock is ahead
     bool m_isServerChecked = false; ///< the check at the start of this agent has a result, or a server has announced itself
     bool m_isServerAbsent = false; ///< the server refused the connection when this agent started
-    bool m_isServerRunning = false; ///< the server accepts connections but has not announced itself yet
+    bool m_isEndCheckScheduled = false; ///< m_endTimer runs
     std::optional<LocalServer> m_localServer;
     bool m_isLocalServerApplied = false; ///< m_localServer was posted to the traffic thread
     TimePoint m_startedAtMonotonic{}; ///< start time by the clock of the process
--- a/src/jujubequay/control/lease_registry.cpp
+++ b/src/jujubequay/control/lease_registry.cpp
@@ -1,3 +1,4 @@
+#include <jujubequay/control/config_snapshot.h>
 #include <jujubequay/control/lease_registry.h>
 #include <jujubequay/control/watched_servers.h>
 #include <jujubequay/core/identifiers.h>
@@ -47,6 +48,12 @@
     return entry.agent_order() != 0;
 }
 
+// The agent has found that a server runs, but not which one. It is a guess, which ends with the first announcement of the server.
+bool isUnannouncedServer(const pb::ServerEntry &entry)
+{
+    return hasAgentOrder(entry) && entry.incarnation() == unconfirmedIncarnation.value;
+}
+
 std::uint64_t announcedOrder(const pb::ServerEntry &entry)
 {
     return hasAgentOrder(entry) ? entry.agent_order() : entry.order();
@@ -227,13 +234,15 @@
     return isHigher || announcedOrder(announced) == 0;
 }
 
-// An agent that has chosen an order may choose a higher one for the server of this entry, or for one that it has observed after it.
+// An agent that has chosen an order may choose a higher one for the server of this entry, or for one that it has observed after it. A server that has
+// not announced itself does not accept new flows in the place of one that drained or left: it may be the same.
 pb::AnnounceDown LeaseRegistry::refuse(SessionId session, std::uint64_t wallMs, const Record &record, const Entry &announced)
 {
     Answer answer = answerOf(ResultCode::StaleIncarnation);
     const bool isSameIncarnation = record.entry.incarnation() == announced.incarnation();
     const bool mayChooseHigher = hasAgentOrder(announced) && (isSameIncarnation || isLaterOfSameAgentEpoch(record.entry, announced));
-    if (hasLeft(record.entry) || mayChooseHigher) {
+    const bool mayHaveLeft = isUnannouncedServer(announced) && announced.state() == pb::SERVER_STATE_SERVING && record.hasAnnouncedEnd;
+    if ((hasLeft(record.entry) || mayChooseHigher) && !mayHaveLeft) {
         const std::uint64_t offer = hasAgentOrder(announced) ? record.entry.order() + 1 : nextOrder(wallMs);
         m_highestOrder = std::max(m_highestOrder, offer);
         m_offeredOrders[session] = offer;
@@ -325,6 +334,10 @@
     } else {
         record.leftAt = now;
     }
+    const bool isStateOfControlHost = entry.state() == pb::SERVER_STATE_SUSPECT || (hasLeft(entry) && !hasDeregistered(entry));
+    if (!isStateOfControlHost) {
+        record.hasAnnouncedEnd = hasLeft(entry) || entry.state() == pb::SERVER_STATE_DRAINING;
+    }
     m_highestOrder = std::max(m_highestOrder, entry.order());
     record.entry = std::move(entry);
     record.isLocalChange = isLocalChange;
--- a/src/jujubequay/control/lease_registry_test.cpp
+++ b/src/jujubequay/control/lease_registry_test.cpp
@@ -1,3 +1,4 @@
+#include <jujubequay/control/config_snapshot.h>
 #include <jujubequay/control/lease_registry.h>
 #include <jujubequay/core/result_code.h>
 
@@ -71,6 +72,7 @@
     CPPUNIT_TEST(orderOfAnAgentHoldsWhateverTheClocks);
     CPPUNIT_TEST(restartedAgentChoosesAHigherOrder);
     CPPUNIT_TEST(lateAnnouncementAtARestartedAgentReplacesNothing);
+    CPPUNIT_TEST(unannouncedServerTakesNoNewFlowsAfterADrain);
     CPPUNIT_TEST(implausibleOrderOfAnAgentIsIgnored);
     CPPUNIT_TEST(serverOfARestartedAgentStaysListed);
     CPPUNIT_TEST(wallClockStepDoesNotReorderIncarnations);
@@ -228,6 +230,28 @@
         CPPUNIT_ASSERT_EQUAL(8U, m_registry->find("inspect-desk-0")->incarnation());
     }
 
+    /// Guards against new flows for a server that drains or has left: its agent has restarted, knows only that a server runs, and the entry of the
+    /// drain has expired.
+    void unannouncedServerTakesNoNewFlowsAfterADrain()
+    {
+        for (const pb::ServerState end : {pb::SERVER_STATE_DRAINING, pb::SERVER_STATE_LEFT}) {
+            setUp();
+            pb::ServerEntry entry = serverOfAgent(7, 5, wallStart, 9);
+            entry.set_state(end);
+            announce(entry);
+            keepAlive(0, 0, seconds(30));
+            CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, stateOf(0));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, announceRefused(serverOfAgent(unconfirmedIncarnation.value, 6, 1)).order());
+            // It may still have flows.
+            pb::ServerEntry draining = serverOfAgent(unconfirmedIncarnation.value, 6, 1, 2);
+            draining.set_state(pb::SERVER_STATE_DRAINING);
+            draining.set_agent_order(announceRefused(draining).order());
+            draining.set_order(draining.agent_order());
+            announce(draining);
+            CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_DRAINING, stateOf(0));
+        }
+    }
+
     /// Guards against a server that is never listed because the clock of its machine is wrong.
     void implausibleOrderOfAnAgentIsIgnored()
     {
--- a/src/jujubequay/control/watched_servers.cpp
+++ b/src/jujubequay/control/watched_servers.cpp
@@ -18,12 +18,6 @@
 constexpr std::uint32_t ordinaryWeight = 100;
 constexpr std::uint32_t maxPort = std::numeric_limits<std::uint16_t>::max();
 
-/// An entry of a server that announced its end has observation 0; a control host that removes a server increments it.
-bool hasDeregistered(const pb::ServerEntry &entry)
-{
-    return entry.state() == pb::SERVER_STATE_LEFT && entry.observation() == 0;
-}
-
 auto visibleFields(const pb::ServerEntry &entry)
 {
     return std::make_tuple(entry.service(),
@@ -77,6 +71,12 @@
 
 }
 
+// A control host that removes a server increments the observation of its entry.
+bool hasDeregistered(const pb::ServerEntry &entry)
+{
+    return entry.state() == pb::SERVER_STATE_LEFT && entry.observation() == 0;
+}
+
 bool isVisibleToWatchers(const pb::ServerEntry &previous, const pb::ServerEntry &entry)
 {
     return visibleFields(previous) != visibleFields(entry);
--- a/src/jujubequay/steering_program/server_announcements.cpp
+++ b/src/jujubequay/steering_program/server_announcements.cpp
@@ -27,6 +27,12 @@
 {
 }
 
+void ServerAnnouncements::serverFound(TimePoint acceptsUntil)
+{
+    m_isUnannounced = !m_current;
+    m_unannouncedUntil = acceptsUntil;
+}
+
 AnnouncementOutcome ServerAnnouncements::handleAnnouncement(TimePoint now, const ServerAnnouncement &announcement)
 {
     const auto incarnationKey = std::tie(announcement.startedAtMs, announcement.id);
@@ -37,6 +43,7 @@
         m_current = announcement;
         m_lastAnnouncedAt = now;
         m_hasAnnouncedDeparture = false;
+        m_isUnannounced = false;
         return AnnouncementOutcome::NewServer;
     }
     const bool isEarlierIncarnation = incarnationKey < std::tie(m_current->startedAtMs, m_current->id);
@@ -55,7 +62,17 @@
 
 bool ServerAnnouncements::handleDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
-    if (!m_current || m_current->id != id || startedAtMs.value_or(m_current->startedAtMs) != m_current->startedAtMs) {
+    if (!m_current) {
+        const bool isRemoved = m_removedId == id && startedAtMs.value_or(m_removedStartedAtMs) == m_removedStartedAtMs;
+        if (!isRemoved && startedAtMs && std::tie(*startedAtMs, id) > std::tie(m_removedStartedAtMs, m_removedId)) {
+            // Its late announcements are not those of a running server.
+            m_removedStartedAtMs = *startedAtMs;
+            m_removedId = id;
+        }
+        m_hasAnnouncedDeparture = m_hasAnnouncedDeparture || !isRemoved;
+        return !isRemoved;
+    }
+    if (m_current->id != id || startedAtMs.value_or(m_current->startedAtMs) != m_current->startedAtMs) {
         return false;
     }
     m_hasAnnouncedDeparture = true;
@@ -70,6 +87,7 @@
         m_current.reset();
     }
     m_hasAnnouncedDeparture = false;
+    m_isUnannounced = false;
 }
 
 const std::optional<ServerAnnouncement> &ServerAnnouncements::current() const
@@ -82,11 +100,24 @@
     return m_hasAnnouncedDeparture;
 }
 
+bool ServerAnnouncements::isUnannounced() const
+{
+    return m_isUnannounced;
+}
+
 bool ServerAnnouncements::acceptsNewFlows(TimePoint now) const
 {
+    if (m_isUnannounced) {
+        return !m_hasAnnouncedDeparture && now < m_unannouncedUntil;
+    }
     return m_current && !m_hasAnnouncedDeparture && !m_current->isDraining && !isUnresponsive(now);
 }
 
+bool ServerAnnouncements::mayHaveEnded(TimePoint now) const
+{
+    return m_hasAnnouncedDeparture || (m_isUnannounced && !acceptsNewFlows(now));
+}
+
 bool ServerAnnouncements::isUnresponsive(TimePoint now) const
 {
     return m_current && timeSinceAnnouncement(now) > m_silenceLimit;
--- a/src/jujubequay/steering_program/server_announcements_test.cpp
+++ b/src/jujubequay/steering_program/server_announcements_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(ignoresTheDepartureOfAnotherServer);
     CPPUNIT_TEST(ignoresTheDepartureOfAnEarlierServerWithTheSameId);
     CPPUNIT_TEST(acceptsNoNewFlowsForAnUnresponsiveServer);
+    CPPUNIT_TEST(unannouncedServerAcceptsNewFlowsForALimitedTime);
+    CPPUNIT_TEST(remembersTheDepartureOfAnUnannouncedServer);
     CPPUNIT_TEST(observesOnlyServersThatStartAfterTheAgent);
     CPPUNIT_TEST_SUITE_END();
 
@@ -96,6 +98,33 @@
         CPPUNIT_ASSERT(m_announcements.current().has_value());
     }
 
+    /// Guards against new flows for a server that has deregistered while its agent was restarted, and still runs.
+    void unannouncedServerAcceptsNewFlowsForALimitedTime()
+    {
+        m_announcements.serverFound(m_now + seconds(1));
+        CPPUNIT_ASSERT(m_announcements.isUnannounced() && m_announcements.acceptsNewFlows(m_now) && !m_announcements.mayHaveEnded(m_now));
+        m_now += seconds(1);
+        CPPUNIT_ASSERT(m_announcements.isUnannounced() && !m_announcements.acceptsNewFlows(m_now) && m_announcements.mayHaveEnded(m_now));
+        announce("i-1", 1000, 7);
+        CPPUNIT_ASSERT(!m_announcements.isUnannounced() && m_announcements.acceptsNewFlows(m_now) && !m_announcements.mayHaveEnded(m_now));
+    }
+
+    /// Guards against a departure that is acknowledged and forgotten, because the agent has not received an announcement of the server yet.
+    void remembersTheDepartureOfAnUnannouncedServer()
+    {
+        m_announcements.serverFound(m_now + seconds(1));
+        CPPUNIT_ASSERT(m_announcements.handleDeparture("i-1", 1000));
+        CPPUNIT_ASSERT(!m_announcements.acceptsNewFlows(m_now) && m_announcements.mayHaveEnded(m_now));
+        CPPUNIT_ASSERT(announce("i-1", 1000, 9) == AnnouncementOutcome::Late);
+        CPPUNIT_ASSERT(!m_announcements.acceptsNewFlows(m_now));
+        m_announcements.removeServer();
+        CPPUNIT_ASSERT(!m_announcements.handleDeparture("i-1", 1000));
+        CPPUNIT_ASSERT(!m_announcements.mayHaveEnded(m_now));
+        // The next server at this address, which may have the same id.
+        CPPUNIT_ASSERT(announce("i-1", 2000, 1) == AnnouncementOutcome::NewServer);
+        CPPUNIT_ASSERT(m_announcements.acceptsNewFlows(m_now));
+    }
+
     /// A flow that the earlier run of the agent has opened must not count as unknown to the server, however short the restart was.
     void observesOnlyServersThatStartAfterTheAgent()
     {
--- a/src/jujubequay/steering_program/server_end_random_test.cpp
+++ b/src/jujubequay/steering_program/server_end_random_test.cpp
@@ -87,7 +87,6 @@
     std::uint32_t absentIncarnation = 0;
     std::unique_ptr<ServerAnnouncements> announcements; ///< null while the agent is down
     std::unique_ptr<Announcer> announcer;
-    bool isServerRunning = false;
     bool isServerAbsent = false;
     bool isAnnouncing = false;
     bool isStopping = false;
@@ -436,7 +435,6 @@
             ++server.announcement.sequence;
             server.nextAnnouncement = m_now + milliseconds(500);
             callAgent(index, [this, index, announcement = server.announcement](Agent &agent) {
-                agent.isServerRunning = false;
                 if (agent.announcements->handleAnnouncement(m_now, announcement) != AnnouncementOutcome::Late) {
                     applyServer(index);
                 }
@@ -453,7 +451,9 @@
         agent.isAnnouncing = false;
         agent.isStopping = false;
         agent.isServerAbsent = !agent.server;
-        agent.isServerRunning = agent.server.has_value();
+        if (agent.server) {
+            agent.announcements->serverFound(m_now + seconds(1));
+        }
         AnnouncerOptions options;
         options.controlHosts = {controlAddress(0), controlAddress(1), controlAddress(2)};
         options.answerTimeout = seconds(1);
@@ -475,10 +475,11 @@
         entry.set_agent_epoch(agent.epoch);
         entry.set_service("feed");
         const auto &current = agent.announcements->current();
-        if (agent.isServerRunning) {
+        const auto runningState = agent.announcements->acceptsNewFlows(m_now) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING;
+        if (agent.announcements->isUnannounced()) {
             entry.set_incarnation(unconfirmedIncarnation.value);
             entry.set_agent_order(1);
-            entry.set_state(pb::SERVER_STATE_SERVING);
+            entry.set_state(runningState);
         } else if (!current) {
             if (agent.isAnnouncing) {
                 entry = agent.announcer->server();
@@ -490,7 +491,7 @@
         } else {
             entry.set_incarnation(agent.announcements->incarnation());
             entry.set_agent_order(agent.announcements->current()->startedAtMs);
-            entry.set_state(agent.announcements->acceptsNewFlows(m_now) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
+            entry.set_state(runningState);
         }
         return entry;
     }
@@ -499,7 +500,7 @@
     void applyServer(std::size_t index)
     {
         Agent &agent = m_agents[index];
-        if (!agent.announcements->current() && !agent.isServerRunning && !agent.isServerAbsent && !agent.isAnnouncing) {
+        if (!agent.announcements->current() && !agent.announcements->isUnannounced() && !agent.isServerAbsent && !agent.isAnnouncing) {
             return;
         }
         const pb::ServerEntry wanted = serverEntry(index);
@@ -516,7 +517,7 @@
         if (!agent.announcements) {
             return;
         }
-        if (!agent.isStopping && agent.announcements->hasAnnouncedDeparture() && !agent.server) {
+        if (!agent.isStopping && agent.announcements->mayHaveEnded(m_now) && !agent.server) {
             agent.announcements->removeServer();
         }
         if (!agent.isStopping) {
@@ -532,7 +533,7 @@
         Agent &agent = m_agents[index];
         note(fmt::format("agent {} stops", index));
         // As SteeringAgentProcess::waitForStop: the end of a departed server is announced if its process has ended.
-        if (agent.announcements->hasAnnouncedDeparture() && !agent.server) {
+        if (agent.announcements->mayHaveEnded(m_now) && !agent.server) {
             agent.announcements->removeServer();
             applyServer(index);
         }
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -14,6 +14,8 @@
 constexpr auto serverCheckInterval = std::chrono::milliseconds(250);
 /// After this many announcement intervals without an announcement the server gets no new flows.
 constexpr int maxMissedAnnouncements = 3;
+/// A running server announces itself within this number of announcement intervals, also if one announcement is lost.
+constexpr int firstAnnouncementIntervals = 2;
 /// Time between the stop signal and the end of the process, in which the server's last packets are still forwarded.
 constexpr auto stopDelay = std::chrono::milliseconds(300);
 /// Time between checks whether a departing server has ended. Short, so that its callers are reset without a noticeable delay.
@@ -68,6 +70,7 @@
                                  checkServer();
                              }
                              applyServer(false);
+                             scheduleEndCheck();
                              publishMetrics();
                          })
     , m_probe(m_context, m_settings.serverInput)
@@ -198,7 +201,7 @@
 void SteeringAgentProcess::applyAnnouncement(const ServerAnnouncement &announcement)
 {
     const bool isFirstServer = !m_announcements.current();
-    const bool wasServerRunning = std::exchange(m_isServerRunning, false);
+    const bool wasServerFound = m_announcements.isUnannounced();
     const AnnouncementOutcome outcome = m_announcements.handleAnnouncement(m_services.clock().now(), announcement);
     if (outcome == AnnouncementOutcome::Late) {
         m_services.logger().info("announcement-late", {{"id", announcement.id}, {"started_ms", announcement.startedAtMs}, {"sequence", announcement.sequence}});
@@ -210,6 +213,7 @@
         m_isServerChecked = true;
         m_probe.cancel();
         m_endTimer.cancel();
+        m_isEndCheckScheduled = false;
         const auto wallTime = std::chrono::duration_cast<std::chrono::milliseconds>(wallClockNow.time_since_epoch());
         const std::chrono::milliseconds startedAt(announcement.startedAtMs);
         m_serverStartedAt = startedAt <= wallTime ? std::optional(m_services.clock().now() - (wallTime - startedAt)) : std::nullopt;
@@ -226,30 +230,36 @@
                                   {"new", outcome == AnnouncementOutcome::NewServer}});
     }
     // A server that ran when the agent started may have flows of the agent's earlier run.
-    const bool isObserved = !isFirstServer || (!wasServerRunning && hasStartedAfterAgent(announcement, m_startedAtWallClock, wallClockNow));
+    const bool isObserved = !isFirstServer || (!wasServerFound && hasStartedAfterAgent(announcement, m_startedAtWallClock, wallClockNow));
     applyServer(outcome == AnnouncementOutcome::NewServer && isObserved);
 }
 
 void SteeringAgentProcess::handleServerDeparture(const std::string &id, std::optional<std::uint64_t> startedAtMs)
 {
-    const bool isRepeated = m_announcements.hasAnnouncedDeparture();
     if (!m_announcements.handleDeparture(id, startedAtMs)) {
         m_services.logger().info("leave-ignored", {{"id", id}, {"started_ms", startedAtMs.value_or(0)}});
         return;
     }
     m_services.logger().info("server-leaves", {{"id", id}});
     applyServer(false);
-    if (!isRepeated) {
-        scheduleEndCheck();
-    }
+    scheduleEndCheck();
 }
 
 // A server that has announced its departure may continue to run, for example if it did not receive the response. Its flows exist until it ends.
 void SteeringAgentProcess::scheduleEndCheck()
 {
+    const bool isNeeded = m_isServerChecked && m_announcements.mayHaveEnded(m_services.clock().now());
+    if (!isNeeded || std::exchange(m_isEndCheckScheduled, true)) {
+        return;
+    }
     m_endTimer.expires_after(endCheckInterval);
     m_endTimer.async_wait([this](const asio::error_code &error) {
-        if (!error && m_announcements.hasAnnouncedDeparture()) {
+        if (error) {
+            return;
+        }
+        m_isEndCheckScheduled = false;
+        // The server may have been replaced since the timer expired.
+        if (m_announcements.mayHaveEnded(m_services.clock().now())) {
             checkServerEnd();
         }
     });
@@ -258,6 +268,7 @@
 void SteeringAgentProcess::checkServerEnd()
 {
     m_probe.start([this](ServerProcess process) {
+        m_isEndCheckScheduled = false;
         if (process == ServerProcess::Ended) {
             handleServerEnd();
         } else {
@@ -283,7 +294,9 @@
         }
         m_isServerChecked = true;
         m_services.logger().info("server-checked", {{"runs", process == ServerProcess::Running}});
-        m_isServerRunning = process == ServerProcess::Running;
+        if (process == ServerProcess::Running) {
+            m_announcements.serverFound(m_startedAtMonotonic + firstAnnouncementIntervals * m_settings.announceInterval);
+        }
         // The absence is announced, so that control hosts that have restarted do not wait for this server.
         m_isServerAbsent = process == ServerProcess::Ended;
         applyServer(false);
@@ -299,11 +312,10 @@
                                   m_announcements.acceptsNewFlows(m_services.clock().now()),
                                   static_cast<std::uint16_t>(current->slots),
                                   m_serverStartedAt};
-    } else if (m_isServerRunning) {
-        localServer = LocalServer{serviceKey(m_service), unconfirmedIncarnation, true, 1};
+    } else if (m_announcements.isUnannounced()) {
+        localServer = LocalServer{serviceKey(m_service), unconfirmedIncarnation, m_announcements.acceptsNewFlows(m_services.clock().now()), 1};
     }
-    // A running server announces itself within one interval, or two if an announcement is lost.
-    const bool hasWaitedForAnnouncement = m_services.clock().now() - m_startedAtMonotonic >= 2 * m_settings.announceInterval;
+    const bool hasWaitedForAnnouncement = m_services.clock().now() - m_startedAtMonotonic >= firstAnnouncementIntervals * m_settings.announceInterval;
     const bool isServerKnown = localServer || m_isServerAbsent || hasWaitedForAnnouncement;
     if (localServer != m_localServer || (isServerKnown && !m_isLocalServerApplied)) {
         m_localServer = localServer;
@@ -312,7 +324,7 @@
             traffic->setServer(localServer, isFresh);
         });
     }
-    if (!m_announcements.current() && !m_isServerRunning && !m_isServerAbsent && !m_isAnnouncing) {
+    if (!m_announcements.current() && !m_announcements.isUnannounced() && !m_isServerAbsent && !m_isAnnouncing) {
         return;
     }
     const pb::ServerEntry wantedEntry = serverEntry();
@@ -338,11 +350,12 @@
     entry.set_weight(defaultWeight);
     entry.set_agent_epoch(m_epoch);
     const auto &current = m_announcements.current();
-    if (m_isServerRunning) {
+    const pb::ServerState runningState = m_announcements.acceptsNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING;
+    if (m_announcements.isUnannounced()) {
         entry.set_service(m_service);
         entry.set_incarnation(unconfirmedIncarnation.value);
         entry.set_agent_order(unconfirmedOrder);
-        entry.set_state(pb::SERVER_STATE_SERVING);
+        entry.set_state(runningState);
         return entry;
     }
     if (!current) {
@@ -359,7 +372,7 @@
     entry.set_service(current->service);
     entry.set_incarnation(m_announcements.incarnation());
     entry.set_agent_order(current->startedAtMs);
-    entry.set_state(m_announcements.acceptsNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING);
+    entry.set_state(runningState);
     return entry;
 }
 
@@ -410,7 +423,7 @@
         }
         m_isStopping = true;
         m_services.logger().info("stopping", {{"signal", signal}, {"server_left", m_announcements.hasAnnouncedDeparture()}});
-        if (m_announcements.hasAnnouncedDeparture()) {
+        if (m_announcements.mayHaveEnded(m_services.clock().now())) {
             m_endTimer.cancel();
             checkServerEnd();
         }
--- a/src/jujubequay/steering_program/steering_agent_process_test.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <list>
@@ -68,6 +69,8 @@
     CPPUNIT_TEST(doesNotEndAServerByACheckOfItsPredecessor);
     CPPUNIT_TEST(keepsItsServerWhenAnotherServiceIsAnnounced);
     CPPUNIT_TEST(acceptsAnotherServiceOnceTheSettingsNameIt);
+    CPPUNIT_TEST(presentsAServerThatDoesNotAnnounceItselfAsDraining);
+    CPPUNIT_TEST(announcesTheEndOfAServerThatLeavesBeforeItsFirstAnnouncement);
     CPPUNIT_TEST_SUITE_END();
 
     using Acceptor = asio::ip::tcp::acceptor;
@@ -115,16 +118,29 @@
         server.listen();
     }
 
-    /// Runs an agent whose server is `i-1` until it is stopped. Returns true if the agent has announced that the server has ended. `service`: the
-    /// service of the settings file, which the agent reads again on SIGHUP.
-    static bool announcesEnd(const std::vector<Step> &steps, const std::shared_ptr<std::string> &service = std::make_shared<std::string>())
+    struct Options {
+        /// Service of the settings file, which the agent reads again on SIGHUP.
+        std::shared_ptr<std::string> service = std::make_shared<std::string>();
+        bool isServerAnnounced = true;
+    };
+
+    /// Runs an agent whose server is `i-1` until it is stopped. Returns true if the agent has announced that the server has ended.
+    static bool announcesEnd(const std::vector<Step> &steps)
     {
+        const auto states = announcedStates(steps, {});
+        return std::find(states.begin(), states.end(), pb::SERVER_STATE_LEFT) != states.end();
+    }
+
+    /// As announcesEnd, but returns the states that the agent has announced, in their order.
+    static std::vector<pb::ServerState> announcedStates(const std::vector<Step> &steps, const Options &options)
+    {
+        const std::shared_ptr<std::string> service = options.service;
         asio::io_context serverContext;
         Acceptor server(serverContext, {asio::ip::address_v4::loopback(), 0});
         asio::io_context controlContext;
         const SteadyClock clock;
         Logger logger(clock, {}, {.level = LogLevel::Error});
-        bool hasAnnouncedEnd = false;
+        std::vector<pb::ServerState> states;
         std::shared_ptr<MessageServer> control;
 
         SteeringAgentSettings settings;
@@ -140,10 +156,10 @@
         settings.announceInterval = milliseconds(200);
         const auto accept = [&](const std::string &path, const std::shared_ptr<MessageStream> &stream) {
             MessageStreamHandlers handlers;
-            handlers.message = [&hasAnnouncedEnd, path, stream](const Bytes &bytes) {
+            handlers.message = [&states, path, stream](const Bytes &bytes) {
                 const auto message = parseMessage<pb::AnnounceUp>(bytes);
                 if (path == "/announce" && message) {
-                    hasAnnouncedEnd = hasAnnouncedEnd || message->server().state() == pb::SERVER_STATE_LEFT;
+                    states.push_back(message->server().state());
                     stream->send(pb::AnnounceDown());
                 }
             };
@@ -178,9 +194,11 @@
                 action();
             });
         };
-        schedule(milliseconds(0), [&] {
-            CPPUNIT_ASSERT(announce(agent, announcement(settings.serverInput, "i-1", 1000)));
-        });
+        if (options.isServerAnnounced) {
+            schedule(milliseconds(0), [&] {
+                CPPUNIT_ASSERT(announce(agent, announcement(settings.serverInput, "i-1", 1000)));
+            });
+        }
         for (const Step &step : steps) {
             schedule(step.time, [&] {
                 step.action(agent, server);
@@ -192,7 +210,7 @@
             controlContext.stop();
         });
         controlThread.join();
-        return hasAnnouncedEnd;
+        return states;
     }
 
     static void leave(SteeringAgentProcess &agent, Acceptor & /*server*/)
@@ -283,7 +301,7 @@
             next.sequence = 2;
             accepted.push_back(announce(agent, next));
         };
-        announcesEnd({{milliseconds(100), announceOthers}, {milliseconds(300), stop}}, std::make_shared<std::string>("feed"));
+        announcedStates({{milliseconds(100), announceOthers}, {milliseconds(300), stop}}, {.service = std::make_shared<std::string>("feed")});
         CPPUNIT_ASSERT((std::vector<bool>{false, false, true}) == accepted);
     }
 
@@ -301,9 +319,27 @@
             other.service = "vault";
             isAccepted = announce(agent, other);
         };
-        announcesEnd({{milliseconds(100), reload}, {milliseconds(200), announceOther}, {milliseconds(300), stop}}, service);
+        announcedStates({{milliseconds(100), reload}, {milliseconds(200), announceOther}, {milliseconds(300), stop}}, {.service = service});
         CPPUNIT_ASSERT(isAccepted);
     }
+
+    /// Guards against new flows for a server that has deregistered while its agent was restarted: it runs, but announces nothing any more.
+    void presentsAServerThatDoesNotAnnounceItselfAsDraining()
+    {
+        const auto states = announcedStates({{milliseconds(400), stop}}, {.service = std::make_shared<std::string>("feed"), .isServerAnnounced = false});
+        CPPUNIT_ASSERT(!states.empty());
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_SERVING, states.front());
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_DRAINING, states.back());
+    }
+
+    /// Guards against a departure that a restarted agent acknowledges and forgets: nobody would announce the end of the server.
+    void announcesTheEndOfAServerThatLeavesBeforeItsFirstAnnouncement()
+    {
+        const auto states = announcedStates({{milliseconds(0), leave}, {milliseconds(50), end}, {milliseconds(400), stop}},
+                                            {.service = std::make_shared<std::string>("feed"), .isServerAnnounced = false});
+        CPPUNIT_ASSERT(!states.empty());
+        CPPUNIT_ASSERT_EQUAL(pb::SERVER_STATE_LEFT, states.back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SteeringAgentProcessTest);
