Require a route for the service of an agent that has no service setting

Cause: checkAnnouncement accepted any service if the settings name none, and the refusal of another service than the current one lasted one interval only, which a heartbeat that arrives just before the server's own one exceeds. Two servers of three were replaced by one of the service "unnamed".

Change: without the setting, the service has to be on a route once there are routes. The refusal lasts two intervals. The soak sends such heartbeats to all agents and sets the service of each, as the platform does.

Evidence: logs of the run (event=server id=foreign service=unnamed new=true); refusesAServiceWithoutARouteIfTheSettingsNameNone fails before.

--- a/include/jujubequay/steering_program/announcement_check.h
+++ b/include/jujubequay/steering_program/announcement_check.h
@@ -16,8 +16,8 @@
 };
 
 /// Checks an announcement before it changes what the agent believes: it must be about the server at the agent's own address, its service must be that
-/// of the settings or one that a route uses, and its start time and sequence number must be possible at `wallTime`. Fails with BadRequest; the detail names
-/// the field, its value and the bound.
+/// of the settings or one that a route uses (any one if the settings name none and there are no routes yet), and its start time and sequence number must be
+/// possible at `wallTime`. Fails with BadRequest; the detail names the field, its value and the bound.
 Result<void> checkAnnouncement(const ServerAnnouncement &announcement,
                                const ExpectedServer &expected,
                                const RouteTable &routes,
--- a/soak/addresses.h
+++ b/soak/addresses.h
@@ -3,6 +3,7 @@
 #include <jujubequay/core/identifiers.h>
 
 #include <cstdint>
+#include <string>
 
 namespace Jujubequay::Soak {
 
@@ -75,4 +76,10 @@
     }
 };
 
+/// Service of the backend server with this number.
+inline std::string serviceOfServer(std::uint8_t number)
+{
+    return number % 3 == 0 ? "vault" : "desk";
+}
+
 }
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -107,6 +107,7 @@
         add("caller_address", addresses.agentRelay(host.number));
         add("server_output", addresses.agentServerOutput(host.number));
         add("server_input", addresses.server(host.number));
+        text += fmt::format("service = \"{}\"\n", serviceOfServer(host.number));
         add("ready_address", addresses.agentReady(host.number));
         add("announce_address", addresses.agentAnnounce(host.number));
         text += "announce_interval_ms = 500\n";
--- a/soak/fault_run.cpp
+++ b/soak/fault_run.cpp
@@ -153,7 +153,7 @@
     void createStubs()
     {
         for (std::uint8_t number = 1; number <= m_options.deployment.agents; ++number) {
-            m_servers.emplace_back(m_context, addresses(), number, number % 3 == 0 ? "vault" : "desk", m_random, m_checker);
+            m_servers.emplace_back(m_context, addresses(), number, serviceOfServer(number), m_random, m_checker);
         }
         m_routes = {{addresses().route(443), "desk", true}, {addresses().route(8080), "desk", false}, {addresses().route(8443), "vault", true}};
         const auto isOpenAtServer = [this](const FlowTuple &tuple) {
--- a/soak/server_stub.cpp
+++ b/soak/server_stub.cpp
@@ -14,6 +14,8 @@
 
 constexpr auto announceInterval = std::chrono::milliseconds(500);
 constexpr auto httpTimeout = std::chrono::seconds(1);
+/// Heartbeats of the server for each heartbeat that is not its own.
+constexpr std::uint64_t foreignHeartbeatInterval = 4;
 constexpr auto minWorkTime = std::chrono::milliseconds(2);
 constexpr unsigned workTimeSpreadMs = 20;
 
@@ -110,9 +112,21 @@
     if (m_isRunning && !m_isDeregistered) {
         ++m_announcement.sequence;
         sendHttpRequest(m_context, m_addresses.agentAnnounce(m_number), Platform::heartbeatRequest(m_announcement), httpTimeout, [](const HttpResponse &) {});
+        sendForeignHeartbeat();
     }
 }
 
+// Another process may send heartbeats to the agent. They must neither end this server nor turn the agent to another one.
+void ServerStub::sendForeignHeartbeat()
+{
+    if (m_announcement.sequence % foreignHeartbeatInterval != 0) {
+        return;
+    }
+    const std::vector<Platform::HttpRequest> requests = Platform::foreignHeartbeatRequests(m_announcement);
+    const Platform::HttpRequest &request = requests[(m_announcement.sequence / foreignHeartbeatInterval + m_number) % requests.size()];
+    sendHttpRequest(m_context, m_addresses.agentAnnounce(m_number), request, httpTimeout, [](const HttpResponse &) {});
+}
+
 // A starting agent connects to this port to find out whether a server is running.
 void ServerStub::acceptConnections()
 {
--- a/soak/server_stub.h
+++ b/soak/server_stub.h
@@ -56,6 +56,7 @@
     void send(const FlowTuple &tuple, Segment segment, std::span<const std::uint8_t> data = {});
     void sendBytes(std::span<const std::uint8_t> packet);
     void announce();
+    void sendForeignHeartbeat();
     void acceptConnections();
 
     asio::io_context &m_context;
--- a/src/jujubequay/steering_program/announcement_check.cpp
+++ b/src/jujubequay/steering_program/announcement_check.cpp
@@ -31,7 +31,8 @@
         return fail(ResultCode::BadRequest,
                     fmt::format("address {}: the server of this agent is at {}", toString(announcement.address), toString(expected.address)));
     }
-    if (!expected.service.empty() && announcement.service != expected.service && !isRouted(routes, announcement.service)) {
+    const bool isExpected = expected.service.empty() ? routes.version() == 0 : announcement.service == expected.service;
+    if (!isExpected && !isRouted(routes, announcement.service)) {
         return fail(ResultCode::BadRequest,
                     fmt::format("service \"{}\": neither \"{}\" nor on a route of version {}", announcement.service, expected.service, routes.version()));
     }
--- a/src/jujubequay/steering_program/announcement_check_test.cpp
+++ b/src/jujubequay/steering_program/announcement_check_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST_SUITE(AnnouncementCheckTest);
     CPPUNIT_TEST(acceptsTheServerOfTheSettings);
     CPPUNIT_TEST(refusesAServiceThatIsNotNamed);
+    CPPUNIT_TEST(refusesAServiceWithoutARouteIfTheSettingsNameNone);
     CPPUNIT_TEST(acceptsAServiceOfARoute);
     CPPUNIT_TEST(refusesAServerAtAnotherAddress);
     CPPUNIT_TEST(refusesStartTimesAndSequencesThatExcludeLaterOnes);
@@ -73,6 +74,17 @@
         CPPUNIT_ASSERT(!refusal().empty());
     }
 
+    /// Guards against the same at an agent whose settings do not name the service of its server.
+    void refusesAServiceWithoutARouteIfTheSettingsNameNone()
+    {
+        m_expected.service.clear();
+        m_announcement.service = "vault";
+        m_routes = routesTo("feed");
+        CPPUNIT_ASSERT(!refusal().empty());
+        m_announcement.service = "feed";
+        CPPUNIT_ASSERT_EQUAL(std::string(), refusal());
+    }
+
     /// An address may be used again by a server of another service.
     void acceptsAServiceOfARoute()
     {
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -16,6 +16,8 @@
 constexpr int maxMissedAnnouncements = 3;
 /// A running server announces itself within this number of announcement intervals, also if one announcement is lost.
 constexpr int firstAnnouncementIntervals = 2;
+/// A server of another service is accepted once the current one has not announced itself for this number of announcement intervals.
+constexpr int serviceChangeIntervals = 2;
 /// Time between the stop signal and the end of the process, in which the server's last packets are still forwarded.
 constexpr auto stopDelay = std::chrono::milliseconds(300);
 /// Time between checks whether a departing server has ended. Short, so that its callers are reset without a noticeable delay.
@@ -192,7 +194,7 @@
 {
     const auto &current = m_announcements.current();
     const bool isOtherService = current && current->service != announcement.service && announcement.service != m_service;
-    if (isOtherService && m_announcements.timeSinceAnnouncement(m_services.clock().now()) < m_settings.announceInterval) {
+    if (isOtherService && m_announcements.timeSinceAnnouncement(m_services.clock().now()) < serviceChangeIntervals * m_settings.announceInterval) {
         return fail(ResultCode::BadRequest, fmt::format("service \"{}\": the server of \"{}\" announces itself", announcement.service, current->service));
     }
     return {};
