End no recorded flow that the running server may own

Cause: a server accepts flows before its first announcement, and its agent records them as flows of the server before. After a restart the agent has no flow table, gets the records from the control host and resets the flows.

Ruled out: leaving all records aside until the flow table is complete.

Change: a restarted agent leaves records aside until its flow table is complete, unless its server has started less than 1 s before it: a flow is recorded only once it is 1 s old, so the earlier run has recorded none of that server.

--- a/include/jujubequay/steering/agent_steering.h
+++ b/include/jujubequay/steering/agent_steering.h
@@ -296,6 +296,8 @@
     bool isServerListCurrent(TimePoint now) const;
     /// True if the flow table lists every flow of the local server.
     bool isFlowTableComplete(TimePoint now) const;
+    /// True if the records of an earlier run of the agent may contain flows of the current server under the incarnation of an earlier one.
+    bool mayHaveRecordedFlowsOfServer(TimePoint now) const;
     void startRequest(TimePoint now, Flow &flow);
     void finishRequest(Flow &flow);
     /// Time after which the callers of a service address abandon a request.
--- a/src/jujubequay/steering/agent_flow_records.cpp
+++ b/src/jujubequay/steering/agent_flow_records.cpp
@@ -26,6 +26,15 @@
     return result;
 }
 
+// A server accepts flows before its first announcement, so an earlier run of the agent may have recorded them as flows of the server before. It records a
+// flow only once it has a minimum age, so it has recorded none of a server that started within that time before this run.
+bool AgentSteering::mayHaveRecordedFlowsOfServer(TimePoint now) const
+{
+    const bool hasStartedWithAgent
+        = m_unobservedBefore && m_server && m_server->startedAt && *m_server->startedAt + FlowRecorderOptions().minAge > *m_unobservedBefore;
+    return !isFlowTableComplete(now) && !hasStartedWithAgent;
+}
+
 std::vector<ResetCaller> AgentSteering::endFlows(TimePoint now, const EndedFlowsNotice &notice)
 {
     std::vector<ResetCaller> resets;
@@ -33,6 +42,10 @@
     if (current == Incarnation() || !isConfirmed(notice.incarnation) || notice.incarnation == current) {
         return resets;
     }
+    // The server answers the next packet of a flow that is not its own.
+    if (mayHaveRecordedFlowsOfServer(now)) {
+        return resets;
+    }
     for (const RecordedFlow &recorded : notice.flows) {
         // A caller may have opened another flow with the same addresses and ports.
         if (m_flows.contains(recorded.tuple)) {
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(probesItsServerAfterALateSynAndTheEndOfAnEarlierOwner);
     CPPUNIT_TEST(holdsLookupsBeforeItsServerIsKnownDespiteANotice);
     CPPUNIT_TEST(endsNoRecordedFlowThatItsServerMayOwn);
+    CPPUNIT_TEST(endsRecordedFlowsIfTheServerHasStartedWithTheAgent);
     CPPUNIT_TEST(claimsNoFlowBecauseOfAReset);
     CPPUNIT_TEST(correctsBalancersThatMayStillResetAFlow);
     CPPUNIT_TEST(keepsAFlowThatAnotherServerHasReset);
@@ -1821,6 +1822,18 @@
         CPPUNIT_ASSERT(agent.endFlows(m_now, {{777}, {{flow(1), 1001}}}).empty());
     }
 
+    /// Guards against idle flows that are not ended after a loss of power, when the server starts slightly before its agent.
+    void endsRecordedFlowsIfTheServerHasStartedWithTheAgent()
+    {
+        for (const auto &[headStart, isEnded] : {std::pair(milliseconds(900), true), std::pair(milliseconds(1100), false)}) {
+            AgentSteering agent({.agent = agentAddress(1)});
+            agent.update(m_now, Snapshots().server(1).build());
+            agent.setServer(m_now, LocalServer{serviceKey("feed"), unconfirmedIncarnation, true, 1}, false);
+            agent.setServer(m_now, LocalServer{serviceKey("feed"), {101}, true, 3, m_now - headStart}, false);
+            CPPUNIT_ASSERT_EQUAL(isEnded, !agent.endFlows(m_now, {{777}, {{flow(1), 1001}}}).empty());
+        }
+    }
+
     /// A flow was reported as one of the server before, and its server announces itself 3.5 s later. Guards against a balancer that is not told, although it
     /// resets flows without asking until 4 s after their last packet.
     void correctsBalancersThatMayStillResetAFlow()
