Accept a server of another service as soon as its predecessor has left

Cause: the refusal of another service than the current one lasted two announcement intervals after the last announcement, also if the server had deregistered. Its successor at the same address would have waited that long.

Evidence: acceptsAnotherServiceOnceItsServerHasLeft fails before.

--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -194,7 +194,8 @@
 {
     const auto &current = m_announcements.current();
     const bool isOtherService = current && current->service != announcement.service && announcement.service != m_service;
-    if (isOtherService && m_announcements.timeSinceAnnouncement(m_services.clock().now()) < serviceChangeIntervals * m_settings.announceInterval) {
+    if (isOtherService && !m_announcements.hasAnnouncedDeparture()
+        && m_announcements.timeSinceAnnouncement(m_services.clock().now()) < serviceChangeIntervals * m_settings.announceInterval) {
         return fail(ResultCode::BadRequest, fmt::format("service \"{}\": the server of \"{}\" announces itself", announcement.service, current->service));
     }
     return {};
--- a/src/jujubequay/steering_program/steering_agent_process_test.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(doesNotEndAServerByACheckOfItsPredecessor);
     CPPUNIT_TEST(keepsItsServerWhenAnotherServiceIsAnnounced);
     CPPUNIT_TEST(acceptsAnotherServiceOnceTheSettingsNameIt);
+    CPPUNIT_TEST(acceptsAnotherServiceOnceItsServerHasLeft);
     CPPUNIT_TEST(presentsAServerThatDoesNotAnnounceItselfAsDraining);
     CPPUNIT_TEST(announcesTheEndOfAServerThatLeavesBeforeItsFirstAnnouncement);
     CPPUNIT_TEST_SUITE_END();
@@ -323,6 +324,19 @@
         CPPUNIT_ASSERT(isAccepted);
     }
 
+    /// The address may be used again at once. Guards against a server that waits for new flows until its predecessor counts as silent.
+    void acceptsAnotherServiceOnceItsServerHasLeft()
+    {
+        std::vector<bool> accepted;
+        const auto announceOther = [&accepted](SteeringAgentProcess &agent, Acceptor &server) {
+            ServerAnnouncement other = announcement(addressOf(server), "i-2", 2000);
+            other.service = "vault";
+            accepted.push_back(announce(agent, other));
+        };
+        announcedStates({{milliseconds(50), announceOther}, {milliseconds(100), leave}, {milliseconds(150), announceOther}, {milliseconds(300), stop}}, {});
+        CPPUNIT_ASSERT((std::vector<bool>{false, true}) == accepted);
+    }
+
     /// Guards against new flows for a server that has deregistered while its agent was restarted: it runs, but announces nothing any more.
     void presentsAServerThatDoesNotAnnounceItselfAsDraining()
     {
