--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -355,7 +355,7 @@
         self._control = agent.fields["Listen"]["Control"]
         self._zone = agent.fields["Zone"]
         self._first_announcement_s = first_announcement_s
-        self._id = f"i-{random.randrange(1 << 32):08x}"
+        self.id = f"i-{random.randrange(1 << 32):08x}"
         self._born = 0
         self._flows = {}
         self._ended = threading.Event()
@@ -399,7 +399,7 @@
             sequence += 1
             body = {"Service": self.service, "Address": self._app, "Zone": self._zone, "Version": "v1", "Capacity": 3, "State": "ready"}
             body |= {"WarmupLeftMs": 0, "Sequence": sequence, "born": self._born}
-            status, _, _ = call(self._control, "POST", f"/jujubequay/Instances.Heartbeat/{self._id}", json.dumps(body))
+            status, _, _ = call(self._control, "POST", f"/jujubequay/Instances.Heartbeat/{self.id}", json.dumps(body))
             if status == 200 and not self.acknowledged.is_set():
                 self._record.write(f"server {self.name} of {self.service}: its announcement {sequence} is acknowledged")
                 self.acknowledged.set()
