--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,103 +1,79 @@
-"""Guards against flows of one service that reach the server of another one, which has taken over the address of a crashed server."""
+"""Guards against a control host or an agent that a single unreadable JSON value ends."""
 
 import json
 import os
 import pathlib
-import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import deployment_2 as kit
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-REUSE_AFTER_S = 2.0  # ReuseAfterS
-# Time that a server needs from the start of its listeners to its first announcement. Announcements follow "approximately every HeartbeatMs".
-FIRST_ANNOUNCEMENT_S = float(os.environ.get("FIRST_ANNOUNCEMENT_S", "0.02"))
-DESK_SERVERS = 4
-ROUNDS = 3  # each replaces a share of 0.25 of the servers of one service, as `replace_with_reuse` in the site file
-ROUND_S = 4.0
-REQUESTS_PER_S = 100
-DESK_ADDRESS = ("127.198.0.1", 8080)
-VAULT_ADDRESS = ("127.198.0.1", 8443)
+ORDERS = 3  # invalid configurations, as in `bad_config`, count = 3 of the site file
+ORDER_GAP_S = 1.0
+ORDER_TIME_S = 8.0  # the operator repeats an order that gets no clear response
+ACK_S = 5.0  # AckMs
+NESTING = 130_000  # levels of an array; the body stays below MaxBodyBytes (262,144)
+MAX_OWN_ENDS = 3  # "processes end by themselves three times in the day"
 
 
-class Load:
-    """Callers that open a flow for each request."""
+def unreadable():
+    """A value of another type than the field: an array in place of a number or a text."""
+    return "[" * NESTING + "]" * NESTING if TROUBLE else "[]"
 
-    def __init__(self, caller):
-        self.bodies = []
-        self._caller = caller
-        self._stop = threading.Event()
-        self._requests = []
-        self._sender = threading.Thread(target=self._send)
-        self._sender.start()
 
-    def _send(self):
-        number = 0
-        while not self._stop.wait(1 / REQUESTS_PER_S):
-            number += 1
-            request = threading.Thread(target=lambda label=f"desk-{number}": self.bodies.append(self._caller.request(DESK_ADDRESS, label)))
-            request.start()
-            self._requests.append(request)
+def invalid_configuration(valid):
+    return json.dumps(valid | {"Version": "@"}).replace('"@"', unreadable())
 
-    def stop(self):
-        self._stop.set()
-        self._sender.join()
-        for request in self._requests:
-            request.join()
 
-
-def reuse_address(deployment, agent, server, name):
-    """The server crashes right after an announcement; a server of another service starts at its address."""
-    announced_at = server.announced_at
-    kit.wait_until(lambda: server.announced_at > announced_at, 2, 0.005)
-    server.crash()
-    time.sleep(REUSE_AFTER_S)
-    agent.change_settings(Service="vault")
-    agent.send_signal(signal.SIGHUP)
-    successor = kit.Server(deployment, agent, "vault", name, FIRST_ANNOUNCEMENT_S)
-    successor.start()
-    return successor
+def foreign_announcement(agent):
+    body = {"Service": "@", "Address": agent.fields["app"], "Zone": "zone-0", "Version": "v1", "Capacity": 3, "State": "ready"}
+    return json.dumps(body | {"WarmupLeftMs": 0, "Sequence": 1, "born": int(time.time() * 1000)}).replace('"@"', unreadable())
 
 
 def run(deployment, record):
-    deployment.start_control(3)
+    controls = deployment.start_control(3)
     balancer = deployment.start_balancer()
-    desk_agents = [deployment.start_agent("desk", f"zone-{index % 2}") for index in range(DESK_SERVERS)]
-    vault_agent = deployment.start_agent("vault")
+    agents = [deployment.start_agent("desk"), deployment.start_agent("desk")]
+    routes = [kit.route("r-desk", "127.198.0.1", 8080, "desk")]
     operator = kit.Operator(deployment)
-    routes = [kit.route("r-desk", *DESK_ADDRESS, "desk"), kit.route("r-vault", *VAULT_ADDRESS, "vault")]
-    if operator.replace("sends version 1", json.dumps(kit.configuration(1, routes, ["desk", "vault"])), 20) != 200:
+    if operator.replace("sends version 1", json.dumps(kit.configuration(1, routes, ["desk"])), 20) != 200:
         return kit.COULD_NOT_RUN
-    servers = [kit.Server(deployment, agent, "desk", f"desk-{index}") for index, agent in enumerate(desk_agents)]
-    vault = kit.Server(deployment, vault_agent, "vault", "vault-0")
-    for server in [*servers, vault]:
+    servers = [kit.Server(deployment, agent, "desk", f"server-{index}") for index, agent in enumerate(agents)]
+    for server in servers:
         server.start()
-    if not all(server.acknowledged.wait(10) for server in [*servers, vault]):
+    if not all(server.acknowledged.wait(10) for server in servers):
         return kit.COULD_NOT_RUN
     caller = kit.Caller(deployment, [balancer])
-    for address in (DESK_ADDRESS, VAULT_ADDRESS):
-        if not kit.wait_until(lambda: caller.request(address, "before"), 10, 0.3):
-            return kit.COULD_NOT_RUN
+    if not kit.wait_until(lambda: caller.request(("127.198.0.1", 8080), "before"), 10, 0.3):
+        return kit.COULD_NOT_RUN
+    if deployment.own_ends():
+        return kit.COULD_NOT_RUN
 
-    load = Load(caller)
-    for number in range(ROUNDS):
-        round_end = time.monotonic() + ROUND_S
-        if TROUBLE:
-            successor = reuse_address(deployment, desk_agents[number], servers[number], f"vault-{number + 1}")
-            if not successor.acknowledged.wait(10):
-                record.write(f"{successor.name} is not acknowledged")
-        time.sleep(max(0.0, round_end - time.monotonic()))
-    load.stop()
+    broken = False
+    invalid = invalid_configuration(kit.configuration(2, routes, ["desk"]))
+    assert len(invalid) < 262_144
+    for number in range(ORDERS):
+        status = operator.replace(f"sends invalid configuration {number + 1} ({len(invalid)} bytes)", invalid, ORDER_TIME_S)
+        broken |= status == 200
+        time.sleep(ORDER_GAP_S)
+    for agent in agents:
+        for number in range(ORDERS):
+            status, _, _ = kit.call(agent.fields["Listen"]["Control"], "POST", f"/jujubequay/Instances.Heartbeat/i-other-{number}", foreign_announcement(agent))
+            record.write(f"another writer announces an unreadable entry to {agent.name}: {status or 'no'} response")
+            time.sleep(2 * kit.RESTART_DELAY_S)
+
+    status = operator.replace("sends version 3", json.dumps(kit.configuration(3, routes, ["desk"])), ACK_S)
+    record.write(f"version 3 is {'acknowledged' if status == 200 else 'not acknowledged'} within {ACK_S} s")
+    ends = {process.name: len(process.own_ends) for process in controls + agents}
+    record.write(f"ends by themselves: {ends}")
+    faulty_controls = [process for process in controls if ends[process.name] >= MAX_OWN_ENDS]
+    faulty_agents = [process for process in agents if ends[process.name] >= MAX_OWN_ENDS]
+    record.write(f"control hosts with {MAX_OWN_ENDS} or more: {len(faulty_controls)} of {len(controls)}; agents: {len(faulty_agents)} of {len(agents)}")
+    broken |= 2 * len(faulty_controls) >= len(controls) or len(faulty_agents) >= 2
     caller.close()
-    answered = [body for body in load.bodies if body and body != "reset"]
-    foreign = [body for body in answered if not body.startswith("desk ")]
-    record.write(f"{len(load.bodies)} requests to the route of desk, {len(answered)} answered, {len(foreign)} of them by a server of vault")
-    if len(answered) < len(load.bodies) / 4:
-        return kit.COULD_NOT_RUN
-    return kit.BROKEN if foreign else kit.HELD
+    return kit.BROKEN if broken else kit.HELD
 
 
 if __name__ == "__main__":
