Review: a replacement and two lost disks end the control hosts for good

Claim: a control host that is removed without SIGTERM stays one of six voters for 1.4 s and more, although its successor has long taken its place.

--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -167,6 +167,12 @@
         if self._thread is not None:
             self._thread.join(RESTART_DELAY_S + 1)
 
+    def lose_disk(self):
+        """Kills the process and empties its disk; it starts again by `start`."""
+        self.stop()
+        shutil.rmtree(self.fields["DataDir"])
+        self.fields["Bootstrap"] = False
+
     def log(self):
         return (self._folder / "log").read_text(errors="replace")
 
@@ -222,22 +228,29 @@
         self.processes.append(process)
         return process
 
+    def _add_control(self, seeds, is_first_start, tolerated):
+        ip = self.new_ip("control")
+        number = self._hosts["control"]
+        fields = self._fields(ip, f"zone-{number % 4}") | {"Seeds": seeds, "Bootstrap": is_first_start}
+        fields |= {"Listen": {"Control": f"{ip}:{self.port('control')}"}, "FaultTolerance": {"Machines": tolerated}}
+        fields["DataDir"] = str(self.folder / f"data-{number}")
+        return self._add("control", fields)
+
     def start_control(self, count, tolerated=1):
-        ips = [self.new_ip("control") for _ in range(count)]
-        self.control_addresses = [f"{ip}:{self.port('control')}" for ip in ips]
-        self.seeds = self.control_addresses[:3]
-        hosts = []
-        for index, ip in enumerate(ips):
-            self._hosts["control"] = index + 1
-            fields = self._fields(ip, f"zone-{index % 4}")
-            fields |= {"Listen": {"Control": f"{ip}:{self.port('control')}"}, "Bootstrap": True, "FaultTolerance": {"Machines": tolerated}}
-            fields["DataDir"] = str(self.folder / f"data-{index}")
-            # The seeds of the templates are the addresses of the control streams, which use the first internal port.
-            hosts.append(self._add("control", fields))
+        addresses = [f"{self._network}.1.{number + 1}:{self.port('control')}" for number in range(count)]
+        self.control_addresses = addresses
+        self.seeds = addresses[:3]
+        hosts = [self._add_control(self.seeds, True, tolerated) for _ in range(count)]
         for host in hosts:
             host.start()
         return hosts
 
+    def add_control(self, seeds, tolerated=1):
+        """Starts one more control host, at a new address and with an empty disk."""
+        host = self._add_control(seeds, False, tolerated)
+        host.start()
+        return host
+
     def start_balancer(self, zone="zone-0"):
         ip = self.new_ip("balancer")
         fields = self._fields(ip, zone)
