--- a/review/9/case.py
+++ b/review/9/case.py
@@ -49,4 +49,4 @@
 
 
 if __name__ == "__main__":
-    kit.main(pathlib.Path(__file__).resolve().parent, run)
+    kit.main(run)
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -23,8 +23,10 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+MAX_HOSTS = 8  # of one kind
 HEARTBEAT_S = 0.77
 REQUEST_TIMEOUT_S = 1.0  # a caller of a control host moves on after a second without a response
+GRACE_S = 6
 RESTART_DELAY_S = 0.5  # the platform restarts a process that has ended after a short delay
 
 # Exit statuses of a case. An error of the interpreter itself gives 1, so that this must not mean a broken rule; run.sh translates.
@@ -115,6 +117,7 @@
         self._role = role
         self._folder = deployment.folder / name
         self._folder.mkdir()
+        self._lock = threading.Lock()  # a process that is to stop is not started again
         self._wanted = False
         self._child = None
         self._thread = None
@@ -147,20 +150,27 @@
             self.own_ends.append(status)
             self._deployment.record.write(f"ended {self.name}: exit status {status}, by itself")
             time.sleep(RESTART_DELAY_S)
-            if not self._wanted:
-                return
-            self.fields["Bootstrap"] = False
-            self._spawn()
+            with self._lock:
+                if not self._wanted:
+                    return
+                self.fields["Bootstrap"] = False
+                self._spawn()
 
     def send_signal(self, number):
         self._child.send_signal(number)
 
+    def end(self, number=signal.SIGKILL):
+        """Sends the signal that ends the process, and keeps the platform from starting it again."""
+        with self._lock:
+            self._wanted = False
+            if self._child is not None and self._child.poll() is None:
+                self._child.send_signal(number)
+
     def stop(self, number=signal.SIGKILL):
-        self._wanted = False
-        if self._child is not None and self._child.poll() is None:
-            self._child.send_signal(number)
+        self.end(number)
+        if self._child is not None:
             with contextlib.suppress(subprocess.TimeoutExpired):
-                self._child.wait(6)
+                self._child.wait(GRACE_S)
             if self._child.poll() is None:
                 self._child.kill()
                 self._child.wait()
@@ -173,9 +183,6 @@
         shutil.rmtree(self.fields["DataDir"])
         self.fields["Bootstrap"] = False
 
-    def log(self):
-        return (self._folder / "log").read_text(errors="replace")
-
 
 class Deployment:
     def __init__(self, record):
@@ -184,21 +191,24 @@
         self.roles = read_roles()
         self.processes = []
         self.servers = []
-        self._network = f"127.{random.randint(20, 250)}"
+        self._network = f"127.{random.randint(20, 190)}"  # routes have addresses in 127.198
         self._hosts = {"control": 0, "balancer": 0, "agent": 0, "client": 0}
         self._ports = self._free_ports()
         self.control_addresses = []
         self.seeds = []
 
     def _free_ports(self):
+        """Ports that are free at the addresses of all hosts that a case may start."""
+        addresses = [f"{self._network}.{kind}.{host}" for kind in range(1, len(self._hosts) + 1) for host in range(1, MAX_HOSTS + 1)]
         while True:
             first = random.randint(12000, 29000)
             ports = {name: first + index for index, name in enumerate(("datagram", "ready", "control", "internal", "outbound", "app"))}
             try:
-                for port in ports.values():
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        with socket.socket(socket.AF_INET, kind) as probe:
-                            probe.bind(("", port))
+                for address in addresses:
+                    for port in ports.values():
+                        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                            with socket.socket(socket.AF_INET, kind) as probe:
+                                probe.bind((address, port))
                 return ports
             except OSError:
                 continue
@@ -209,6 +219,8 @@
     def __exit__(self, *_):
         for server in self.servers:
             server.crash()
+        for process in self.processes:
+            process.end()
         for process in self.processes:
             process.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -585,17 +597,20 @@
     return False
 
 
-def main(folder, run):
-    """Runs a case and exits with its result."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
-    record = Record(folder / "record.txt")
+def interrupt(*_):
+    """Ends the case; the processes that it has started are ended on the way out."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(COULD_NOT_RUN)
+
+
+def main(run):
+    """Runs a case and exits with its result. The argument of the program is the file for the record."""
+    signal.signal(signal.SIGTERM, interrupt)
+    record = Record(sys.argv[1])
     status = COULD_NOT_RUN
     try:
         with Deployment(record) as deployment:
             status = run(deployment, record)
-            if os.environ.get("KEEP_LOGS"):
-                for process in deployment.processes:
-                    pathlib.Path(os.environ["KEEP_LOGS"], f"{process.name}.log").write_text(process.log())
     except Exception as error:
         record.write(f"error: {error!r}")
         status = COULD_NOT_RUN
