Bound the depth of JSON values while they are parsed

What callers saw: an array of 130,000 levels in the place of a number ended the process that read it with SIGSEGV: a control host for a configuration, an agent for an announcement or a departure of another writer.

Cause: to name the value of a field of the wrong type, foundValue wrote it with nlohmann::json::dump, which calls itself once for each level, and shortened the text only then. The parser and the destructor of the library do not recurse; dump, and copying or comparing a value, do.

Change: BoundedJsonBuilder builds the value from the parser's events and leaves out what is nested more than 8 levels deep, more than any field of the calls has (5). The syntax of the whole body is still checked. So no value of more levels exists, and no recursive function of the library can overflow the stack, in these decoders or in later ones. A known field keeps its type and is refused by its name and type ("found an array"); an unknown field may be nested as deep as its sender likes, as before.

Ruled out: a limit that refuses deep bodies, since a valid configuration may have new fields; the parser's callback for discarding values, which searches the parent at the end of each discarded value, in quadratic time.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -2,6 +2,7 @@
 add_library(jujubequay_platform STATIC
     platform/calls.cpp
     platform/http_api.cpp
+    platform/json_body.cpp
     platform/packet_format.cpp
     platform/program.cpp
     platform/stub_messages.cpp)
@@ -13,7 +14,10 @@
 jujubequay_program(jjq-platform-control SOURCES platform/jjq_platform_control.cpp DEPENDS jujubequay_platform)
 add_custom_target(platform DEPENDS jjq-platform-balancer jjq-platform-agent jjq-platform-control)
 
-add_executable(platform_test platform/platform_test.cpp src/jujubequay/test_main.cpp)
+add_executable(platform_test
+    platform/json_body_test.cpp
+    platform/platform_test.cpp
+    src/jujubequay/test_main.cpp)
 target_link_libraries(platform_test PRIVATE jujubequay_platform PkgConfig::cppunit)
 add_test(NAME platform COMMAND platform_test)
 set_tests_properties(platform PROPERTIES TIMEOUT 300)
