Elect a leader without a voter whose disk is lost

What callers saw: five control hosts of which one is replaced. Its successor has run for 10 s, it is removed without SIGTERM, and 1 s later two others lose their disks. The same with no time between removal and losses, with the leader removed, and with three hosts and one lost disk.

Cause: the successor is the sixth voter, and the removed host stays one until its silence of 1.4 s has been noticed. Three of six voters are no majority, and the two empty hosts can be admitted only by a leader. What was acknowledged is on at least one of the three disks.

Ruled out: a shorter silence (the window stays), learners in place of the sixth voter (three of five may be lost), elections by three and commits by four of six (two leaders in one term, and no commit after the election), a successor that names its predecessor (nobody tells it).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -54,6 +54,7 @@
         log_record.cpp
         membership.cpp
         posix_file_system.cpp
+        quorum.cpp
         reads.cpp
         replica.cpp
         replica_log.cpp
@@ -63,6 +64,7 @@
     TESTS
         disk_log_storage_test.cpp
         membership_test.cpp
+        quorum_test.cpp
         replica_test.cpp
     DEPENDS jujubequay_wire)
 
@@ -154,9 +156,11 @@
         membership_reconciler_test.cpp
         message_account_test.cpp
         operator_request_test.cpp
+        replacement_random_test.cpp
         route_table_test.cpp
         watch_test.cpp
     DEPENDS jujubequay_consensus)
+target_link_libraries(control_test PRIVATE jujubequay_consensus_testing)
 
 jujubequay_module(flow
     SOURCES
--- a/include/jujubequay/consensus/effects.h
+++ b/include/jujubequay/consensus/effects.h
@@ -112,6 +112,12 @@
     bool toleratesVoterLoss = false;
 };
 
+/// The host of this voter has answered with another disk: the voter can neither vote nor acknowledge any more.
+struct VoterDiskLost {
+    std::string id; ///< disk identity of the voter
+    std::string host;
+};
+
 using Effect = std::variant<Send,
                             Persist,
                             SaveSnapshot,
@@ -125,7 +131,8 @@
                             LeadershipGained,
                             LeadershipLost,
                             MembershipCommitted,
-                            RedundancyChanged>;
+                            RedundancyChanged,
+                            VoterDiskLost>;
 using Effects = std::vector<Effect>;
 
 }
--- a/include/jujubequay/consensus/replica.h
+++ b/include/jujubequay/consensus/replica.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,7 +37,7 @@
     Duration firstElectionTimeout{};
     Duration heartbeatInterval = std::chrono::milliseconds(200);
     /// Writes the commit index to storage, so that a restarted replica can apply the committed entries before there is a leader. Costs one more
-    /// sync after a commit, or after several commits in a row.
+    /// sync after a commit, or after several commits in a row. Without it the commit index is written only after a membership change.
     bool persistsCommitIndex = false;
     std::size_t maxMessageBytes = 512U << 10U; ///< size of all entries in one message; a single larger entry is still sent
     std::size_t maxCommandBytes = 1U << 20U;
@@ -106,6 +107,8 @@
     std::uint64_t snapshotIndex() const;
     /// The latest membership in the log, whether or not it has committed.
     const jujubequay::pb::Membership &membership() const;
+    /// The members of `membership` and, until it is known to have committed, the voters of the one before: the receivers of this replica's messages.
+    jujubequay::pb::Membership activeMembers() const;
     /// Leader only: true if the cluster can still commit entries after the loss of any one voter.
     bool toleratesVoterLoss() const;
     /// Leader only: true if the member was in contact within the election timeout and holds every entry that had committed at the last heartbeat.
@@ -187,6 +190,12 @@
     void applyCommitted();
     void reportCommitted(const jujubequay::pb::LogEntry &entry);
     void refreshMembership();
+    bool isActiveVoter(const std::string &id) const;
+    /// The memberships of which a quorum is needed: the latest one and, until it is known to have committed, the one before. Otherwise a term that leaves out
+    /// a lost voter of the one before could miss what was committed with the latest one.
+    std::vector<const jujubequay::pb::Membership *> quorumMemberships() const;
+    /// The highest value that quorums of all these memberships have reached.
+    std::uint64_t agreedValue(const std::string &lostVoter, const std::function<std::uint64_t(const std::string &id)> &valueOf) const;
     void resetElectionTimer();
 
     // election.cpp
@@ -201,6 +210,10 @@
     void becomeLeader();
     void stepDown();
     bool hasQuorumContact() const;
+    void answerForLostDisk(const jujubequay::pb::ReplicaMessage &message);
+    void onDiskReplaced(const jujubequay::pb::ReplicaMessage &message);
+    /// A voter whose disk is known to be lost and that can be left out of a quorum; empty if there is none.
+    std::string knownLostVoter() const;
 
     // replication.cpp
     void updateProgressMembers();
@@ -238,7 +251,7 @@
     void onReadReply(const jujubequay::pb::ReplicaMessage &message);
     void confirmForwardedReads();
     void expireForwardedReads();
-    std::uint64_t majorityReadRound() const;
+    std::uint64_t quorumReadRound() const;
 
     const ReplicaOptions m_options;
     const DiskIdentity m_identity;
@@ -252,6 +265,7 @@
     std::uint64_t m_snapshotStateDigest = 0;
     jujubequay::pb::Membership m_membership;
     std::uint64_t m_membershipIndex = 0; // log index of m_membership
+    jujubequay::pb::Membership m_previousMembership; // the membership before m_membership
 
     // Writes to storage
     std::uint64_t m_issuedSequence = 0; // sequence of the last write that was issued
@@ -282,6 +296,8 @@
     bool m_hasObservedLeader = false;
     std::uint32_t m_firstElectionAttempts = 0; // election timeouts set before the first leader was observed
     std::set<std::string> m_grantedVotes;
+    std::set<std::string> m_lostVoters; // voters whose hosts have answered with another disk
+    std::string m_termLostVoter; // as candidate or leader: voter that is left out of quorums in this term, fixed before the term started; empty if none
     IncomingSnapshot m_incomingSnapshot;
     std::map<std::uint64_t, ForwardedRead> m_forwardedReads; // by the number that the read request carries
 
--- a/include/jujubequay/control/replica_driver.h
+++ b/include/jujubequay/control/replica_driver.h
@@ -26,6 +26,8 @@
         std::function<void(bool toleratesVoterLoss)> redundancyChanged;
         /// This host has become or stopped being the leader of a term.
         std::function<void(std::uint64_t term, bool isLeader)> leadershipChanged;
+        /// The disk of a voter no longer exists.
+        std::function<void(const Consensus::VoterDiskLost &)> voterDiskLost;
         /// The storage has failed or is damaged; the process must stop. The driver does nothing afterwards.
         std::function<void(const Failure &)> storageFailed;
     };
--- a/src/jujubequay/consensus/election.cpp
+++ b/src/jujubequay/consensus/election.cpp
@@ -3,8 +3,6 @@
 
 #include <jujubequay/core/invariant.h>
 
-#include <algorithm>
-
 namespace Jujubequay::Consensus {
 
 namespace pb = jujubequay::pb;
@@ -12,7 +10,7 @@
 void Replica::startPreVote()
 {
     resetElectionTimer();
-    if (!isVoter(m_membership, m_identity.id) || m_pendingInstall) {
+    if (!isActiveVoter(m_identity.id) || m_pendingInstall) {
         return;
     }
     m_role = Role::PreCandidate;
@@ -30,13 +28,15 @@
     m_leader.clear();
     setHardState(m_hardState.term + 1, m_identity.id);
     m_termLeader.clear();
+    m_termLostVoter = knownLostVoter();
     m_grantedVotes.clear(); // this replica's own vote counts once it is durable
     requestVotes(false);
 }
 
 void Replica::requestVotes(bool preVote)
 {
-    for (const pb::Member &member : m_membership.members()) {
+    const pb::Membership active = activeMembers();
+    for (const pb::Member &member : active.members()) {
         if (!member.voter() || member.id() == m_identity.id) {
             continue;
         }
@@ -55,10 +55,13 @@
     if (m_role == Role::Candidate && m_hardStateSequence <= m_durableSequence) {
         m_grantedVotes.insert(m_identity.id);
     }
-    const auto granted = std::count_if(m_grantedVotes.begin(), m_grantedVotes.end(), [this](const std::string &id) {
-        return isVoter(m_membership, id);
-    });
-    if (static_cast<std::size_t>(granted) < majoritySize(m_membership)) {
+    const std::string lostVoter = m_role == Role::PreCandidate ? knownLostVoter() : m_termLostVoter;
+    const bool isElected = agreedValue(lostVoter,
+                                       [this](const std::string &id) {
+                                           return m_grantedVotes.contains(id) ? 1 : 0;
+                                       })
+        > 0;
+    if (!isElected) {
         return;
     }
     if (m_role == Role::PreCandidate) {
@@ -150,16 +153,56 @@
 
 bool Replica::hasQuorumContact() const
 {
-    std::size_t votersInContact = 0;
-    for (const pb::Member &member : m_membership.members()) {
-        if (!member.voter()) {
-            continue;
+    return agreedValue(m_termLostVoter,
+                       [this](const std::string &id) {
+                           const auto progress = m_progress.find(id);
+                           const bool isInContact = progress != m_progress.end() && m_now - progress->second.lastContact <= m_options.electionTimeout;
+                           return id == m_identity.id || isInContact ? 1 : 0;
+                       })
+        > 0;
+}
+
+// A vote request for another disk of this host shows its sender that the disk no longer exists. The request was sent after that disk was a member, and a host
+// has one disk at a time.
+void Replica::answerForLostDisk(const pb::ReplicaMessage &message)
+{
+    const bool isSameCluster = m_clusterNumber == 0 || message.cluster() == m_clusterNumber;
+    if (!message.has_vote_request() || !isSameCluster || message.to().empty() || message.to() == m_identity.id || message.from() == m_identity.id) {
+        return;
+    }
+    pb::ReplicaMessage reply = messageTo(message.from());
+    reply.set_cluster(message.cluster());
+    reply.set_term(0); // the term of this disk says nothing about the cluster
+    reply.mutable_disk_replaced()->set_lost_id(message.to());
+    reply.mutable_disk_replaced()->set_host(m_identity.host);
+    send(std::move(reply));
+}
+
+void Replica::onDiskReplaced(const pb::ReplicaMessage &message)
+{
+    const pb::DiskReplaced &replaced = message.disk_replaced();
+    const pb::Membership active = activeMembers();
+    const pb::Member *member = findMember(active, replaced.lost_id());
+    const bool isProof = member != nullptr && member->voter() && member->host() == replaced.host() && member->id() != m_identity.id;
+    if (!isProof || !m_lostVoters.insert(member->id()).second) {
+        return;
+    }
+    emit(VoterDiskLost{member->id(), member->host()});
+    if (m_role == Role::PreCandidate) {
+        countVotes();
+    }
+}
+
+std::string Replica::knownLostVoter() const
+{
+    for (const pb::Membership *membership : quorumMemberships()) {
+        for (const pb::Member &member : membership->members()) {
+            if (voterCount(*membership) % 2 == 0 && member.voter() && m_lostVoters.contains(member.id())) {
+                return member.id();
+            }
         }
-        const auto progress = m_progress.find(member.id());
-        const bool isSelf = member.id() == m_identity.id;
-        votersInContact += isSelf || (progress != m_progress.end() && m_now - progress->second.lastContact <= m_options.electionTimeout) ? 1 : 0;
     }
-    return votersInContact >= majoritySize(m_membership);
+    return {};
 }
 
 }
--- a/src/jujubequay/consensus/reads.cpp
+++ b/src/jujubequay/consensus/reads.cpp
@@ -1,8 +1,5 @@
 #include <jujubequay/consensus/replica.h>
 
-#include <algorithm>
-#include <functional>
-
 namespace Jujubequay::Consensus {
 
 namespace pb = jujubequay::pb;
@@ -61,7 +58,7 @@
 void Replica::confirmReads()
 {
     do {
-        const std::uint64_t confirmedRound = majorityReadRound();
+        const std::uint64_t confirmedRound = quorumReadRound();
         while (!m_pendingReads.empty() && m_pendingReads.front().round != 0 && m_pendingReads.front().round <= confirmedRound) {
             answerRead(m_pendingReads.front(), ResultCode::Ok);
             m_pendingReads.pop_front();
@@ -74,22 +71,13 @@
     } while (true);
 }
 
-std::uint64_t Replica::majorityReadRound() const
+std::uint64_t Replica::quorumReadRound() const
 {
-    std::vector<std::uint64_t> rounds;
-    for (const pb::Member &member : m_membership.members()) {
-        if (member.voter()) {
-            const auto progress = m_progress.find(member.id());
-            rounds.push_back(progress == m_progress.end() ? 0 : progress->second.acknowledgedRound);
-            rounds.back() = member.id() == m_identity.id ? m_readRound : rounds.back();
-        }
-    }
-    const std::size_t majority = majoritySize(m_membership);
-    if (rounds.size() < majority) {
-        return 0;
-    }
-    std::sort(rounds.begin(), rounds.end(), std::greater<>());
-    return rounds[majority - 1];
+    return agreedValue(m_termLostVoter, [this](const std::string &id) {
+        const auto progress = m_progress.find(id);
+        const std::uint64_t acknowledged = progress == m_progress.end() ? 0 : progress->second.acknowledgedRound;
+        return id == m_identity.id ? m_readRound : acknowledged;
+    });
 }
 
 void Replica::refuseReads(ResultCode code)
--- a/src/jujubequay/consensus/replica.cpp
+++ b/src/jujubequay/consensus/replica.cpp
@@ -1,5 +1,6 @@
 #include <jujubequay/consensus/replica.h>
 
+#include <jujubequay/consensus/quorum.h>
 #include <jujubequay/consensus/replica_log.h>
 #include <jujubequay/core/invariant.h>
 #include <jujubequay/core/name_table.h>
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace Jujubequay::Consensus {
 
@@ -68,6 +70,8 @@
     if (isAddressedToThisReplica(message)) {
         m_clusterNumber = message.cluster();
         dispatch(message);
+    } else {
+        answerForLostDisk(message);
     }
     return takeEffects();
 }
@@ -95,7 +99,9 @@
 void Replica::scheduleCommitIndexWrite()
 {
     const bool isIdle = m_pendingWrites.empty() && m_unwrittenEntries.empty() && !m_pendingCompaction && !m_pendingInstall;
-    if (m_options.persistsCommitIndex && isIdle && m_hardState.commit < m_commitIndex) {
+    // While a restarted replica does not know that its membership has committed, its elections also need a quorum of the one before.
+    const bool isMembershipNew = m_hardState.commit < m_membershipIndex && m_membershipIndex <= m_commitIndex;
+    if ((m_options.persistsCommitIndex || isMembershipNew) && isIdle && m_hardState.commit < m_commitIndex) {
         m_hardState.commit = m_commitIndex;
         m_hardStateDirty = true;
     }
@@ -300,6 +306,41 @@
     return m_membership;
 }
 
+pb::Membership Replica::activeMembers() const
+{
+    pb::Membership active = m_membership;
+    if (m_membershipIndex > m_commitIndex) {
+        for (const pb::Member &member : m_previousMembership.members()) {
+            if (member.voter() && findMember(m_membership, member.id()) == nullptr) {
+                *active.add_members() = member;
+            }
+        }
+    }
+    return active;
+}
+
+bool Replica::isActiveVoter(const std::string &id) const
+{
+    return isVoter(m_membership, id) || (m_membershipIndex > m_commitIndex && isVoter(m_previousMembership, id));
+}
+
+std::vector<const pb::Membership *> Replica::quorumMemberships() const
+{
+    if (m_membershipIndex > m_commitIndex) {
+        return {&m_membership, &m_previousMembership};
+    }
+    return {&m_membership};
+}
+
+std::uint64_t Replica::agreedValue(const std::string &lostVoter, const std::function<std::uint64_t(const std::string &)> &valueOf) const
+{
+    std::uint64_t agreed = std::numeric_limits<std::uint64_t>::max();
+    for (const pb::Membership *membership : quorumMemberships()) {
+        agreed = std::min(agreed, quorumValue(*membership, lostVoter, valueOf));
+    }
+    return agreed;
+}
+
 Effects Replica::takeEffects()
 {
     emitPersist();
@@ -409,6 +450,8 @@
         return onReadRequest(message);
     case pb::ReplicaMessage::kReadReply:
         return onReadReply(message);
+    case pb::ReplicaMessage::kDiskReplaced:
+        return onDiskReplaced(message);
     case pb::ReplicaMessage::KIND_NOT_SET:
         return;
     }
@@ -515,14 +558,18 @@
 void Replica::refreshMembership()
 {
     m_membership = m_snapshot.membership;
+    m_previousMembership = m_snapshot.membership;
     m_membershipIndex = m_snapshot.index;
-    for (std::uint64_t index = m_log->lastIndex(); index > std::max(m_snapshot.index, m_log->base().index); --index) {
+    for (std::uint64_t index = std::max(m_snapshot.index, m_log->base().index) + 1; index <= m_log->lastIndex(); ++index) {
         if (m_log->entryAt(index).has_membership()) {
+            m_previousMembership = std::move(m_membership);
             m_membership = m_log->entryAt(index).membership();
             m_membershipIndex = index;
-            break;
         }
     }
+    std::erase_if(m_lostVoters, [this](const std::string &id) {
+        return !isVoter(m_membership, id) && !isVoter(m_previousMembership, id);
+    });
     if (m_role == Role::Leader) {
         updateProgressMembers();
     }
--- a/src/jujubequay/consensus/replica_test.cpp
+++ b/src/jujubequay/consensus/replica_test.cpp
@@ -21,6 +21,7 @@
     for (const std::string &id : ids) {
         jujubequay::pb::Member *member = membership.add_members();
         member->set_id(id);
+        member->set_host("host");
         member->set_voter(true);
     }
     return membership;
@@ -59,6 +60,7 @@
             }
             if (const auto *persist = std::get_if<Persist>(&effect)) {
                 lastSequence = persist->sequence;
+                lastHardState = persist->hardState ? persist->hardState : lastHardState;
             }
             if (const auto *save = std::get_if<SaveSnapshot>(&effect)) {
                 lastSequence = save->sequence;
@@ -118,13 +120,37 @@
         receive(message);
     }
 
-    void becomeLeader(const std::string &voter)
+    /// Reports, from a new disk of `host`, that `lostId` no longer exists.
+    void reportLostDisk(const std::string &lostId, const std::string &host = "host")
+    {
+        ReplicaMessage message = messageFrom("new", 0);
+        message.mutable_disk_replaced()->set_lost_id(lostId);
+        message.mutable_disk_replaced()->set_host(host);
+        receive(message);
+    }
+
+    void startPreVote()
     {
         now = replica.nextTick();
         handle(replica.tick(now));
-        grantVote(voter, replica.term() + 1, true);
+    }
+
+    void becomeLeader(const std::string &voter)
+    {
+        becomeLeaderWith({voter});
+    }
+
+    void becomeLeaderWith(const std::vector<std::string> &voters)
+    {
+        startPreVote();
+        const std::uint64_t term = replica.term() + 1;
+        for (const std::string &voter : voters) {
+            grantVote(voter, term, true);
+        }
         completeWrites();
-        grantVote(voter, replica.term(), false);
+        for (const std::string &voter : voters) {
+            grantVote(voter, term, false);
+        }
         CPPUNIT_ASSERT(replica.role() == Role::Leader);
         completeWrites();
         sentMessages.clear();
@@ -142,6 +168,7 @@
     Replica replica;
     std::vector<ReplicaMessage> sentMessages;
     std::uint64_t lastSequence = 0;
+    std::optional<HardState> lastHardState;
     std::optional<ResultCode> proposalFailure;
     int confirmedReads = 0;
     int refusedReads = 0;
@@ -167,6 +194,14 @@
     CPPUNIT_TEST(readNeedsAMajorityAfterTheRequest);
     CPPUNIT_TEST(newDiskNeitherStartsElectionNorVotes);
     CPPUNIT_TEST(messageToALostDiskIsIgnored);
+    CPPUNIT_TEST(voteRequestForALostDiskIsAnsweredByTheNewOne);
+    CPPUNIT_TEST(lostDiskIsLeftOutOfTheNextElection);
+    CPPUNIT_TEST(lostDiskIsNotLeftOutOfATermThatHasStarted);
+    CPPUNIT_TEST(onlyTheHostOfADiskReportsItsLoss);
+    CPPUNIT_TEST(removalNeedsAQuorumOfTheMembershipBefore);
+    CPPUNIT_TEST(electionNeedsAQuorumOfTheMembershipBefore);
+    CPPUNIT_TEST(removedVoterVotesUntilItsRemovalHasCommitted);
+    CPPUNIT_TEST(commitOfAMembershipIsRecorded);
     CPPUNIT_TEST(learnerIsPromotedOnlyWhenCaughtUp);
     CPPUNIT_TEST(oneMembershipChangeAtATime);
     CPPUNIT_TEST(workingVoterOfThreeIsNotRemoved);
@@ -375,6 +410,166 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, harness.replica.term());
     }
 
+    // Guards against a group that never elects a leader again, because it waits for the vote of a disk that no longer exists.
+    void voteRequestForALostDiskIsAnsweredByTheNewOne()
+    {
+        ReplicaHarness harness(storedState("new", {}));
+        ReplicaMessage message = harness.messageFrom("b", 4);
+        message.set_to("old");
+        message.mutable_append_request();
+        harness.receive(message);
+        CPPUNIT_ASSERT_MESSAGE("only a vote request is answered", harness.sentMessages.empty());
+        message.mutable_vote_request();
+        harness.receive(message);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.sentMessages.size());
+        const ReplicaMessage &reply = harness.sentMessages.back();
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), reply.to());
+        CPPUNIT_ASSERT_EQUAL(std::string("old"), reply.disk_replaced().lost_id());
+        CPPUNIT_ASSERT_EQUAL(std::string("host"), reply.disk_replaced().host());
+        CPPUNIT_ASSERT_EQUAL(cluster, reply.cluster());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, harness.replica.term());
+    }
+
+    // Guards against the same: of six voters one is gone and two have lost their disks.
+    void lostDiskIsLeftOutOfTheNextElection()
+    {
+        ReplicaHarness harness(storedState("d", {"a", "b", "c", "d", "e", "f"}));
+        harness.startPreVote();
+        harness.grantVote("e", 1, true);
+        harness.grantVote("f", 1, true);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::PreCandidate);
+        harness.reportLostDisk("b");
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+        harness.completeWrites();
+        harness.grantVote("e", 1, false);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+        harness.grantVote("f", 1, false);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Leader);
+        harness.completeWrites();
+        harness.acknowledge("e", 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, harness.replica.commitIndex());
+        harness.acknowledge("f", 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, harness.replica.commitIndex());
+    }
+
+    // Guards against two leaders in one term: another candidate of the term may have the vote that the disk gave before it was lost.
+    void lostDiskIsNotLeftOutOfATermThatHasStarted()
+    {
+        ReplicaHarness harness(storedState("d", {"a", "b", "c", "d", "e", "f"}));
+        harness.startPreVote();
+        for (const char *voter : {"c", "e", "f"}) {
+            harness.grantVote(voter, 1, true);
+        }
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+        harness.completeWrites();
+        harness.reportLostDisk("b");
+        harness.grantVote("e", 1, false);
+        harness.grantVote("f", 1, false);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+        harness.startPreVote();
+        harness.grantVote("e", 2, true);
+        harness.grantVote("f", 2, true);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.replica.term());
+    }
+
+    // Guards against a voter that is left out although its disk exists, because another host reports the loss or it is this replica's own disk.
+    void onlyTheHostOfADiskReportsItsLoss()
+    {
+        ReplicaHarness harness(storedState("d", {"a", "b", "c", "d", "e", "f"}));
+        harness.startPreVote();
+        harness.grantVote("e", 1, true);
+        harness.grantVote("f", 1, true);
+        harness.reportLostDisk("b", "host-c");
+        harness.reportLostDisk("unknown");
+        harness.reportLostDisk("d");
+        CPPUNIT_ASSERT(harness.replica.role() == Role::PreCandidate);
+    }
+
+    // Guards against the loss of a committed entry: a term that leaves out a lost voter of the membership before may share no voter with a majority of the
+    // smaller membership.
+    void removalNeedsAQuorumOfTheMembershipBefore()
+    {
+        ReplicaHarness harness(storedState("a", {"a", "b", "c", "d", "e", "f"}));
+        harness.becomeLeaderWith({"b", "c", "d"});
+        for (const char *voter : {"b", "c", "d", "e", "f"}) {
+            harness.acknowledge(voter, 1);
+        }
+        harness.handle(harness.replica.changeMembership(harness.now, {1}, RemoveMember{"f"}));
+        harness.completeWrites();
+        harness.acknowledge("b", 2);
+        harness.acknowledge("c", 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, harness.replica.commitIndex());
+        harness.acknowledge("f", 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.replica.commitIndex());
+        harness.handle(harness.replica.propose(harness.now, {2}, {'x'}));
+        harness.completeWrites();
+        harness.acknowledge("b", 3);
+        harness.acknowledge("f", 3);
+        CPPUNIT_ASSERT_MESSAGE("a removed voter does not count", harness.replica.commitIndex() == 2);
+        harness.acknowledge("c", 3);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, harness.replica.commitIndex());
+    }
+
+    // Guards against two leaders in one term: this replica does not know yet whether the removal has committed, and others do not know of it.
+    void electionNeedsAQuorumOfTheMembershipBefore()
+    {
+        StoredState state = storedState("a", {"a", "b", "c", "d", "e", "f"});
+        jujubequay::pb::LogEntry removal = entry(1, 1);
+        *removal.mutable_membership() = voters({"a", "b", "c", "d", "e"});
+        state.entries = {removal};
+        state.hardState = {1, "b"};
+        ReplicaHarness harness(state);
+        harness.startPreVote();
+        harness.grantVote("b", 2, true);
+        harness.grantVote("c", 2, true);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::PreCandidate);
+        harness.grantVote("f", 2, true);
+        CPPUNIT_ASSERT(harness.replica.role() == Role::Candidate);
+
+        state.hardState.commit = 1;
+        ReplicaHarness informed(state);
+        informed.startPreVote();
+        informed.grantVote("b", 2, true);
+        informed.grantVote("c", 2, true);
+        CPPUNIT_ASSERT(informed.replica.role() == Role::Candidate);
+    }
+
+    // Guards against a removal that cannot commit because the voter to be removed is not asked any more.
+    void removedVoterVotesUntilItsRemovalHasCommitted()
+    {
+        ReplicaHarness harness(storedState("a", {"a", "b", "c", "d"}));
+        harness.becomeLeaderWith({"b", "c"});
+        for (const char *voter : {"b", "c", "d"}) {
+            harness.acknowledge(voter, 1);
+        }
+        harness.handle(harness.replica.changeMembership(harness.now, {1}, RemoveMember{"d"}));
+        harness.completeWrites();
+        const auto isSentToRemoved = [](const ReplicaMessage &message) {
+            return message.to() == "d" && message.append_request().entries_size() == 1;
+        };
+        CPPUNIT_ASSERT(std::any_of(harness.sentMessages.begin(), harness.sentMessages.end(), isSentToRemoved));
+        CPPUNIT_ASSERT(findMember(harness.replica.activeMembers(), "d") != nullptr);
+        harness.acknowledge("b", 2);
+        harness.acknowledge("d", 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.replica.commitIndex());
+        CPPUNIT_ASSERT(findMember(harness.replica.activeMembers(), "d") == nullptr);
+    }
+
+    // Guards against a restarted replica that needs a quorum of a membership from long ago, because it does not know that a later one has committed.
+    void commitOfAMembershipIsRecorded()
+    {
+        ReplicaHarness harness(storedState("a", {"a", "b", "c"}));
+        harness.becomeLeader("b");
+        harness.acknowledge("b", 1);
+        harness.handle(harness.replica.changeMembership(harness.now, {1}, AddLearner{"new", "host-d", {}}));
+        harness.completeWrites();
+        harness.acknowledge("b", 2);
+        harness.handle(harness.replica.tick(harness.now));
+        CPPUNIT_ASSERT(harness.lastHardState.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, harness.lastHardState->commit);
+    }
+
     void learnerIsPromotedOnlyWhenCaughtUp()
     {
         ReplicaHarness harness(storedState("a", {"a", "b", "c"}));
--- a/src/jujubequay/consensus/replication.cpp
+++ b/src/jujubequay/consensus/replication.cpp
@@ -4,7 +4,6 @@
 #include <jujubequay/core/invariant.h>
 
 #include <algorithm>
-#include <functional>
 
 namespace Jujubequay::Consensus {
 
@@ -12,10 +11,11 @@
 
 void Replica::updateProgressMembers()
 {
-    std::erase_if(m_progress, [this](const auto &entry) {
-        return findMember(m_membership, entry.first) == nullptr;
+    const pb::Membership active = activeMembers();
+    std::erase_if(m_progress, [&active](const auto &entry) {
+        return findMember(active, entry.first) == nullptr;
     });
-    for (const pb::Member &member : m_membership.members()) {
+    for (const pb::Member &member : active.members()) {
         if (member.id() == m_identity.id) {
             continue;
         }
@@ -225,34 +225,29 @@
 
 void Replica::advanceCommit()
 {
-    std::vector<std::uint64_t> durableIndexes;
-    for (const pb::Member &member : m_membership.members()) {
-        if (!member.voter()) {
-            continue;
-        }
-        const auto progress = m_progress.find(member.id());
-        durableIndexes.push_back(member.id() == m_identity.id ? m_durableIndex : progress->second.matchIndex);
-    }
-    const std::size_t majority = majoritySize(m_membership);
-    if (durableIndexes.size() < majority) {
-        return;
-    }
-    std::sort(durableIndexes.begin(), durableIndexes.end(), std::greater<>());
-    const std::uint64_t candidate = durableIndexes[majority - 1];
+    const std::uint64_t candidate = agreedValue(m_termLostVoter, [this](const std::string &id) {
+        const auto progress = m_progress.find(id);
+        const std::uint64_t matchIndex = progress == m_progress.end() ? 0 : progress->second.matchIndex;
+        return id == m_identity.id ? m_durableIndex : matchIndex;
+    });
     // An entry of an earlier term commits only together with an entry of the current term (Raft, section 5.4.2).
     if (candidate <= m_commitIndex || m_log->termAt(candidate) != m_hardState.term) {
         return;
     }
     const bool isFirstOfTerm = m_commitIndex < m_termStartIndex;
+    const bool isMembershipCommitted = m_commitIndex < m_membershipIndex && m_membershipIndex <= candidate;
     m_commitIndex = candidate;
     applyCommitted();
     confirmReads();
-    if (isFirstOfTerm) {
-        // Sends the commit index at once: after a restart, followers cannot apply the entries in their logs before they have received it.
+    if (isFirstOfTerm || isMembershipCommitted) {
+        // Sends the commit index at once: after a restart, followers cannot apply the entries in their logs before they have received it, and until then an
+        // election needs a quorum of the membership before as well.
         broadcast(true);
     }
+    if (isMembershipCommitted) {
+        updateProgressMembers();
+    }
     if (m_membershipIndex <= m_commitIndex && !isVoter(m_membership, m_identity.id)) {
-        broadcast(true); // sends the commit index, so that the other members apply the removal
         stepDown();
     }
 }
--- a/src/jujubequay/consensus_testing/fake_cluster.h
+++ b/src/jujubequay/consensus_testing/fake_cluster.h
@@ -59,6 +59,8 @@
     /// Runs until the condition is true, for at most `time`. Returns whether the condition was reached.
     bool runUntil(const std::function<bool()> &condition, Duration time);
     Duration now() const;
+    /// Time on the clock of a host, which its replica uses.
+    TimePoint hostTime(std::size_t host) const;
     /// Adds an event that runs `action` after `delay`.
     void schedule(Duration delay, std::function<void()> action);
 
@@ -115,8 +117,6 @@
         std::function<void()> action;
     };
 
-    /// Time on the clock of a host.
-    TimePoint hostTime(std::size_t host) const;
     void initialise(std::size_t host, const jujubequay::pb::Membership &initialMembership);
     void carryOut(std::size_t host, const Effects &effects);
     void carryOut(std::size_t host, const Effect &effect);
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -57,6 +57,10 @@
                     [this](std::uint64_t term, bool isLeader) {
                         m_environment.logger.info(isLeader ? "leadership-gained" : "leadership-lost", {{"term", term}});
                     },
+                .voterDiskLost =
+                    [this](const Consensus::VoterDiskLost &lost) {
+                        m_environment.logger.warning("voter-disk-lost", {{"disk", lost.id}, {"host", lost.host}});
+                    },
                 .storageFailed = m_environment.storageFailed})
     , m_watchServer(m_driver.state(), m_registry, m_reports, m_options.watch)
     , m_raftLinks(m_environment.client,
@@ -248,7 +252,10 @@
         return;
     }
     m_messages.addReceived(kindOf(message), framedBytes(message));
-    const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.from());
+    const pb::Membership members = m_driver.replica().activeMembers();
+    // Only the host of a disk can report that it has another one now.
+    const std::string &sender = message.has_disk_replaced() ? message.disk_replaced().lost_id() : message.from();
+    const pb::Member *member = Consensus::findMember(members, sender);
     if (member != nullptr && member->host() != host) {
         m_environment.logger.warning("replica-message-refused", {{"peer", host}, {"member", member->host()}});
         return;
@@ -263,7 +270,8 @@
 void ControlHostService::sendRaft(const pb::ReplicaMessage &message)
 {
     m_messages.addSent(kindOf(message), framedBytes(message));
-    const pb::Member *member = Consensus::findMember(m_driver.replica().membership(), message.to());
+    const pb::Membership members = m_driver.replica().activeMembers();
+    const pb::Member *member = Consensus::findMember(members, message.to());
     if (member != nullptr && m_raftLinks.send(member->host(), message) && m_raftLinks.isEstablished(member->host())) {
         return;
     }
@@ -280,7 +288,8 @@
 void ControlHostService::updatePeers()
 {
     std::map<std::string, HostAddress> peers;
-    for (const pb::Member &member : m_driver.replica().membership().members()) {
+    const pb::Membership active = m_driver.replica().activeMembers();
+    for (const pb::Member &member : active.members()) {
         const auto address = parseHostAddress(member.address());
         if (member.id() != m_driver.replica().id() && address) {
             peers[member.host()] = *address;
--- a/src/jujubequay/control/control_host_service_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(replacedLeaderHasNoVoteAfterItsPlannedStop);
     CPPUNIT_TEST(replacedLeaderThatWasKilledLosesItsVoteByItsOwnSilence);
     CPPUNIT_TEST(stoppedHostsKeepTheirVotesWithoutAReplacement);
+    CPPUNIT_TEST(diskLostRightAfterAReplacementLeavesALeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -318,6 +319,37 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, voters());
     }
 
+    // Guards against a group that never elects a leader again: the removed host still counts as a voter when the tolerated number of disks is lost.
+    void diskLostRightAfterAReplacementLeavesALeader()
+    {
+        for (const Duration delay : {milliseconds(0), milliseconds(200), milliseconds(1000)}) {
+            for (const bool isLeaderRemoved : {false, true}) {
+                for (std::size_t lost = 0; lost < 3; ++lost) {
+                    m_reconcilesKnownHosts = false;
+                    setUp();
+                    Host &leaderHost = leaderWithSuccessor();
+                    rollOut(1);
+                    Host &removed = isLeaderRemoved ? leaderHost : *m_hosts[otherThanLeader()];
+                    const std::string where
+                        = fmt::format("{} ms after the removal of {}", std::chrono::duration_cast<milliseconds>(delay).count(), removed.name);
+                    // The hosts that stay, the successor last.
+                    std::vector<Host *> kept;
+                    for (const auto &host : m_hosts) {
+                        if (host.get() != &removed) {
+                            kept.push_back(host.get());
+                        }
+                    }
+                    stopHost(removed);
+                    run(delay);
+                    loseDisk(*kept[lost]);
+                    run(seconds(12));
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(where + ", lost " + kept[lost]->name, std::size_t{3}, voters());
+                    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, statusOf(leader()).revision());
+                }
+            }
+        }
+    }
+
 private:
     Host &addHost()
     {
--- a/src/jujubequay/control/replica_driver.cpp
+++ b/src/jujubequay/control/replica_driver.cpp
@@ -122,6 +122,8 @@
         m_handlers.leadershipChanged(gained->term, true);
     } else if (const auto *lost = std::get_if<Consensus::LeadershipLost>(&effect)) {
         m_handlers.leadershipChanged(lost->term, false);
+    } else if (const auto *diskLost = std::get_if<Consensus::VoterDiskLost>(&effect)) {
+        m_handlers.voterDiskLost(*diskLost);
     } else {
         write(effect);
     }
