Let the fuzz target of the calls nest its inputs

For some inputs it now repeats two bytes, for example brackets, up to 153,000 times.

Neither built nor run yet.

--- a/fuzz/platform_calls_fuzz.cpp
+++ b/fuzz/platform_calls_fuzz.cpp
@@ -7,6 +7,7 @@
 #include <jujubequay/core/invariant.h>
 #include <jujubequay/steering/steer_message.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,27 @@
             return {};
         },
         ignore);
+    Platform::departureStartTime(body);
+}
+
+/// Repeats one byte of the body many times, for example an opening bracket, and another one as often after it. The fuzzer itself creates only short inputs.
+void fuzzRepeatedBytes(std::span<const std::uint8_t> data)
+{
+    constexpr std::size_t controlBytes = 4;
+    constexpr std::size_t countStep = 600; // up to 153,000 repetitions
+    if (data.size() < controlBytes) {
+        return;
+    }
+    const std::size_t count = data[0] * countStep;
+    std::string body(data.begin() + controlBytes, data.end());
+    if (body.empty()) {
+        return;
+    }
+    const std::size_t opening = data[1] % body.size();
+    const std::size_t closing = std::max<std::size_t>(opening, data[2] % body.size());
+    body.insert(closing, count, body[closing]);
+    body.insert(opening, count, body[opening]);
+    fuzzCallBodies(body);
 }
 
 }
@@ -62,5 +84,9 @@
 {
     fuzzPacket({data, size});
     fuzzCallBodies(std::string(data, data + size));
+    // The first byte selects the number of repetitions; most inputs have none, because long bodies are slow.
+    if (size > 0 && data[0] % 8 == 7) {
+        fuzzRepeatedBytes({data, size});
+    }
     return 0;
 }
