Identify a service by a digest of its name

What callers saw: with the services "bigu74s" and "dasi72o", 24 of 40 requests on the route of one were run by the server of the other, and the callers got its answers.

Cause: the only identity of a service in routes, in the server directory, in the header of a SYN and in the check of the agent was 32 bits of a hash of its name, which these two names share. No place that decides compared names.

Change: ServiceKey is a BLAKE2b digest of 128 bits, so wide that two names with the same one cannot be found, also on purpose. The former 32 bits stay beside it as the short key. A SYN carries the digest in a new kind of steer message, OpeningPacket, to agents that announce that they accept it (ServerEntry.accepts_service_keys, passed on in the compact server list); others get the header of before. A SYN of a balancer of the version before is compared by its short key, and the route of the agent's own table has to name the service by the digest.

Ruled out: another hash of 32 bits (moves the pairs), refusing such a configuration (it is valid), numbers given out by the control hosts (an agent with an older table cannot resolve them, and control hosts of two versions would differ), names in each SYN (no limit on their length).

With the digest left out, as before, RouteTableTest::servicesWithTheSameShortKeyDiffer, BalancerSteeringTest::placesNoFlowAtAServiceWithTheSameShortKey, two tests of AgentSteeringTest and one of SteerMessageTest fail; with the short keys compared in the agent alone, AgentSteeringTest::acceptsNoSynOfAServiceWithTheSameShortKey.

Size: 16 bytes more for each SYN, 2 bytes more for each server in a list.

--- a/fuzz/platform_calls_fuzz.cpp
+++ b/fuzz/platform_calls_fuzz.cpp
@@ -26,7 +26,8 @@
     }
     if (const auto message = decodeSteerMessage(packet)) {
         const auto *steered = std::get_if<SteeredPacket>(&*message);
-        checkInvariant(steered == nullptr || steered->packet.size() + steerHeaderLength == packet.size(),
+        const std::size_t headerLength = steered == nullptr ? 0 : packet.size() - steered->packet.size();
+        checkInvariant(steered == nullptr || headerLength == steerHeaderLength || headerLength == openingHeaderLength,
                        "a steered packet contains all bytes after the header");
         const auto *owner = std::get_if<OwnerNotice>(&*message);
         checkInvariant(owner == nullptr || owner->incarnation == Incarnation() || encode(*owner) == packet, "an owner notice is encoded as it was received");
--- a/include/jujubequay/control/config_snapshot.h
+++ b/include/jujubequay/control/config_snapshot.h
@@ -65,6 +65,7 @@
     ServerAvailability state = ServerAvailability::Starting;
     std::uint32_t agentEpoch = 0; ///< changes with each restart of the agent
     std::uint32_t weight = 100; ///< 1 to 1000; the default is 100
+    bool acceptsServiceKeys = false; ///< the agent decodes opening packets with the full key of a service
     std::string zone;
     /// True if new flows and requests may be sent to the server.
     bool acceptsNewWork() const;
--- a/include/jujubequay/control/route_table.h
+++ b/include/jujubequay/control/route_table.h
@@ -5,7 +5,9 @@
 
 #include <control.pb.h>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -22,17 +24,22 @@
     Download, ///< may be repeated; long answers
 };
 
-/// Hash of the name of a service. Packets between balancers and agents carry it.
+/// Identity of a service, derived from its name. Opening packets between balancers and agents carry it.
+///
+/// The digest is a cryptographic hash of the name: no two names with the same digest are known, nor can they be found on purpose. The short key is a hash of 32
+/// bits, so that names with the same one are easily found; it serves only to talk to programs of versions without the digest.
 struct ServiceKey {
-    std::uint32_t value = 0;
-    bool operator==(const ServiceKey &) const = default;
-    bool operator<(const ServiceKey &other) const
-    {
-        return value < other.value;
-    }
+    static constexpr std::size_t digestLength = 16;
+
+    std::uint32_t shortKey = 0;
+    std::array<std::uint8_t, digestLength> digest{}; ///< zero if only the short key is known
+
+    auto operator<=>(const ServiceKey &) const = default;
 };
 
 ServiceKey serviceKey(const std::string &name);
+/// True if a received key identifies `service`. A key of a version without the digest is compared by the short key.
+bool identifies(const ServiceKey &received, const ServiceKey &service);
 
 /// One of the services of a route and its share of the new flows.
 struct RouteService {
--- a/include/jujubequay/steering/server_directory.h
+++ b/include/jujubequay/steering/server_directory.h
@@ -24,6 +24,7 @@
     std::uint64_t order = 0; ///< increases with each incarnation of the agent's servers
     std::uint32_t agentEpoch = 0; ///< changes with each restart of the agent
     bool acceptsNewFlows = false;
+    bool acceptsServiceKeys = false; ///< the agent decodes opening packets with the full key of a service
     /// When the server disappeared from the server list; empty while it is listed. An unlisted server may still own flows.
     std::optional<TimePoint> unlistedSince;
 };
@@ -70,6 +71,8 @@
     bool isRegistryComplete() const;
     /// Returns null for an unknown agent.
     const SteerServer *find(const HostAddress &agent) const;
+    /// True if the agent decodes opening packets with the full key of a service.
+    bool acceptsServiceKeys(const HostAddress &agent) const;
     /// The servers of a service, including unlisted ones.
     std::span<const SteerServer> servers(ServiceKey service) const;
     /// True if the server has certainly ended, so that its flows do not exist any more: it has deregistered itself, or it was listed before
@@ -114,6 +117,8 @@
     void updateDeregistered(TimePoint now, const ConfigSnapshot &snapshot);
     bool updateServers(TimePoint now, const ConfigSnapshot &snapshot);
     void indexServers();
+    /// The keys of the services of all listed servers, of which those that are known already are not computed again.
+    void updateServiceKeys(const ConfigSnapshot &snapshot);
     void recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server);
 
     const ServerDirectoryOptions m_options;
@@ -125,6 +130,7 @@
     ServerEnds m_replaced;
     std::vector<EndedServer> m_newlyEnded;
     std::map<ServiceKey, std::vector<SteerServer>> m_servers;
+    std::unordered_map<std::string, ServiceKey> m_serviceKeys; ///< key by the name of the service
     std::vector<Group> m_groups;
     std::unordered_map<HostAddress, Position> m_positions; ///< position by agent, for the lookup of each packet
 };
--- a/include/jujubequay/steering/steer_message.h
+++ b/include/jujubequay/steering/steer_message.h
@@ -30,7 +30,7 @@
     std::uint8_t hops = 0; ///< agents that have forwarded the packet, except those that an owner lookup does not count
     bool wantsOwnerNotice = false; ///< requests an owner notice for the balancer, which has no entry for the flow
     std::uint64_t routeTableVersion = 0; ///< version of the balancer's route table
-    ServiceKey service; ///< service that was chosen for a SYN
+    ServiceKey service; ///< service that was chosen for a SYN; only the short key if the packet came from a version without opening packets
     HostAddress balancer; ///< address for owner notices and load notices
     bool isLookupPartial = false; ///< a server list used in the lookup was incomplete or unstable, so the owner may have been left out
     LookupPhase lookupPhase = LookupPhase::FirstRegistrar;
@@ -94,6 +94,7 @@
 constexpr std::size_t maxEndedFlows = 64;
 
 constexpr std::size_t steerHeaderLength = 22;
+constexpr std::size_t openingHeaderLength = steerHeaderLength + ServiceKey::digestLength; ///< of a SYN with the full key of its service
 constexpr std::size_t ownerNoticeLength = 20; ///< without an incarnation
 constexpr std::size_t confirmedOwnerNoticeLength = ownerNoticeLength + sizeof(std::uint32_t);
 constexpr std::size_t identifiedOwnerNoticeLength = confirmedOwnerNoticeLength + sizeof(std::uint32_t);
@@ -110,8 +111,10 @@
 /// A datagram that balancers and agents receive from each other and from control hosts.
 using SteerMessage = std::variant<SteeredPacket, OwnerNotice, LoadNotice, StartNotice, OwnerAcknowledgement, EndedFlowsNotice, NewerRoutesNotice>;
 
-/// Writes the header into `out`.
+/// Writes the header into `out`, with the short key of the service.
 void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out);
+/// A SYN with its header and the full key of the service, for agents that accept it.
+std::vector<std::uint8_t> encodeOpeningPacket(const SteerHeader &header, std::span<const std::uint8_t> packet);
 /// `ownerNoticeLength` bytes, `confirmedOwnerNoticeLength` with an incarnation, or `identifiedOwnerNoticeLength` with a sequence number as well.
 std::vector<std::uint8_t> encode(const OwnerNotice &notice);
 std::array<std::uint8_t, loadNoticeLength> encode(const LoadNotice &notice);
--- a/include/jujubequay/steering_program/balancer_traffic.h
+++ b/include/jujubequay/steering_program/balancer_traffic.h
@@ -69,7 +69,7 @@
     DatagramReader m_reader;
     DatagramWriter m_agentWriter;
     DatagramWriter m_callerWriter;
-    std::deque<std::vector<std::uint8_t>> m_pendingResets; ///< buffers of m_callerWriter until the next flush
+    std::deque<std::vector<std::uint8_t>> m_pendingBuffers; ///< buffers of the writers until the next flush
     PacketCounters m_counters;
     TimePoint m_lastNewerRoutesAt{};
 };
--- a/src/jujubequay/control/route_table.cpp
+++ b/src/jujubequay/control/route_table.cpp
@@ -1,6 +1,7 @@
 #include <jujubequay/control/route_table.h>
 
 #include <fmt/format.h>
+#include <sodium/crypto_generichash.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -61,7 +62,17 @@
 
 ServiceKey serviceKey(const std::string &name)
 {
-    return {static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()))};
+    ServiceKey key;
+    key.shortKey = static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
+    const auto *bytes = reinterpret_cast<const std::uint8_t *>(name.data());
+    crypto_generichash(key.digest.data(), key.digest.size(), bytes, name.size(), nullptr, 0);
+    return key;
+}
+
+bool identifies(const ServiceKey &received, const ServiceKey &service)
+{
+    const bool isComplete = received.digest != ServiceKey().digest;
+    return isComplete ? received == service : received.shortKey == service.shortKey;
 }
 
 bool Route::hasService(ServiceKey service) const
--- a/src/jujubequay/control/route_table_test.cpp
+++ b/src/jujubequay/control/route_table_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(highestVersionStaysInForce);
     CPPUNIT_TEST(snapshotKeepsTheTable);
     CPPUNIT_TEST(deltaHasTheTableOnlyAfterAChange);
+    CPPUNIT_TEST(servicesWithTheSameShortKeyDiffer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +155,16 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.configAfter(0, 0, {}).routes().version());
         CPPUNIT_ASSERT(!state.configAfter(1, 0, {}).has_routes());
     }
+
+    // Guards against two services that are taken for one because a short hash of their names is the same.
+    void servicesWithTheSameShortKeyDiffer()
+    {
+        const ServiceKey first = serviceKey("bigu74s");
+        const ServiceKey second = serviceKey("dasi72o");
+        CPPUNIT_ASSERT_EQUAL(first.shortKey, second.shortKey);
+        CPPUNIT_ASSERT(first != second && !identifies(first, second) && !identifies(second, first));
+        CPPUNIT_ASSERT(identifies(first, serviceKey("bigu74s")));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
--- a/src/jujubequay/control/watch_subscriber.cpp
+++ b/src/jujubequay/control/watch_subscriber.cpp
@@ -85,6 +85,7 @@
     server.order = entry.order();
     server.state = availabilityOf(entry.state());
     server.agentEpoch = entry.agent_epoch();
+    server.acceptsServiceKeys = entry.accepts_service_keys();
     server.weight = entry.weight();
     server.zone = entry.zone();
     return server;
--- a/src/jujubequay/control/watch_test.cpp
+++ b/src/jujubequay/control/watch_test.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST(movesToAControlHostOfItsZone);
     CPPUNIT_TEST(sendsAllFlowRecordsOnANewStream);
     CPPUNIT_TEST(passesItsRouteTableOn);
+    CPPUNIT_TEST(watchersLearnWhichAgentsAcceptServiceKeys);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -753,10 +754,24 @@
         CPPUNIT_ASSERT(other.applyPeerState(m_subscriber->peerState(request)).empty());
     }
 
+    // Guards against agents that never get the full key of a service, because the compact server list leaves out that they accept it.
+    void watchersLearnWhichAgentsAcceptServiceKeys()
+    {
+        announceServer(1, 1, "control-a");
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_subscriber->snapshot()->servers.size());
+        CPPUNIT_ASSERT(!m_subscriber->snapshot()->servers[0].acceptsServiceKeys);
+        announceServer(1, 2, "control-a", pb::SERVER_STATE_SERVING, true);
+        step();
+        CPPUNIT_ASSERT(m_subscriber->snapshot()->servers[0].acceptsServiceKeys);
+    }
+
 private:
-    void announceServer(int number, std::uint64_t sequence, const std::string &owner, pb::ServerState state = pb::SERVER_STATE_SERVING)
+    void announceServer(
+        int number, std::uint64_t sequence, const std::string &owner, pb::ServerState state = pb::SERVER_STATE_SERVING, bool acceptsServiceKeys = false)
     {
         pb::ServerEntry entry;
+        entry.set_accepts_service_keys(acceptsServiceKeys);
         entry.set_name(fmt::format("127.0.1.1:{}", number + 1));
         entry.set_relay_address(entry.name());
         entry.set_service("inspect-desk");
--- a/src/jujubequay/control/watched_servers.cpp
+++ b/src/jujubequay/control/watched_servers.cpp
@@ -28,6 +28,7 @@
                            static_cast<int>(entry.state()),
                            entry.order(),
                            entry.weight(),
+                           entry.accepts_service_keys(),
                            hasDeregistered(entry));
 }
 
@@ -103,6 +104,7 @@
         server.set_order(entry.order());
         server.set_weight(entry.weight() == ordinaryWeight ? 0 : entry.weight());
         server.set_deregistered(hasDeregistered(entry));
+        server.set_accepts_service_keys(entry.accepts_service_keys());
         if (entry.name() != entry.relay_address()) {
             server.set_name(entry.name());
         }
@@ -127,6 +129,7 @@
         entry.set_order(server.order());
         entry.set_weight(server.weight() == 0 ? ordinaryWeight : server.weight());
         entry.set_observation(server.deregistered() ? 0 : 1);
+        entry.set_accepts_service_keys(server.accepts_service_keys());
     }
     delta.clear_watched();
     delta.clear_names();
--- a/src/jujubequay/steering/agent_flow_acceptance.cpp
+++ b/src/jujubequay/steering/agent_flow_acceptance.cpp
@@ -40,7 +40,7 @@
     if (localTableVersion >= header.routeTableVersion && m_directory.routes().find(tuple.service) == nullptr) {
         return rejectSyn(segment, SteerCause::NoRoute);
     }
-    if (!m_server || header.service != m_server->service || !isRoutedToLocalServer(header, tuple)) {
+    if (!m_server || !identifies(header.service, m_server->service) || !isRoutedToLocalServer(header, tuple)) {
         return redirectSyn(header, segment, SteerCause::NotAccepted);
     }
     if (!m_server->acceptsNewFlows) {
@@ -83,7 +83,7 @@
     if (next.hops <= maxSynHops) {
         for (const HostAddress &agent : m_directory.rankedAgents(tuple)) {
             const SteerServer *server = m_directory.find(agent);
-            if (agent != m_options.agent && server->acceptsNewFlows && server->service == next.service) {
+            if (agent != m_options.agent && server->acceptsNewFlows && identifies(next.service, server->service)) {
                 return RelayToAgent{agent, next, cause};
             }
         }
--- a/src/jujubequay/steering/agent_steering_test.cpp
+++ b/src/jujubequay/steering/agent_steering_test.cpp
@@ -117,6 +117,9 @@
     CPPUNIT_TEST(findsTheOwnerDespiteANoticeOfAServingOne);
     CPPUNIT_TEST(resetsAReturnedFlowWhoseServerIsReplaced);
     CPPUNIT_TEST(acceptsAReturnedFlowDespiteALateNotice);
+    CPPUNIT_TEST(acceptsNoSynOfAServiceWithTheSameShortKey);
+    CPPUNIT_TEST(acceptsSynsOfEarlierVersions);
+    CPPUNIT_TEST(redirectsNoSynToAServiceWithTheSameShortKey);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -1993,6 +1996,50 @@
 
 private:
     unsigned m_lastHops = 0;
+
+    // Guards against a server that runs the requests of another service, whichever of the two hosts has the newer route table.
+    void acceptsNoSynOfAServiceWithTheSameShortKey()
+    {
+        const Snapshots snapshots = Snapshots().route(feedAddress, collidingService).route(vaultAddress, otherCollidingService).server(1, collidingService);
+        AgentSteering agent = this->agent(1, snapshots);
+        agent.setServer(m_now, LocalServer{serviceKey(collidingService), {101}, true, 3}, true);
+        for (const std::uint64_t version : {1, 5, 9}) {
+            const auto decision = agent.handleCallerPacket(m_now, header(otherCollidingService, version), syn(flow(1, vaultAddress)), m_notices);
+            CPPUNIT_ASSERT(!std::holds_alternative<DeliverToServer>(decision));
+        }
+        // A balancer of a version without full keys.
+        SteerHeader shortKey = header(otherCollidingService, 5);
+        shortKey.service.digest = {};
+        CPPUNIT_ASSERT(!std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, shortKey, syn(flow(2, vaultAddress)), m_notices)));
+        const SteerHeader own = header(collidingService, 5);
+        CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, own, syn(flow(3)), m_notices)));
+    }
+
+    // Guards against balancers of earlier versions that cannot open flows while the programs are replaced.
+    void acceptsSynsOfEarlierVersions()
+    {
+        AgentSteering agent = this->agent(1, Snapshots().server(1));
+        std::uint16_t port = 0;
+        for (const std::uint64_t version : {3, 9}) {
+            SteerHeader shortKey = header("feed", version);
+            shortKey.service.digest = {};
+            CPPUNIT_ASSERT(std::holds_alternative<DeliverToServer>(agent.handleCallerPacket(m_now, shortKey, syn(flow(++port)), m_notices)));
+        }
+    }
+
+    // Guards against a SYN that is passed on to a server of another service.
+    void redirectsNoSynToAServiceWithTheSameShortKey()
+    {
+        const Snapshots snapshots = Snapshots()
+                                        .route(feedAddress, collidingService)
+                                        .route(vaultAddress, otherCollidingService)
+                                        .server(1, collidingService)
+                                        .server(2, otherCollidingService);
+        AgentSteering agent = this->agent(1, snapshots);
+        agent.setServer(m_now, LocalServer{serviceKey(collidingService), {101}, false, 3}, true);
+        const auto decision = agent.handleCallerPacket(m_now, header(collidingService, 5), syn(flow(1)), m_notices);
+        CPPUNIT_ASSERT(std::holds_alternative<ResetCaller>(decision));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AgentSteeringTest);
--- a/src/jujubequay/steering/balancer_steering_test.cpp
+++ b/src/jujubequay/steering/balancer_steering_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(avoidsAServerThatRefusesFlows);
     CPPUNIT_TEST(usesAllServersWhenMostRefuse);
     CPPUNIT_TEST(dropsPacketsThatOnlyServersSend);
+    CPPUNIT_TEST(placesNoFlowAtAServiceWithTheSameShortKey);
     CPPUNIT_TEST_SUITE_END();
 
     TimePoint m_now{seconds(100)};
@@ -587,6 +588,21 @@
         steering.update(m_now, snapshots.server(2).deregistered(1).build());
         CPPUNIT_ASSERT(resetCause(steering.decide(m_now, data(flow(1), 55))) == SteerCause::ServerReplaced);
     }
+
+    // Guards against flows of one service that are opened at the servers of another one.
+    void placesNoFlowAtAServiceWithTheSameShortKey()
+    {
+        const Snapshots snapshots = Snapshots()
+                                        .route(feedAddress, collidingService)
+                                        .route(vaultAddress, otherCollidingService)
+                                        .server(1, collidingService)
+                                        .server(2, otherCollidingService);
+        BalancerSteering steering = this->steering(snapshots);
+        for (std::uint16_t port = 1; port <= 50; ++port) {
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, syn(flow(port)))) == agentAddress(1));
+            CPPUNIT_ASSERT(relayAgent(steering.decide(m_now, syn(flow(port, vaultAddress)))) == agentAddress(2));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BalancerSteeringTest);
--- a/src/jujubequay/steering/server_directory.cpp
+++ b/src/jujubequay/steering/server_directory.cpp
@@ -15,15 +15,16 @@
     return XXH3_64bits_withSeed(&key, sizeof(key), flowHash);
 }
 
-SteerServer steerServerOf(const ServerSnapshot &server)
+SteerServer steerServerOf(const ServerSnapshot &server, const ServiceKey &service)
 {
     return {server.relayAddress,
-            serviceKey(server.service),
+            service,
             server.zone,
             server.incarnation,
             server.order,
             server.agentEpoch,
             server.acceptsNewWork(),
+            server.acceptsServiceKeys,
             std::nullopt};
 }
 
@@ -71,9 +72,10 @@
 
 bool ServerDirectory::updateServers(TimePoint now, const ConfigSnapshot &snapshot)
 {
+    updateServiceKeys(snapshot);
     std::map<HostAddress, SteerServer> listed;
     for (const ServerSnapshot &server : snapshot.servers) {
-        listed[server.relayAddress] = steerServerOf(server);
+        listed[server.relayAddress] = steerServerOf(server, m_serviceKeys.at(server.service));
     }
     for (const auto &[service, previous] : m_servers) {
         for (const SteerServer &server : previous) {
@@ -119,6 +121,18 @@
     return !isUnchanged;
 }
 
+void ServerDirectory::updateServiceKeys(const ConfigSnapshot &snapshot)
+{
+    const std::unordered_map<std::string, ServiceKey> known = std::exchange(m_serviceKeys, {});
+    for (const ServerSnapshot &server : snapshot.servers) {
+        const auto [entry, isNew] = m_serviceKeys.try_emplace(server.service);
+        if (isNew) {
+            const auto previous = known.find(server.service);
+            entry->second = previous == known.end() ? serviceKey(server.service) : previous->second;
+        }
+    }
+}
+
 void ServerDirectory::recordReplacement(TimePoint now, const SteerServer &previous, const SteerServer &server)
 {
     if (isConfirmed(previous.incarnation) && isConfirmed(server.incarnation) && previous.incarnation != server.incarnation) {
@@ -173,6 +187,12 @@
     return found == m_positions.end() ? nullptr : &m_servers.at(found->second.service)[found->second.index];
 }
 
+bool ServerDirectory::acceptsServiceKeys(const HostAddress &agent) const
+{
+    const SteerServer *server = find(agent);
+    return server != nullptr && server->acceptsServiceKeys;
+}
+
 std::span<const SteerServer> ServerDirectory::servers(ServiceKey service) const
 {
     const auto found = m_servers.find(service);
--- a/src/jujubequay/steering/steer_message.cpp
+++ b/src/jujubequay/steering/steer_message.cpp
@@ -2,6 +2,8 @@
 
 #include <jujubequay/wire/byte_order.h>
 
+#include <algorithm>
+
 namespace Jujubequay {
 
 namespace {
@@ -30,7 +32,8 @@
     StartNotice = 4,
     OwnerAcknowledgement = 5,
     EndedFlows = 6,
-    NewerRoutes = 7
+    NewerRoutes = 7,
+    OpeningPacket = 8 ///< a packet whose header is followed by the digest of its service
 };
 
 std::uint8_t *putPrefix(std::uint8_t *out, MessageKind kind)
@@ -66,13 +69,21 @@
     if (steered.header.lookupPhase == LookupPhase::KnownFlows) {
         steered.header.areFlowTablesComplete = service == flowTablesComplete && steered.header.acceptsCallerSequences;
     } else {
-        steered.header.service = {service};
+        steered.header.service.shortKey = service;
     }
     steered.header.balancer = takeAddress(in);
     steered.packet = datagram.subspan(steerHeaderLength);
     return steered;
 }
 
+SteeredPacket decodeOpeningPacket(std::span<std::uint8_t> datagram)
+{
+    SteeredPacket steered = decodePacket(datagram);
+    std::copy_n(steered.packet.begin(), ServiceKey::digestLength, steered.header.service.digest.begin());
+    steered.packet = datagram.subspan(openingHeaderLength);
+    return steered;
+}
+
 FlowTuple takeTuple(const std::uint8_t *&in)
 {
     const HostAddress caller = takeAddress(in);
@@ -165,9 +176,11 @@
 
 }
 
-void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out)
+namespace {
+
+void putHeader(const SteerHeader &header, MessageKind kind, std::span<std::uint8_t, steerHeaderLength> out)
 {
-    std::uint8_t *position = putPrefix(out.data(), MessageKind::Packet);
+    std::uint8_t *position = putPrefix(out.data(), kind);
     position = writeBigEndian(position, header.hops);
     const int flags = (header.wantsOwnerNotice ? wantsOwnerNoticeFlag : 0) | (header.isLookupPartial ? lookupPartialFlag : 0)
         | (static_cast<int>(header.lookupPhase) << lookupPhaseShift) | (header.lookupRetries << lookupRetriesShift)
@@ -175,10 +188,26 @@
     position = writeBigEndian(position, static_cast<std::uint8_t>(flags));
     position = writeBigEndian(position, header.routeTableVersion);
     const std::uint32_t lookupState = header.areFlowTablesComplete ? flowTablesComplete : 0;
-    position = writeBigEndian(position, header.lookupPhase == LookupPhase::KnownFlows ? lookupState : header.service.value);
+    position = writeBigEndian(position, header.lookupPhase == LookupPhase::KnownFlows ? lookupState : header.service.shortKey);
     putAddress(position, header.balancer);
 }
 
+}
+
+void encodeSteerHeader(const SteerHeader &header, std::span<std::uint8_t, steerHeaderLength> out)
+{
+    putHeader(header, MessageKind::Packet, out);
+}
+
+std::vector<std::uint8_t> encodeOpeningPacket(const SteerHeader &header, std::span<const std::uint8_t> packet)
+{
+    std::vector<std::uint8_t> out(openingHeaderLength + packet.size());
+    putHeader(header, MessageKind::OpeningPacket, std::span(out).first<steerHeaderLength>());
+    const auto afterHeader = out.begin() + steerHeaderLength;
+    std::copy(packet.begin(), packet.end(), std::copy(header.service.digest.begin(), header.service.digest.end(), afterHeader));
+    return out;
+}
+
 std::vector<std::uint8_t> encode(const OwnerNotice &notice)
 {
     std::vector<std::uint8_t> out(lengthOf(notice));
@@ -243,6 +272,8 @@
     switch (static_cast<MessageKind>(datagram[1])) {
     case MessageKind::Packet:
         return datagram.size() >= steerHeaderLength ? std::optional<SteerMessage>(decodePacket(datagram)) : std::nullopt;
+    case MessageKind::OpeningPacket:
+        return datagram.size() >= openingHeaderLength ? std::optional<SteerMessage>(decodeOpeningPacket(datagram)) : std::nullopt;
     case MessageKind::OwnerNotice:
         return isOwnerNoticeLength(datagram.size()) ? std::optional<SteerMessage>(decodeOwnerNotice(datagram)) : std::nullopt;
     case MessageKind::LoadNotice:
--- a/src/jujubequay/steering/steer_message_test.cpp
+++ b/src/jujubequay/steering/steer_message_test.cpp
@@ -11,6 +11,8 @@
 {
     CPPUNIT_TEST_SUITE(SteerMessageTest);
     CPPUNIT_TEST(decodesTheHeaderOfAPacket);
+    CPPUNIT_TEST(openingPacketCarriesTheFullServiceKey);
+    CPPUNIT_TEST(earlierVersionsGetTheShortServiceKey);
     CPPUNIT_TEST(decodesNotices);
     CPPUNIT_TEST(decodesWhichFlowANoticeIsAbout);
     CPPUNIT_TEST(decodesEndedFlows);
@@ -64,6 +66,40 @@
         CPPUNIT_ASSERT(!std::get<SteeredPacket>(decodeSteerMessage(datagram).value()).header.areFlowTablesComplete);
     }
 
+    // Guards against a SYN that reaches another service because only a part of the key of its service is sent.
+    void openingPacketCarriesTheFullServiceKey()
+    {
+        const SteerHeader header{1, false, 7, serviceKey(collidingService), balancerAddress(9)};
+        const std::vector<std::uint8_t> packet{1, 2, 3};
+        std::vector<std::uint8_t> datagram = encodeOpeningPacket(header, packet);
+        CPPUNIT_ASSERT_EQUAL(openingHeaderLength + packet.size(), datagram.size());
+        const auto message = decodeSteerMessage(datagram);
+        const auto &decoded = std::get<SteeredPacket>(message.value());
+        CPPUNIT_ASSERT(decoded.header.service == header.service);
+        CPPUNIT_ASSERT_EQUAL(header.hops, decoded.header.hops);
+        CPPUNIT_ASSERT_EQUAL(header.routeTableVersion, decoded.header.routeTableVersion);
+        CPPUNIT_ASSERT(decoded.header.balancer == header.balancer);
+        CPPUNIT_ASSERT(std::equal(packet.begin(), packet.end(), decoded.packet.begin(), decoded.packet.end()));
+        CPPUNIT_ASSERT(identifies(decoded.header.service, serviceKey(collidingService)));
+        CPPUNIT_ASSERT(!identifies(decoded.header.service, serviceKey(otherCollidingService)));
+        for (std::size_t length = 0; length < openingHeaderLength; ++length) {
+            CPPUNIT_ASSERT(!decodeSteerMessage(std::span(datagram).first(length)));
+        }
+    }
+
+    // Guards against a change of the header that programs of earlier versions send and decode: 32 bits of the XXH3 hash of the name.
+    void earlierVersionsGetTheShortServiceKey()
+    {
+        const SteerHeader header{1, false, 7, serviceKey("feed"), balancerAddress(9)};
+        std::vector<std::uint8_t> datagram(steerHeaderLength + 3);
+        encodeSteerHeader(header, std::span(datagram).first<steerHeaderLength>());
+        constexpr std::size_t serviceOffset = 12;
+        const std::vector<std::uint8_t> key(datagram.begin() + serviceOffset, datagram.begin() + serviceOffset + 4);
+        CPPUNIT_ASSERT((std::vector<std::uint8_t>{0x34, 0x20, 0x83, 0x79}) == key);
+        const ServiceKey received = std::get<SteeredPacket>(decodeSteerMessage(datagram).value()).header.service;
+        CPPUNIT_ASSERT(identifies(received, serviceKey("feed")) && !identifies(received, serviceKey("vault")));
+    }
+
     void decodesNotices()
     {
         auto owner = encode(OwnerNotice{flow(7), agentAddress(3)});
--- a/src/jujubequay/steering/steering_test_support.h
+++ b/src/jujubequay/steering/steering_test_support.h
@@ -80,6 +80,10 @@
     return segment;
 }
 
+/// Names of services whose short keys are equal.
+const std::string collidingService = "bigu74s";
+const std::string otherCollidingService = "dasi72o";
+
 /// Builds configuration snapshots with the routes "feed" and "vault", which lead to services of the same names. The agent of server
 /// `number` has the address agentAddress(number); servers with even numbers are in zone-a, the others in zone-b.
 class Snapshots
@@ -138,6 +142,17 @@
         return *this;
     }
 
+    /// The agent accepts opening packets with the full key of the service.
+    Snapshots &acceptsServiceKeys(std::uint32_t number)
+    {
+        for (ServerSnapshot &server : m_servers) {
+            if (server.relayAddress == agentAddress(number)) {
+                server.acceptsServiceKeys = true;
+            }
+        }
+        return *this;
+    }
+
     Snapshots &without(std::uint32_t number)
     {
         std::erase_if(m_servers, [number](const ServerSnapshot &server) {
--- a/src/jujubequay/steering_program/agent_traffic.cpp
+++ b/src/jujubequay/steering_program/agent_traffic.cpp
@@ -254,7 +254,7 @@
     if (dropped != nullptr && dropped->cause == SteerCause::StaleRouteTable && m_staleBalancers.insert(packet.header.balancer).second) {
         distributeNewerRoutes();
     }
-    execute(decision, *segment, datagram);
+    execute(decision, *segment, datagram.last(steerHeaderLength + packet.packet.size()));
     sendNotices();
 }
 
@@ -452,8 +452,12 @@
 
 void AgentTraffic::relay(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> withHeadroom)
 {
-    encodeSteerHeader(decision.header, withHeadroom.first<steerHeaderLength>());
-    m_peerWriter.add(decision.agent, withHeadroom);
+    if (segment.isSyn && m_steering.directory().acceptsServiceKeys(decision.agent)) {
+        m_peerWriter.add(decision.agent, keepUntilFlush(encodeOpeningPacket(decision.header, withHeadroom.subspan(steerHeaderLength))));
+    } else {
+        encodeSteerHeader(decision.header, withHeadroom.first<steerHeaderLength>());
+        m_peerWriter.add(decision.agent, withHeadroom);
+    }
     m_counters.add(PacketEvent::Forwarded);
     m_logger.info("packet-passed-on",
                   {{"caller", toString(segment.source)},
--- a/src/jujubequay/steering_program/balancer_traffic.cpp
+++ b/src/jujubequay/steering_program/balancer_traffic.cpp
@@ -159,8 +159,13 @@
 
 void BalancerTraffic::relay(const RelayToAgent &decision, const Segment &segment, std::span<std::uint8_t> datagram)
 {
-    encodeSteerHeader(decision.header, datagram.first<steerHeaderLength>());
-    m_agentWriter.add(decision.agent, datagram);
+    if (segment.isSyn && m_steering.directory().acceptsServiceKeys(decision.agent)) {
+        m_pendingBuffers.push_back(encodeOpeningPacket(decision.header, datagram.subspan(steerHeaderLength)));
+        m_agentWriter.add(decision.agent, m_pendingBuffers.back());
+    } else {
+        encodeSteerHeader(decision.header, datagram.first<steerHeaderLength>());
+        m_agentWriter.add(decision.agent, datagram);
+    }
     m_counters.add(PacketEvent::Relayed);
     if (decision.cause == SteerCause::Placed) {
         m_counters.add(PacketEvent::Placed);
@@ -177,8 +182,8 @@
 
 void BalancerTraffic::sendReset(const ResetCaller &decision)
 {
-    m_pendingResets.push_back(m_codec.encodeReset(decision));
-    m_callerWriter.add(m_codec.callerEndpoint(decision.tuple), m_pendingResets.back());
+    m_pendingBuffers.push_back(m_codec.encodeReset(decision));
+    m_callerWriter.add(m_codec.callerEndpoint(decision.tuple), m_pendingBuffers.back());
     m_counters.add(PacketEvent::Reset);
     logReset(m_logger, m_clock.now(), decision, m_steering.directory());
 }
@@ -187,7 +192,7 @@
 {
     const std::size_t unsent = m_agentWriter.flush(m_peerSocket.native_handle()) + m_callerWriter.flush(m_callerSocket.native_handle());
     m_counters.add(PacketEvent::NotSent, unsent);
-    m_pendingResets.clear();
+    m_pendingBuffers.clear();
 }
 
 void BalancerTraffic::handlePeerDatagrams(std::size_t count)
--- a/src/jujubequay/steering_program/steering_agent_process.cpp
+++ b/src/jujubequay/steering_program/steering_agent_process.cpp
@@ -352,6 +352,7 @@
     entry.set_relay_address(toString(m_settings.relayAddress));
     entry.set_weight(defaultWeight);
     entry.set_agent_epoch(m_epoch);
+    entry.set_accepts_service_keys(true);
     const auto &current = m_announcements.current();
     const pb::ServerState runningState = m_announcements.acceptsNewFlows(m_services.clock().now()) ? pb::SERVER_STATE_SERVING : pb::SERVER_STATE_DRAINING;
     if (m_announcements.isUnannounced()) {
