--- a/include/jujubequay/control/control_host_service.h
+++ b/include/jujubequay/control/control_host_service.h
@@ -118,6 +118,8 @@
     void proposeKnownHosts(const jujubequay::pb::ChangeKnownHosts &change);
     void sendStartNotices();
     void sendEndedFlows();
+    /// Logs at intervals that there is no leader, and which voters cannot be reached.
+    void reportMissingLeader();
     void handleJoin(const jujubequay::pb::JoinRequest &request);
     bool hasEnoughVoters() const;
     /// Null if the leader is unknown.
@@ -151,6 +153,8 @@
     std::size_t m_registryServerCount = 0;
     bool m_isRegistryComplete = false;
     const TimePoint m_startedAt;
+    TimePoint m_leaderSeenAt{};
+    TimePoint m_missingLeaderReportedAt{};
     TimePoint m_lastLeaderContact{};
     TimePoint m_leaderSince{};
     std::uint64_t m_leaderTerm = 0;
--- a/src/jujubequay/control/control_host_service.cpp
+++ b/src/jujubequay/control/control_host_service.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t noReplyStream = 0;
 /// Limits start notices to 4,000 a second, so that a restart in a large network does not saturate the link.
 constexpr std::size_t startNoticesPerTick = 200;
+/// Time between log lines while there is no leader.
+constexpr auto missingLeaderReportInterval = std::chrono::seconds(5);
 /// A member without a leader for this long may have been removed from the group while it was partitioned.
 constexpr auto leaderContactTimeout = std::chrono::seconds(2);
 
@@ -110,6 +112,7 @@
                          }})
     , m_knownHostsReconciler({})
     , m_startedAt(m_environment.clock.now())
+    , m_leaderSeenAt(m_startedAt)
 {
     if (m_options.membershipReconciler) {
         m_membershipReconciler.emplace(*m_options.membershipReconciler);
@@ -189,6 +192,7 @@
         sendStartNotices();
     }
     sendEndedFlows();
+    reportMissingLeader();
 }
 
 TimePoint ControlHostService::nextTick() const
@@ -354,6 +358,31 @@
     });
 }
 
+void ControlHostService::reportMissingLeader()
+{
+    const Consensus::Replica &replica = m_driver.replica();
+    const TimePoint now = m_environment.clock.now();
+    if (!replica.leader().empty()) {
+        m_leaderSeenAt = now;
+    }
+    const Duration timeWithoutLeader = now - m_leaderSeenAt;
+    if (timeWithoutLeader < leaderContactTimeout || now - m_missingLeaderReportedAt < missingLeaderReportInterval) {
+        return;
+    }
+    m_missingLeaderReportedAt = now;
+    std::string unreachable;
+    for (const pb::Member &member : replica.membership().members()) {
+        if (member.voter() && member.id() != replica.id() && !m_registryExchange.isReachable(member.host())) {
+            unreachable += (unreachable.empty() ? "" : ",") + member.host();
+        }
+    }
+    m_environment.logger.warning("no-leader",
+                                 {{"for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(timeWithoutLeader).count()},
+                                  {"member", Consensus::findMember(replica.membership(), replica.id()) != nullptr},
+                                  {"voters", Consensus::voterCount(replica.membership())},
+                                  {"unreachable", unreachable}});
+}
+
 std::vector<MemberStatus> ControlHostService::memberStatus(TimePoint now) const
 {
     const Consensus::Replica &replica = m_driver.replica();
--- a/src/jujubequay/control/control_host_service_test.cpp
+++ b/src/jujubequay/control/control_host_service_test.cpp
@@ -55,13 +55,32 @@
     Consensus::StoredState stored;
 };
 
-class NullLogger final : public Logger
+/// Keeps the lines of its log.
+class RecordingLogger final : public Logger
 {
 public:
     using Logger::Logger;
 
+    void clear()
+    {
+        m_lines.clear();
+    }
+
+    bool contains(const std::string &text) const
+    {
+        return std::any_of(m_lines.begin(), m_lines.end(), [&text](const std::string &line) {
+            return line.find(text) != std::string::npos;
+        });
+    }
+
 protected:
-    void write(const std::string & /*line*/) override { }
+    void write(const std::string &line) override
+    {
+        m_lines.push_back(line);
+    }
+
+private:
+    std::vector<std::string> m_lines;
 };
 
 struct Host {
@@ -94,6 +113,7 @@
     CPPUNIT_TEST(replacedLeaderThatWasKilledLosesItsVoteByItsOwnSilence);
     CPPUNIT_TEST(stoppedHostsKeepTheirVotesWithoutAReplacement);
     CPPUNIT_TEST(diskLostRightAfterAReplacementLeavesALeader);
+    CPPUNIT_TEST(hostsReportThatThereIsNoLeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,7 +121,7 @@
     {
         m_network = std::make_unique<FakeNetwork>();
         m_random.seed(11);
-        m_logger = std::make_unique<NullLogger>(m_clock, LogOrigin{"test", "test", "test"}, Logger::Options());
+        m_logger = std::make_unique<RecordingLogger>(m_clock, LogOrigin{"test", "test", "test"}, Logger::Options());
         m_hosts.clear();
         for (int number = 0; number < 3; ++number) {
             addHost();
@@ -350,6 +370,19 @@
         }
     }
 
+    // Guards against a group without a leader whose logs do not tell which hosts are missing.
+    void hostsReportThatThereIsNoLeader()
+    {
+        m_logger->clear(); // hosts that had not joined the group yet had no leader
+        run(seconds(8));
+        CPPUNIT_ASSERT(!m_logger->contains("event=no-leader"));
+        stopHost(*m_hosts[0]);
+        stopHost(*m_hosts[1]);
+        run(seconds(8));
+        CPPUNIT_ASSERT(m_logger->contains("event=no-leader for_ms="));
+        CPPUNIT_ASSERT(m_logger->contains("member=true voters=3 unreachable=control-a,control-b"));
+    }
+
 private:
     Host &addHost()
     {
@@ -608,7 +641,7 @@
 
     ManualClock m_clock;
     std::mt19937_64 m_random;
-    std::unique_ptr<Logger> m_logger;
+    std::unique_ptr<RecordingLogger> m_logger;
     std::unique_ptr<FakeNetwork> m_network;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::shared_ptr<MessageStream> m_watchStream;
--- a/src/jujubequay/steering_program/route_control_process.cpp
+++ b/src/jujubequay/steering_program/route_control_process.cpp
@@ -423,6 +423,7 @@
     m_services.metrics().setGauge("routes_version", static_cast<double>(service.driver().state().routes().table().version()));
     m_services.metrics().setGauge("applied_index", static_cast<double>(service.driver().replica().appliedIndex()));
     m_services.metrics().setGauge("is_leader", service.driver().replica().role() == Consensus::Role::Leader ? 1 : 0);
+    m_services.metrics().setGauge("has_leader", service.driver().replica().leader().empty() ? 0 : 1);
     m_services.metrics().setGauge("watchers", static_cast<double>(service.watchServer().watcherCount()));
     const TimePoint now = m_services.clock().now();
     if (now - m_messagesPublishedAt >= messagesInterval) {
