--- a/include/jujubequay/control/route_table.h
+++ b/include/jujubequay/control/route_table.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -34,7 +35,11 @@
     std::uint32_t shortKey = 0;
     std::array<std::uint8_t, digestLength> digest{}; ///< zero if only the short key is known
 
-    auto operator<=>(const ServiceKey &) const = default;
+    bool operator==(const ServiceKey &) const = default;
+    bool operator<(const ServiceKey &other) const
+    {
+        return std::tie(shortKey, digest) < std::tie(other.shortKey, other.digest);
+    }
 };
 
 ServiceKey serviceKey(const std::string &name);
