--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -39,7 +39,9 @@
     def add(self, text):
         with self._lock:
             self._file.write(f"{time.monotonic() - self._start:8.3f} {text}\n")
-            self._file.flush()
+
+    def flush(self):
+        self._file.flush()
 
 
 class Packet:
@@ -420,6 +422,7 @@
         elif packet.data and packet.seq == self.ack & 0xffffffff:
             self.ack += len(packet.data)
             self.inbox.append(packet.data)
+            self.client.record.add(f"client {self.client.ip}:{self.port}: got {packet.data.splitlines()[-1].decode('latin-1')!r}")
             self.send(ACK)
 
 
